The whole path as one program

Cause: a first thin path from caller to backend server is wanted before anything is thickened. Change: kernel, settings, deciders, services, stand-ins and a demonstration over loopback HTTP. Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PY := .venv/bin/python
+ARGS ?=
+
+.venv/ready: requirements.lock pyproject.toml
+	python3.11 -m venv .venv
+	.venv/bin/pip install -q --disable-pip-version-check -r requirements.lock
+	.venv/bin/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch .venv/ready
+
+.PHONY: demo test bench binary format
+demo: .venv/ready
+	@$(PY) -m sassafraslock demo $(ARGS)
+
+test: .venv/ready
+	.venv/bin/black --check .
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+	$(PY) -m pytest $(ARGS)
+
+bench: .venv/ready
+	@$(PY) -m benchmarks $(ARGS)
+
+binary: .venv/ready
+	mkdir -p dist build
+	rm -rf build/site && .venv/bin/pip install -q --disable-pip-version-check --no-deps --target build/site -r requirements.lock
+	.venv/bin/pip install -q --disable-pip-version-check --no-deps --no-build-isolation --upgrade --target build/site .
+	.venv/bin/shiv --site-packages build/site -e sassafraslock.cli:main -p '/usr/bin/env python3.11' -o dist/sassafraslock
+
+format: .venv/ready
+	.venv/bin/black . && .venv/bin/ruff check --fix .
--- /dev/null
+++ b/sassafraslock/asgi.py
@@ -0,0 +1,185 @@
+"""Small helpers for ASGI applications served by uvicorn."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import typing
+import urllib.parse
+
+import anyio
+import msgspec
+import uvicorn
+
+Scope = typing.MutableMapping[str, typing.Any]
+Message = typing.MutableMapping[str, typing.Any]
+Receive = typing.Callable[[], typing.Awaitable[Message]]
+Send = typing.Callable[[Message], typing.Awaitable[None]]
+App = typing.Callable[[Scope, Receive, Send], typing.Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+
+KEEP_ALIVE_S = 30
+BACKLOG = 512
+STOP_POLL_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request's head."""
+
+    method: str
+    path: str
+    query: str
+    headers: Headers
+
+    def header(self, name: bytes) -> str:
+        """Return a header's value, empty where it is absent.
+
+        :param name: the name in lower case.
+        """
+        return next((v.decode("latin-1") for n, v in self.headers if n == name), "")
+
+    def parameter(self, name: str) -> str:
+        """Return a query parameter's value, empty where it is absent.
+
+        :param name: the parameter's name.
+        """
+        return urllib.parse.parse_qs(self.query).get(name, [""])[0]
+
+
+def request_of(scope: Scope) -> Request:
+    """Build the request's head from an ASGI scope.
+
+    :param scope: the connection scope of type ``http``.
+    """
+    path = scope["raw_path"].decode("latin-1") if scope.get("raw_path") else scope["path"]
+    return Request(scope["method"], path, scope["query_string"].decode("latin-1"), scope["headers"])
+
+
+async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
+    """Read a request's body, or return none if it is larger than allowed or was cut off.
+
+    :param receive: the ASGI receive callable.
+    :param max_bytes: the largest body that is read.
+    """
+    parts: list[bytes] = []
+    size_bytes = 0
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return None
+        parts.append(message.get("body", b""))
+        size_bytes += len(parts[-1])
+        if size_bytes > max_bytes:
+            return None
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def send_answer(send: Send, status: int, headers: Headers, body: bytes) -> None:
+    """Send a whole answer.
+
+    :param send: the ASGI send callable.
+    :param status: the HTTP status.
+    :param headers: the headers, without a length.
+    :param body: the body.
+    """
+    head = [*headers, (b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": head})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_json(send: Send, status: int, value: object, headers: Headers | None = None) -> None:
+    """Send a value as JSON.
+
+    :param send: the ASGI send callable.
+    :param status: the HTTP status.
+    :param value: plain data or dataclasses.
+    :param headers: further headers.
+    """
+    body = msgspec.json.encode(value)
+    await send_answer(
+        send, status, [(b"content-type", b"application/json"), *(headers or [])], body
+    )
+
+
+class HttpServer:
+    """Serves one ASGI application on one address, as a kernel service."""
+
+    __slots__ = ("_app", "_host", "_port", "_server", "_socket")
+
+    def __init__(self, app: App, host: str, port: int) -> None:
+        self._app = app
+        self._host = host
+        self._port = port
+        self._server: uvicorn.Server | None = None
+        self._socket: socket.socket | None = None
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Serve until cancelled.
+
+        :param ready: set once the address accepts connections.
+        """
+        config = uvicorn.Config(
+            self._app,
+            host=self._host,
+            port=self._port,
+            http="httptools",
+            loop="asyncio",
+            lifespan="off",
+            interface="asgi3",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            ws="none",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=1,
+            backlog=BACKLOG,
+        )
+        server = _Server(config)
+        self._server = server
+        listener = config.bind_socket()
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._announce, server, ready)
+                await server.main(listener)
+                group.cancel_scope.cancel()
+        finally:
+            server.drop_connections()
+            listener.close()
+
+    async def _announce(self, server: uvicorn.Server, ready: anyio.Event) -> None:
+        while not server.started:
+            await anyio.sleep(STOP_POLL_S)
+        ready.set()
+
+    @property
+    def open_connections(self) -> int:
+        """The number of connections that callers hold open."""
+        return len(self._server.server_state.connections) if self._server else 0
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process and dies when cancelled."""
+
+    async def main(self, listener: socket.socket) -> None:
+        """Serve on a bound socket until cancelled.
+
+        :param listener: the bound socket.
+        """
+        self.config.load()
+        self.lifespan = self.config.lifespan_class(self.config)
+        await self.startup(sockets=[listener])
+        await self.main_loop()
+
+    def drop_connections(self) -> None:
+        """Close the listeners and every connection at once, as a dying process does."""
+        for server in getattr(self, "servers", []):
+            server.close()
+        for connection in list(self.server_state.connections):
+            transport = getattr(connection, "transport", None)
+            if transport is not None:
+                transport.abort()
+        for task in list(self.server_state.tasks):
+            task.cancel()
--- /dev/null
+++ b/sassafraslock/clock.py
@@ -0,0 +1,23 @@
+"""Sources of the present time. Deciders take the time as an argument instead."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+
+class Clock(typing.Protocol):
+    """Gives the present time of a monotonic clock."""
+
+    def __call__(self) -> int:
+        """Return milliseconds since an arbitrary start."""
+
+
+def monotonic_ms() -> int:
+    """Return this machine's monotonic time in milliseconds, suspended time included."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+def wall_ms() -> int:
+    """Return the time since 1970 in milliseconds; it may jump."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/sassafraslock/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure deciders: no I/O, the present time is an argument."""
--- /dev/null
+++ b/sassafraslock/decisions/view.py
@@ -0,0 +1,241 @@
+"""The membership view of a region and who is steward of each resource.
+
+A steward is the one entry that may hand out a resource: a server's slots or a link's bytes.
+The view is one row of the table service for each region and changes by compare-and-set only.
+A resource leaves a living steward only when that steward itself writes the change.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import xxhash
+
+from sassafraslock import shared_settings
+
+LINK_PREFIX = "link/"
+SERVER_PREFIX = "server/"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Member:
+    """An entry as the view knows it; a restart gets a new incarnation."""
+
+    entry_id: str
+    incarnation: int
+    zone: str
+    caller_address: str
+    peer_address: str
+    leaving: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stewardship:
+    """The right to hand out a resource.
+
+    Where ``settled`` is false, grants of an earlier steward may still be in use, so the steward
+    waits for the longest deadline before its first grant.
+    """
+
+    entry_id: str
+    incarnation: int
+    settled: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class View:
+    """One region's members and stewards under one epoch."""
+
+    epoch: int = 0
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    stewards: dict[str, Stewardship] = dataclasses.field(default_factory=dict)
+
+    def steward_of(self, resource: str) -> Member | None:
+        """Return the member that hands out a resource.
+
+        :param resource: the resource's name.
+        """
+        stewardship = self.stewards.get(resource)
+        member = self.members.get(stewardship.entry_id) if stewardship else None
+        if member is None or stewardship is None or member.incarnation != stewardship.incarnation:
+            return None
+        return member
+
+    def held_by(self, entry_id: str, incarnation: int) -> dict[str, Stewardship]:
+        """Return the resources that one incarnation of an entry hands out.
+
+        :param entry_id: the entry.
+        :param incarnation: its incarnation.
+        """
+        return {
+            r: s
+            for r, s in self.stewards.items()
+            if s.entry_id == entry_id and s.incarnation == incarnation
+        }
+
+
+def server_resource(service: str, server_id: str) -> str:
+    """Return the name of a server's slots as a resource.
+
+    :param service: the service as ``team/service``.
+    :param server_id: the server's id.
+    """
+    return f"{SERVER_PREFIX}{service}/{server_id}"
+
+
+def link_resource(to_region: str) -> str:
+    """Return the name of the bytes sent from this region to another as a resource.
+
+    :param to_region: the receiving region.
+    """
+    return LINK_PREFIX + to_region
+
+
+def resources_of(shared: shared_settings.SharedSettings, region: str) -> list[str]:
+    """Return every resource of a region, sorted.
+
+    :param shared: the shared settings in force.
+    :param region: the region.
+    """
+    servers = [
+        server_resource(service, server_id)
+        for service, settings in shared.services.items()
+        for server_id, server in settings.servers.items()
+        if server.region == region
+    ]
+    links = [
+        link_resource(other)
+        for other in shared.regions
+        if other != region and shared.link_limit(region, other)
+    ]
+    return sorted(servers + links)
+
+
+def targets(resources: list[str], members: dict[str, Member]) -> dict[str, str]:
+    """Spread resources over the members that stay, evenly for each service.
+
+    The highest hash wins, as in rendezvous hashing, among members below an even load.
+
+    :param resources: every resource of the region.
+    :param members: the view's members.
+    """
+    staying = sorted(m.entry_id for m in members.values() if not m.leaving)
+    if not staying:
+        return {}
+    chosen: dict[str, str] = {}
+    groups: dict[str, list[str]] = {}
+    for resource in resources:
+        groups.setdefault(resource.rpartition("/")[0], []).append(resource)
+    load = dict.fromkeys(staying, 0)
+    for group in groups.values():
+        room = dict.fromkeys(staying, math.ceil(len(group) / len(staying)))
+        for resource in group:
+            fitting = [e for e in staying if room[e]]
+            least = min(load[e] for e in fitting)
+            best = max((e for e in fitting if load[e] == least), key=lambda e: _score(e, resource))
+            chosen[resource] = best
+            room[best] -= 1
+            load[best] += 1
+    return chosen
+
+
+def _score(entry_id: str, resource: str) -> int:
+    return xxhash.xxh64_intdigest(f"{entry_id}|{resource}".encode())
+
+
+def join(view: View, member: Member) -> View:
+    """Add an entry, or its new incarnation, or its changed leaving state.
+
+    Resources of an earlier incarnation of the same entry pass to the new one unsettled: the
+    earlier process is gone, since the new one is bound to its address.
+
+    :param view: the view as read.
+    :param member: the entry that joins.
+    """
+    stewards = {}
+    for resource, held in view.stewards.items():
+        if held.entry_id == member.entry_id and held.incarnation != member.incarnation:
+            stewards[resource] = Stewardship(member.entry_id, member.incarnation, False)
+        else:
+            stewards[resource] = held
+    return View(view.epoch + 1, {**view.members, member.entry_id: member}, stewards)
+
+
+def claim_free(view: View, me: Member, resources: list[str]) -> View:
+    """Take the resources without a steward in the view whose target is this entry.
+
+    One that had a steward before is taken unsettled.
+
+    :param view: the view as read.
+    :param me: the entry that takes.
+    :param resources: every resource of the region.
+    """
+    goal = targets(resources, view.members)
+    mine = {}
+    for resource in resources:
+        held = view.stewards.get(resource)
+        if goal.get(resource) == me.entry_id and (held is None or _is_orphan(view, held)):
+            mine[resource] = Stewardship(me.entry_id, me.incarnation, held is None)
+    if not mine:
+        return view
+    return View(view.epoch + 1, view.members, view.stewards | mine)
+
+
+def _is_orphan(view: View, held: Stewardship) -> bool:
+    return held.entry_id not in view.members
+
+
+def to_give_up(view: View, me: Member, resources: list[str]) -> list[str]:
+    """Return the resources held by this entry that belong to another or to nobody any more.
+
+    :param view: the view in force.
+    :param me: the holder.
+    :param resources: every resource of the region.
+    """
+    goal = targets(resources, view.members)
+    held = view.held_by(me.entry_id, me.incarnation)
+    return [r for r in held if goal.get(r, "") != me.entry_id and (goal or not resources)]
+
+
+def give_up(view: View, me: Member, idle: list[str], resources: list[str]) -> View:
+    """Hand resources with no grant in use to their targets, and drop those out of settings.
+
+    :param view: the view as read.
+    :param me: the holder, which writes this change itself.
+    :param idle: the resources that it stopped handing out and that are unused.
+    :param resources: every resource of the region.
+    """
+    goal = targets(resources, view.members)
+    held = view.held_by(me.entry_id, me.incarnation)
+    stewards = dict(view.stewards)
+    for resource in idle:
+        heir = view.members.get(goal.get(resource, ""))
+        if resource not in held or heir == me:
+            continue
+        if heir is not None:
+            stewards[resource] = Stewardship(heir.entry_id, heir.incarnation, True)
+        elif resource not in resources:
+            del stewards[resource]
+    if stewards == view.stewards:
+        return view
+    return View(view.epoch + 1, view.members, stewards)
+
+
+def remove(view: View, entry_id: str) -> View:
+    """Remove an entry that left or is certainly gone; its resources move unsettled.
+
+    :param view: the view as read.
+    :param entry_id: the entry to remove.
+    """
+    members = {e: m for e, m in view.members.items() if e != entry_id}
+    orphans = [r for r, s in view.stewards.items() if s.entry_id == entry_id]
+    goal = targets(sorted(view.stewards), members)
+    stewards = {r: s for r, s in view.stewards.items() if s.entry_id != entry_id}
+    for resource in orphans:
+        heir = members.get(goal.get(resource, ""))
+        if heir:
+            stewards[resource] = Stewardship(heir.entry_id, heir.incarnation, False)
+        else:
+            stewards[resource] = Stewardship(entry_id, 0, False)
+    return View(view.epoch + 1, members, stewards)
--- /dev/null
+++ b/sassafraslock/events.py
@@ -0,0 +1,48 @@
+"""Numbered log events. docs/EVENTS.md holds the catalogue, checked by a test."""
+
+from __future__ import annotations
+
+import enum
+import logging
+
+_LOGGER = logging.getLogger("sassafraslock")
+
+
+class Event(enum.IntEnum):
+    """Every event that the program logs."""
+
+    PROCESS_STARTED = 1001
+    PROCESS_STOPPING = 1002
+    PROCESS_STOPPED = 1003
+    SERVICE_FAILED = 1004
+    SERVICE_GAVE_UP = 1005
+    VIEW_CHANGED = 2001
+    VIEW_CHANGE_FAILED = 2002
+    PEER_SUSPECTED = 2003
+    PEER_HEARD = 2004
+    PEER_MESSAGE_REJECTED = 2005
+    ENTRY_NOT_LISTED = 2006
+    STORE_DOWN = 3001
+    STORE_UP = 3002
+    CLAIM_PARTITION_TAKEN = 3003
+    CLAIM_PARTITION_LOST = 3004
+    CLAIM_LOG_FULL = 3005
+    SETTINGS_IN_FORCE = 4001
+    SETTINGS_REJECTED = 4002
+    SERVER_DRAINING = 5001
+    SERVER_FAILED = 5002
+    SERVER_RECOVERED = 5003
+    REQUEST_QUARANTINED = 5004
+    LATE_ANSWER_DROPPED = 5005
+    SHIFT_STEP = 6001
+
+
+def log(event: Event, message: str, level: int = logging.INFO, **fields: object) -> None:
+    """Write one event with its number.
+
+    :param event: the event's number and name.
+    :param message: one line for people.
+    :param level: a level of :mod:`logging`.
+    :param fields: values for machines, names with their unit.
+    """
+    _LOGGER.log(level, message, extra={"event": event, "fields": fields})
--- /dev/null
+++ b/sassafraslock/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services of an entry: tasks that own sockets and state."""
--- /dev/null
+++ b/sassafraslock/services/steward.py
@@ -0,0 +1,387 @@
+"""Membership view and the resources that this entry hands out."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import logging
+import typing
+
+import anyio
+import msgspec
+
+from sassafraslock import clock, errors, events, messages, platform, settings, shared_settings
+from sassafraslock.decisions import links, slots, view
+
+GRANT_MARGIN_MS = 500
+VIEW_PREFIX = "view/"
+LINK_RESERVE_RATIO = 0.2
+LINK_DATA_RATIO = 0.95
+
+AttemptObserver = typing.Callable[[tuple[str, str], bool, int], None]
+
+
+class StewardService:
+    """Owns this region's view, the slot pools and the link budgets."""
+
+    __slots__ = (
+        "view",
+        "pools",
+        "budgets",
+        "leaving",
+        "me",
+        "_settings",
+        "_platform",
+        "_peers",
+        "_shared",
+        "_grant_ids",
+        "_version",
+        "_last_tick_ms",
+        "_confirmed",
+        "_giving_up",
+        "_released",
+        "_wake",
+        "gone",
+        "attempt_observer",
+    )
+
+    def __init__(
+        self,
+        process: settings.Settings,
+        incarnation: int,
+        platform_client: typing.Any,
+        peers: typing.Any,
+        settings_service: typing.Any,
+    ) -> None:
+        self.view = view.View()
+        self.pools: dict[str, slots.SlotPool] = {}
+        self.budgets: dict[str, links.LinkBudget] = {}
+        self.leaving = False
+        self.gone = False
+        self.attempt_observer: AttemptObserver | None = None
+        self.me = view.Member(
+            process.entry_id, incarnation, process.zone, str(process.caller), str(process.peer)
+        )
+        self._settings = process
+        self._platform = platform_client
+        self._peers = peers
+        self._shared = settings_service.shared
+        self._grant_ids = itertools.count(1)
+        self._version = 0
+        self._last_tick_ms = 0
+        self._confirmed = False
+        self._giving_up: set[str] = set()
+        self._released = anyio.Event()
+        self._wake = anyio.Event()
+        settings_service.on_change(self._on_settings)
+        peers.handle(messages.SlotRequest, self._on_slot_request)
+        peers.handle(messages.SlotReturn, self._on_slot_return)
+        peers.handle(messages.BytesRequest, self._on_bytes_request)
+
+    def _on_settings(self, shared: shared_settings.SharedSettings) -> None:
+        self._shared = shared
+        self._sync(clock.monotonic_ms())
+        self._wake.set()
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Follow and change the view until cancelled.
+
+        :param ready: set after the first look at the view.
+        """
+        while True:
+            self._last_tick_ms = clock.monotonic_ms()
+            await self._step()
+            ready.set()
+            self._wake = anyio.Event()
+            with anyio.move_on_after(self._settings.poll_ms / 1000):
+                await self._wake.wait()
+
+    async def _step(self) -> None:
+        """Read the view, change it where this entry should, and follow it."""
+        key = VIEW_PREFIX + self._settings.region
+        result = await self._platform.transact(platform.Transaction(reads=[key]))
+        if isinstance(result, errors.Refusal):
+            return
+        self._take(result.row(key))
+        wanted = self._wanted_view(clock.monotonic_ms())
+        if wanted is self.view:
+            return
+        transaction = platform.Transaction(
+            conditions=[platform.Condition(key, self._version)],
+            puts=[platform.Put(key, msgspec.msgpack.encode(wanted))],
+            reads=[key],
+        )
+        written = await self._platform.transact(transaction)
+        if isinstance(written, errors.Refusal):
+            events.log(events.Event.VIEW_CHANGE_FAILED, written.reason, logging.WARNING)
+            return
+        self._take(written.row(key))
+
+    def _take(self, row: platform.Row | None) -> None:
+        """Follow the view as the store has it."""
+        self._confirmed = True
+        if row is None:
+            return
+        seen = msgspec.msgpack.decode(row.value, type=view.View)
+        if seen.epoch > self.view.epoch:
+            events.log(
+                events.Event.VIEW_CHANGED,
+                "the region's view changed",
+                epoch=seen.epoch,
+                members=sorted(seen.members),
+            )
+        self._version, self.view = row.version, seen
+        self._sync(clock.monotonic_ms())
+
+    def _wanted_view(self, now_ms: int) -> view.View:
+        me = dataclasses.replace(self.me, leaving=self.leaving)
+        wanted = self.view
+        resources = view.resources_of(self._shared, self._settings.region)
+        if self.gone:
+            return self._view_without_me(wanted)
+        known = wanted.members.get(me.entry_id)
+        if known and known.incarnation > me.incarnation:
+            return wanted
+        if known != me and (known or self._has_room(wanted)):
+            wanted = view.join(wanted, me)
+        if me.entry_id not in wanted.members:
+            return wanted
+        for entry_id in wanted.members:
+            if entry_id != me.entry_id and self._peers.table.certainly_gone(entry_id, now_ms):
+                wanted = view.remove(wanted, entry_id)
+        if not self.leaving:
+            wanted = view.claim_free(wanted, me, resources)
+        self._giving_up = set(view.to_give_up(wanted, me, resources))
+        self._sync(now_ms)
+        idle = [r for r in self._giving_up if self._is_idle(r, now_ms)]
+        return view.give_up(wanted, me, idle, resources)
+
+    def _view_without_me(self, wanted: view.View) -> view.View:
+        known = wanted.members.get(self.me.entry_id)
+        if known is None or known.incarnation != self.me.incarnation:
+            return wanted
+        return view.remove(wanted, self.me.entry_id)
+
+    def _has_room(self, current: view.View) -> bool:
+        region = self._shared.regions.get(self._settings.region)
+        return region is not None and len(current.members) < region.max_entries
+
+    def _is_idle(self, resource: str, now_ms: int) -> bool:
+        if resource.startswith(view.LINK_PREFIX):
+            return True
+        service, _, server_id = resource.removeprefix(view.SERVER_PREFIX).rpartition("/")
+        pool = self.pools.get(service)
+        if pool is None:
+            return True
+        pool.expire(now_ms)
+        return pool.in_use(server_id) == 0
+
+    def _sync(self, now_ms: int) -> None:
+        """Bring pools and budgets in line with the view and the settings."""
+        held = self.view.held_by(self.me.entry_id, self.me.incarnation)
+        limits = slots.effective_limits(self._shared, self._settings.region)
+        for (service, server_id), limit in limits.items():
+            stewardship = held.get(view.server_resource(service, server_id))
+            self._sync_server(service, server_id, limit, stewardship, now_ms)
+        for service, pool in self.pools.items():
+            for server_id in list(pool.servers):
+                if (service, server_id) not in limits:
+                    pool.withdraw(server_id)
+        self._sync_links(held, now_ms)
+
+    def _sync_server(
+        self,
+        service: str,
+        server_id: str,
+        limit: int,
+        stewardship: view.Stewardship | None,
+        now_ms: int,
+    ) -> None:
+        rules = self._shared.services[service]
+        pool = self.pools.setdefault(service, slots.SlotPool(rules.filing_reserve_ratio))
+        pool.reserve_ratio = rules.filing_reserve_ratio
+        resource = view.server_resource(service, server_id)
+        if stewardship is None or resource in self._giving_up:
+            pool.withdraw(server_id)
+            if stewardship is None and pool.in_use(server_id) == 0:
+                pool.forget(server_id)
+            return
+        wait_ms = 0 if stewardship.settled else rules.max_deadline_ms + GRANT_MARGIN_MS
+        pool.hold(server_id, limit, now_ms + wait_ms, True)
+
+    def _sync_links(self, held: dict[str, view.Stewardship], now_ms: int) -> None:
+        for resource, stewardship in held.items():
+            if not resource.startswith(view.LINK_PREFIX):
+                continue
+            to_region = resource.removeprefix(view.LINK_PREFIX)
+            limit = self._shared.link_limit(self._settings.region, to_region)
+            limit = int(limit * LINK_DATA_RATIO)
+            if to_region not in self.budgets:
+                start_ms = now_ms if stewardship.settled else now_ms + links.QUOTA_LIFE_MS
+                self.budgets[to_region] = links.LinkBudget(limit, LINK_RESERVE_RATIO, start_ms)
+            self.budgets[to_region].bytes_per_s = limit
+        for to_region in list(self.budgets):
+            if view.link_resource(to_region) not in held:
+                del self.budgets[to_region]
+
+    def may_act(self, now_ms: int) -> bool:
+        """Tell whether grants are allowed now.
+
+        After a pause the view must be confirmed first, and a process cut off from store and
+        peers hands out nothing.
+
+        :param now_ms: the present time.
+        """
+        if now_ms - self._last_tick_ms > self._settings.poll_ms + self._pause_limit_ms():
+            self._confirmed = False
+        if not self._confirmed or self.gone:
+            return False
+        return self._peers.table.may_act(
+            self._settings.region,
+            len(self.view.members),
+            now_ms - self._platform.last_ok_ms,
+            now_ms,
+        )
+
+    def _pause_limit_ms(self) -> int:
+        return 4 * self._settings.poll_ms + self._settings.platform.timeout_ms * 2
+
+    def acquire(
+        self, service: str, filing: bool, duration_ms: int, avoid: list[str], now_ms: int
+    ) -> slots.Grant | errors.Refusal:
+        """Grant one slot of this entry's own servers.
+
+        :param service: the service.
+        :param filing: whether the reserve may be used.
+        :param duration_ms: how long the request may run.
+        :param avoid: servers not to use.
+        :param now_ms: the present time.
+        """
+        pool = self.pools.get(service)
+        if pool is None or not self.may_act(now_ms):
+            return errors.Refusal(errors.ErrorKind.NO_CAPACITY, "this entry hands out no slot")
+        grant_id = f"{self.me.entry_id}:{self.me.incarnation}:{next(self._grant_ids)}"
+        expires_ms = now_ms + duration_ms + GRANT_MARGIN_MS
+        return pool.acquire(grant_id, filing, expires_ms, avoid, now_ms)
+
+    def release(self, service: str, grant_id: str) -> None:
+        """Take a slot back and wake those that wait for one.
+
+        :param service: the service, or nothing where it is not known any more.
+        :param grant_id: the grant.
+        """
+        pools = [self.pools[service]] if service in self.pools else self.pools.values()
+        for pool in pools:
+            pool.release(grant_id)
+        self._released.set()
+        self._released = anyio.Event()
+
+    async def wait_for_release(self, timeout_ms: float) -> None:
+        """Wait until any slot comes back.
+
+        :param timeout_ms: the longest wait.
+        """
+        released = self._released
+        with anyio.move_on_after(timeout_ms / 1000):
+            await released.wait()
+
+    async def _on_slot_request(self, request: messages.SlotRequest) -> None:
+        grant = self.acquire(
+            request.service,
+            request.filing,
+            request.duration_ms,
+            request.avoid,
+            clock.monotonic_ms(),
+        )
+        granted = isinstance(grant, slots.Grant)
+        reply = messages.SlotReply(
+            sender=self.me.entry_id,
+            request_id=request.request_id,
+            grant_id=grant.grant_id if isinstance(grant, slots.Grant) else "",
+            server_id=grant.server_id if isinstance(grant, slots.Grant) else "",
+        )
+        if not self._peers.send_to(request.sender, reply) and granted:
+            self.release(request.service, reply.grant_id)
+
+    async def _on_slot_return(self, message: messages.SlotReturn) -> None:
+        self.release(message.service, message.grant_id)
+        if message.service and self.attempt_observer:
+            key = (message.service, message.server_id)
+            self.attempt_observer(key, message.failed, clock.monotonic_ms())
+
+    def link_steward(self, to_region: str) -> str:
+        """Return the entry that hands out a link's bytes, empty where none does.
+
+        :param to_region: the receiving region.
+        """
+        member = self.view.steward_of(view.link_resource(to_region))
+        return member.entry_id if member else ""
+
+    def take_bytes(self, to_region: str, size_bytes: int, filing: bool, now_ms: int) -> int:
+        """Take bytes of a link's budget, 0 where they do not fit.
+
+        :param to_region: the receiving region.
+        :param size_bytes: the bytes wanted.
+        :param filing: whether the reserve may be used.
+        :param now_ms: the present time.
+        """
+        budget = self.budgets.get(to_region)
+        if budget is None or not self.may_act(now_ms):
+            return 0
+        return budget.take(size_bytes, filing, now_ms)
+
+    async def _on_bytes_request(self, request: messages.BytesRequest) -> None:
+        granted_bytes = self.take_bytes(
+            request.to_region, request.size_bytes, request.filing, clock.monotonic_ms()
+        )
+        reply = messages.BytesReply(
+            sender=self.me.entry_id, request_id=request.request_id, granted_bytes=granted_bytes
+        )
+        self._peers.send_to(request.sender, reply)
+
+    def loads(self, now_ms: int) -> dict[str, messages.ServiceLoad]:
+        """Return the free slots of each service, for the heartbeat.
+
+        :param now_ms: the present time.
+        """
+        if not self.may_act(now_ms):
+            return {}
+        return {
+            service: messages.ServiceLoad(pool.free(now_ms), pool.total)
+            for service, pool in self.pools.items()
+            if pool.total
+        }
+
+    async def leave(self) -> None:
+        """Say in the view that this entry leaves, and hand its resources to others."""
+        self.leaving = True
+        await self._step()
+
+    async def stop(self) -> None:
+        """Give up what is left and leave the view."""
+        for _ in range(10):
+            held = self.view.held_by(self.me.entry_id, self.me.incarnation)
+            if not held or len(self.view.members) < 2:
+                break
+            await self._step()
+            await anyio.sleep(self._settings.poll_ms / 5000)
+        self.gone = True
+        await self._step()
+
+    def dump(self) -> dict[str, object]:
+        """Return the view, the pools and the budgets."""
+        now_ms = clock.monotonic_ms()
+        return {
+            "epoch": self.view.epoch,
+            "members": self.view.members,
+            "stewards": self.view.stewards,
+            "may_act": self.may_act(now_ms),
+            "pools": {
+                name: {
+                    s.server_id: {"limit": s.limit, "in_use": len(s.grants), "held": s.held}
+                    for s in pool.servers.values()
+                }
+                for name, pool in self.pools.items()
+            },
+            "link_bytes_per_s": {r: b.bytes_per_s for r, b in self.budgets.items()},
+        }
--- /dev/null
+++ b/sassafraslock/settings.py
@@ -0,0 +1,130 @@
+"""Process settings: what one entry knows of itself before it meets the platform."""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import typing
+
+import msgspec
+
+from sassafraslock import logs, settings_check
+
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+Level = typing.Literal["debug", "info", "warning", "error"]
+
+STOP_BOUND_MS = 30_000
+HEARTBEAT_MS = 500
+VALIDITY_MS = 1_000
+POLL_MS = 500
+MIN_TOKEN_CHARS = 8
+
+
+@dataclasses.dataclass(slots=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: Port
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(slots=True)
+class Operator:
+    """The operators' interface of this process."""
+
+    host: str
+    port: Port
+    token: str
+
+
+@dataclasses.dataclass(slots=True)
+class Platform:
+    """Where the platform's table service, object store and VM list answer."""
+
+    host: str
+    port: Port
+    region: Name
+    timeout_ms: Milliseconds = 1_000
+
+
+@dataclasses.dataclass(slots=True)
+class Logging:
+    """How the process writes its log."""
+
+    format: logs.LogFormat = "text"
+    level: Level = "info"
+
+
+@dataclasses.dataclass(slots=True)
+class Settings:
+    """All process settings of one entry."""
+
+    entry_id: Name
+    region: Name
+    zone: Name
+    caller: Address
+    peer: Address
+    operator: Operator
+    platform: Platform
+    peer_token: str
+    peers: list[Address] = dataclasses.field(default_factory=list)
+    logging: Logging = dataclasses.field(default_factory=Logging)
+    heartbeat_ms: Milliseconds = HEARTBEAT_MS
+    validity_ms: Milliseconds = VALIDITY_MS
+    poll_ms: Milliseconds = POLL_MS
+    stop_bound_ms: Milliseconds = STOP_BOUND_MS
+
+
+SettingsResult = Settings | list[settings_check.Problem]
+
+
+def load(text: str) -> SettingsResult:
+    """Parse and check process settings.
+
+    :param text: the TOML document.
+    :returns: the settings, or every problem found.
+    """
+    raw = settings_check.parse_toml(text)
+    if isinstance(raw, settings_check.Problem):
+        return [raw]
+    problems: list[settings_check.Problem] = []
+    settings = settings_check.convert(Settings, raw, "", problems)
+    if not problems:
+        problems = _check_values(settings)
+    return problems or settings
+
+
+def _check_values(settings: Settings) -> list[settings_check.Problem]:
+    problems = []
+    for path in ("caller", "peer", "operator", "platform"):
+        host = getattr(settings, path).host
+        if not _is_ip_number(host):
+            problems.append(
+                settings_check.Problem(
+                    f"{path}.host", f"{host!r} is not an IP number", "write it as 10.0.0.7"
+                )
+            )
+    for path, token in (
+        ("operator.token", settings.operator.token),
+        ("peer_token", settings.peer_token),
+    ):
+        if len(token) < MIN_TOKEN_CHARS:
+            problems.append(
+                settings_check.Problem(
+                    path, "is too short", f"use {MIN_TOKEN_CHARS} characters or more"
+                )
+            )
+    return problems
+
+
+def _is_ip_number(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/sassafraslock/standin/platform.py
@@ -0,0 +1,142 @@
+"""A stand-in for the platform, in memory, with fault switches."""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+import random
+
+import anyio
+
+from sassafraslock import errors, platform
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong now; ratios are the share of calls that meet the fault."""
+
+    down: bool = False
+    slow_ms: int = 0
+    lost_request_ratio: float = 0.0
+    lost_answer_ratio: float = 0.0
+    late_effect_ratio: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """Counts calls the way a bill would: transactions that write, rows written, reads."""
+
+    write_transactions: int = 0
+    rows_written: int = 0
+    rows_read: int = 0
+    read_calls: int = 0
+
+
+UNAVAILABLE = errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, "the table service is down")
+NO_ANSWER = errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, "the call was not answered in time")
+
+
+class MemoryPlatform:
+    """Table service, object store and VM list in one process's memory."""
+
+    __slots__ = ("rows", "keys", "objects", "vms", "usage", "_version")
+
+    def __init__(self) -> None:
+        self.rows: dict[str, platform.Row] = {}
+        self.keys: list[str] = []
+        self.objects: dict[str, bytes] = {}
+        self.vms: dict[str, platform.Vm] = {}
+        self.usage = Usage()
+        self._version = 0
+
+    def apply(self, transaction: platform.Transaction) -> platform.Outcome:
+        """Run a transaction at once.
+
+        :param transaction: what to check, write and read.
+        """
+        committed = all(self._holds(c) for c in transaction.conditions)
+        if committed and (transaction.puts or transaction.deletes):
+            self._write(transaction)
+        rows = [self.rows[k] for k in transaction.reads if k in self.rows]
+        if transaction.scan:
+            rows += self._scan(transaction.scan)
+        if transaction.reads or transaction.scan:
+            self.usage.read_calls += 1
+            self.usage.rows_read += len(rows)
+        return platform.Outcome(committed, rows)
+
+    def _holds(self, condition: platform.Condition) -> bool:
+        row = self.rows.get(condition.key)
+        return (row.version if row else 0) == condition.version
+
+    def _write(self, transaction: platform.Transaction) -> None:
+        self.usage.write_transactions += 1
+        self.usage.rows_written += len(transaction.puts) + len(transaction.deletes)
+        self._version += 1
+        for put in transaction.puts:
+            if put.key not in self.rows:
+                bisect.insort(self.keys, put.key)
+            self.rows[put.key] = platform.Row(put.key, self._version, put.value)
+        for key in transaction.deletes:
+            if self.rows.pop(key, None):
+                self.keys.remove(key)
+
+    def _scan(self, scan: platform.Scan) -> list[platform.Row]:
+        start = bisect.bisect_right(self.keys, max(scan.after, scan.prefix[:-1]))
+        found: list[platform.Row] = []
+        for key in self.keys[start:]:
+            if len(found) >= scan.limit or not key.startswith(scan.prefix):
+                break
+            found.append(self.rows[key])
+        return found
+
+
+class FaultyPlatform:
+    """Puts faults between a caller and a :class:`MemoryPlatform`."""
+
+    __slots__ = ("memory", "faults", "_random")
+
+    def __init__(self, memory: MemoryPlatform, faults: Faults, seed: int) -> None:
+        self.memory = memory
+        self.faults = faults
+        self._random = random.Random(seed)
+
+    async def transact(self, transaction: platform.Transaction) -> platform.TableResult:
+        """Run one transaction, unless a fault stops it or its answer.
+
+        :param transaction: what to check, write and read.
+        """
+        await anyio.sleep(self.faults.slow_ms / 1000)
+        if self.faults.down:
+            return UNAVAILABLE
+        if self._random.random() < self.faults.lost_request_ratio:
+            return NO_ANSWER
+        outcome = self.memory.apply(transaction)
+        if self._random.random() < self.faults.lost_answer_ratio:
+            return NO_ANSWER
+        return outcome
+
+    async def get_object(self, name: str) -> platform.ObjectResult:
+        """Return an object's bytes.
+
+        :param name: the object's name.
+        """
+        await anyio.sleep(self.faults.slow_ms / 1000)
+        return UNAVAILABLE if self.faults.down else self.memory.objects.get(name)
+
+    async def put_object(self, name: str, value: bytes) -> platform.ObjectResult:
+        """Write an object whole.
+
+        :param name: the object's name.
+        :param value: its bytes.
+        """
+        await anyio.sleep(self.faults.slow_ms / 1000)
+        if self.faults.down:
+            return UNAVAILABLE
+        self.memory.objects[name] = value
+        return None
+
+    async def list_vms(self) -> platform.VmResult:
+        """Return the VM list as it stands."""
+        await anyio.sleep(self.faults.slow_ms / 1000)
+        return UNAVAILABLE if self.faults.down else list(self.memory.vms.values())
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each module is named like the one that it exercises."""
