Cut each link into parts, look up servers' reports over kept connections

Change: a link is four resources; reports and settings rows are read only where they changed. Conclusion: the loss of an entry idles its parts of a link only.

--- a/sassafraslock/decisions/links.py
+++ b/sassafraslock/decisions/links.py
@@ -7,6 +7,7 @@
 BURST_MS = 25
 QUOTA_LIFE_MS = 25
 CHUNK_BYTES = 64 << 10
+MIN_GRANT_BYTES = 1 << 10
 
 
 class LinkBudget:
@@ -26,19 +27,22 @@
         return self.bytes_per_s * BURST_MS / 1000
 
     def take(self, size_bytes: int, filing: bool, now_ms: int) -> int:
-        """Take bytes whole, or none.
+        """Take bytes, fewer than wanted where the bucket holds fewer.
 
         :param size_bytes: the bytes wanted.
         :param filing: whether the reserve may be used.
         :param now_ms: the present time.
-        :returns: the bytes granted, 0 where they do not fit.
+        :returns: the bytes granted, 0 where too few are left to be of use.
         """
         self._refill(now_ms)
+        if size_bytes <= 0:
+            return 0
         floor = 0.0 if filing else self.burst_bytes * self.reserve_ratio
-        if self._tokens - size_bytes < floor:
+        granted_bytes = min(size_bytes, int(self._tokens - floor))
+        if granted_bytes < min(size_bytes, MIN_GRANT_BYTES):
             return 0
-        self._tokens -= size_bytes
-        return size_bytes
+        self._tokens -= granted_bytes
+        return granted_bytes
 
     def _refill(self, now_ms: int) -> None:
         elapsed_ms = max(0, now_ms - self._updated_ms)
--- a/sassafraslock/decisions/view.py
+++ b/sassafraslock/decisions/view.py
@@ -15,6 +15,7 @@
 from sassafraslock import shared_settings
 
 LINK_PREFIX = "link/"
+LINK_PARTS = 4
 SERVER_PREFIX = "server/"
 
 
@@ -84,12 +85,14 @@
     return f"{SERVER_PREFIX}{service}/{server_id}"
 
 
-def link_resource(to_region: str) -> str:
-    """Return the name of the bytes sent from this region to another as a resource.
+def link_resources(to_region: str) -> list[str]:
+    """Return the names of the parts of a link's bytes to another region as resources.
+
+    A link is cut in parts so that the loss of one steward idles one part only.
 
     :param to_region: the receiving region.
     """
-    return LINK_PREFIX + to_region
+    return [f"{LINK_PREFIX}{to_region}/{part}" for part in range(LINK_PARTS)]
 
 
 def resources_of(shared: shared_settings.SharedSettings, region: str) -> list[str]:
@@ -105,9 +108,10 @@
         if server.region == region
     ]
     links = [
-        link_resource(other)
+        resource
         for other in shared.regions
         if other != region and shared.link_limit(region, other)
+        for resource in link_resources(other)
     ]
     return sorted(servers + links)
 
--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -28,12 +28,12 @@
 
 HOST = "127.0.0.1"
 FIRST_PORT = 21_700
-CALLERS = 48
-PAUSE_MS = (60, 180)
+CALLERS = 32
+PAUSE_MS = (150, 300)
 FILING_RATIO = 0.3
-SHIFT_CAP_RATIO = 0.25
-SHIFT_WINDOW_MS = 2_000
-LINK_BYTES_PER_S = 500_000
+SHIFT_CAP_RATIO = 0.5
+SHIFT_WINDOW_MS = 3_000
+LINK_BYTES_PER_S = 2_000_000
 RUN_S = 13.0
 TOKEN = "demo-token"
 REGIONS = ("gorenjska", "stajerska")
@@ -131,9 +131,10 @@
 
 async def _call_forever(stage: Stage, number: int) -> None:
     source = random.Random(number)
-    seeds = [str(e.settings.caller) for e in stage.entries]
+    addresses = [str(e.settings.caller) for e in stage.entries]
+    seeds = addresses[number % len(addresses) :] + addresses
     one = caller.Caller(f"block-{number}", seeds, stage.journal, number)
-    service = list(SERVICES)[number % len(SERVICES)]
+    service = SHIFTED if number % 2 else list(SERVICES)[number // 2 % len(SERVICES)]
     try:
         while True:
             if source.random() < FILING_RATIO:
--- a/sassafraslock/services/admission.py
+++ b/sassafraslock/services/admission.py
@@ -57,7 +57,7 @@
 
         :param service: the service.
         """
-        return service in self._steward.loads(clock.monotonic_ms())
+        return bool(self._steward.serves(service, clock.monotonic_ms()))
 
     async def acquire(
         self, service: str, filing: bool, deadline_ms: int, avoid: list[str]
@@ -164,11 +164,15 @@
         return False
 
     async def _ask_bytes(self, to_region: str, filing: bool, now_ms: int) -> int:
-        steward = self._steward.link_steward(to_region)
-        if steward == self._settings.entry_id:
-            return int(self._steward.take_bytes(to_region, links.CHUNK_BYTES, filing, now_ms))
-        if steward:
-            return await self._ask_peer_bytes(steward, to_region, links.CHUNK_BYTES, filing)
+        own_bytes = self._steward.take_bytes(to_region, links.CHUNK_BYTES, filing, now_ms)
+        if own_bytes:
+            return int(own_bytes)
+        for steward in self._steward.link_stewards(to_region):
+            if not self._peers.table.is_live(steward, now_ms):
+                continue
+            lent_bytes = await self._ask_peer_bytes(steward, to_region, links.CHUNK_BYTES, filing)
+            if lent_bytes:
+                return lent_bytes
         return 0
 
     async def _ask_peer_bytes(
--- a/sassafraslock/services/health.py
+++ b/sassafraslock/services/health.py
@@ -14,6 +14,8 @@
 from sassafraslock.decisions import drain
 
 REPORT_TIMEOUT_S = 0.5
+REPORT_INTERVAL_S = 1.0
+REPORT_CONNECTIONS = 32
 REPORT_PATH = "/healthz"
 
 ServerKey = tuple[str, str]
@@ -30,7 +32,7 @@
 class HealthService:
     """Owns the signs of the servers that this entry hands out, and acts on its pools."""
 
-    __slots__ = ("signs", "vm_list", "_settings", "_platform", "_peers", "_config", "_steward")
+    __slots__ = ("signs", "vm_list", "_settings", "_platform", "_peers", "_config", "_steward", "_pool")
 
     def __init__(
         self,
@@ -47,6 +49,7 @@
         self._peers = peers
         self._config = settings_service
         self._steward = steward
+        self._pool = httpcore.AsyncConnectionPool(max_connections=REPORT_CONNECTIONS)
         steward.attempt_observer = self.note_attempt
         settings_service.on_change(self._on_settings)
 
@@ -71,7 +74,7 @@
                     for server_id in pool.servers:
                         group.start_soon(self._read_report, (service, server_id))
             self._apply(clock.monotonic_ms())
-            await anyio.sleep(self._settings.poll_ms / 1000)
+            await anyio.sleep(REPORT_INTERVAL_S)
 
     async def _read_vms(self) -> None:
         vms = await self._platform.list_vms()
@@ -91,8 +94,7 @@
         url = f"http://{server.host}:{server.port}{REPORT_PATH}"
         try:
             with anyio.fail_after(REPORT_TIMEOUT_S):
-                async with httpcore.AsyncConnectionPool() as pool:
-                    response = await pool.request("GET", url)
+                response = await self._pool.request("GET", url)
             report = msgspec.json.decode(response.content, type=Report)
         except (TimeoutError, OSError, httpcore.NetworkError, httpcore.ProtocolError):
             return
--- a/sassafraslock/services/settings_sync.py
+++ b/sassafraslock/services/settings_sync.py
@@ -49,6 +49,7 @@
         "_documents",
         "_listeners",
         "_in_force_at_ms",
+        "_row_versions",
     )
 
     def __init__(
@@ -64,6 +65,7 @@
         self._documents: dict[str, bytes] = {}
         self._listeners: list[Changed] = []
         self._in_force_at_ms: dict[str, int] = {}
+        self._row_versions: dict[str, int] = {}
         peers.handle(messages.SettingsRequest, self._on_request)
         peers.handle(messages.SettingsPush, self._on_push)
         peers.observe_heartbeats(self._on_heartbeat)
@@ -109,7 +111,9 @@
         result = await self._platform.transact(platform.Transaction(scan=scan))
         if isinstance(result, errors.Refusal):
             return
-        for row in result.rows:
+        changed = [r for r in result.rows if self._row_versions.get(r.key) != r.version]
+        for row in changed:
+            self._row_versions[row.key] = row.version
             subtree = msgspec.msgpack.decode(row.value, type=revisions.SubtreeRow)
             team = row.key.removeprefix(revisions.SETTINGS_PREFIX)
             self._offer(team, subtree.revision, subtree.document)
--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -120,7 +120,7 @@
     def _take(self, row: platform.Row | None) -> None:
         """Follow the view as the store has it."""
         self._confirmed = True
-        if row is None:
+        if row is None or row.version == self._version:
             return
         seen = msgspec.msgpack.decode(row.value, type=view.View)
         if seen.epoch > self.view.epoch:
@@ -210,19 +210,17 @@
         pool.hold(server_id, limit, now_ms + wait_ms, True)
 
     def _sync_links(self, held: dict[str, view.Stewardship], now_ms: int) -> None:
-        for resource, stewardship in held.items():
-            if not resource.startswith(view.LINK_PREFIX):
-                continue
-            to_region = resource.removeprefix(view.LINK_PREFIX)
-            limit = self._shared.link_limit(self._settings.region, to_region)
-            limit = int(limit * LINK_DATA_RATIO)
-            if to_region not in self.budgets:
+        parts = {r: s for r, s in held.items() if r.startswith(view.LINK_PREFIX)}
+        for resource, stewardship in parts.items():
+            limit = self._shared.link_limit(self._settings.region, _to_region(resource))
+            part_limit = int(limit * LINK_DATA_RATIO / view.LINK_PARTS)
+            if resource not in self.budgets:
                 start_ms = now_ms if stewardship.settled else now_ms + links.QUOTA_LIFE_MS
-                self.budgets[to_region] = links.LinkBudget(limit, LINK_RESERVE_RATIO, start_ms)
-            self.budgets[to_region].bytes_per_s = limit
-        for to_region in list(self.budgets):
-            if view.link_resource(to_region) not in held:
-                del self.budgets[to_region]
+                self.budgets[resource] = links.LinkBudget(part_limit, LINK_RESERVE_RATIO, start_ms)
+            self.budgets[resource].bytes_per_s = part_limit
+        for resource in list(self.budgets):
+            if resource not in parts or resource in self._giving_up:
+                del self.budgets[resource]
 
     def may_act(self, now_ms: int) -> bool:
         """Tell whether grants are allowed now.
@@ -309,26 +307,30 @@
             key = (message.service, message.server_id)
             self.attempt_observer(key, message.failed, clock.monotonic_ms())
 
-    def link_steward(self, to_region: str) -> str:
-        """Return the entry that hands out a link's bytes, empty where none does.
+    def link_stewards(self, to_region: str) -> list[str]:
+        """Return the entries that hand out a link's bytes, without this one.
 
         :param to_region: the receiving region.
         """
-        member = self.view.steward_of(view.link_resource(to_region))
-        return member.entry_id if member else ""
+        members = [self.view.steward_of(r) for r in view.link_resources(to_region)]
+        found = {m.entry_id for m in members if m and m.entry_id != self.me.entry_id}
+        return sorted(found)
 
     def take_bytes(self, to_region: str, size_bytes: int, filing: bool, now_ms: int) -> int:
-        """Take bytes of a link's budget, 0 where they do not fit.
+        """Take bytes of the parts of a link that this entry hands out, 0 where none are left.
 
         :param to_region: the receiving region.
         :param size_bytes: the bytes wanted.
         :param filing: whether the reserve may be used.
         :param now_ms: the present time.
         """
-        budget = self.budgets.get(to_region)
-        if budget is None or not self.may_act(now_ms):
+        if not self.may_act(now_ms):
             return 0
-        return budget.take(size_bytes, filing, now_ms)
+        granted_bytes = 0
+        for resource, budget in self.budgets.items():
+            if _to_region(resource) == to_region:
+                granted_bytes += budget.take(size_bytes - granted_bytes, filing, now_ms)
+        return granted_bytes
 
     async def _on_bytes_request(self, request: messages.BytesRequest) -> None:
         granted_bytes = self.take_bytes(
@@ -339,6 +341,15 @@
         )
         self._peers.send_to(request.sender, reply)
 
+    def serves(self, service: str, now_ms: int) -> bool:
+        """Tell whether this entry hands out slots of a service.
+
+        :param service: the service.
+        :param now_ms: the present time.
+        """
+        pool = self.pools.get(service)
+        return pool is not None and pool.total > 0 and self.may_act(now_ms)
+
     def loads(self, now_ms: int) -> dict[str, messages.ServiceLoad]:
         """Return the free slots of each service, for the heartbeat.
 
@@ -385,3 +396,8 @@
             },
             "link_bytes_per_s": {r: b.bytes_per_s for r, b in self.budgets.items()},
         }
+
+
+def _to_region(resource: str) -> str:
+    """Return the receiving region of a link's part."""
+    return resource.removeprefix(view.LINK_PREFIX).rpartition("/")[0]
--- a/sassafraslock/standin/caller.py
+++ b/sassafraslock/standin/caller.py
@@ -136,7 +136,7 @@
             if not entries:
                 await anyio.sleep(RETRY_MS / 1000)
                 continue
-            entry = entries[number % len(entries)]
+            entry = entries[number % len(entries)] if number else self._choose(entries)
             result = await self._try(request, entry)
             if isinstance(result, Answered):
                 self._note_answer(result, started_ms)
@@ -149,6 +149,11 @@
             await anyio.sleep(wait_ms * self._random.uniform(0.8, 1.2) / 1000)
         self._note_failure(request, certain)
 
+    def _choose(self, entries: list[caller_api.NamedEntry]) -> caller_api.NamedEntry:
+        """Choose by weight among the entries nearest to the caller."""
+        near = [e for e in entries if e.region == entries[0].region]
+        return self._random.choices(near, [e.weight for e in near])[0]
+
     def _note_answer(self, answer: Answered, started_ms: int) -> None:
         self.journal.answered += 1
         self.journal.answers.append(answer)
