--- a/sassafraslock/asgi.py
+++ b/sassafraslock/asgi.py
@@ -139,7 +139,7 @@
         )
         server = _Server(config)
         self._server = server
-        listener = config.bind_socket()
+        listener = self._bind()
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._announce, server, ready)
@@ -149,6 +149,17 @@
             server.drop_connections()
             listener.close()
 
+    def _bind(self) -> socket.socket:
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((self._host, self._port))
+        except OSError as error:
+            listener.close()
+            raise OSError(f"cannot listen on {self._host}:{self._port}: {error}") from error
+        return listener
+
     async def _announce(self, server: uvicorn.Server, ready: anyio.Event) -> None:
         while not server.started:
             await anyio.sleep(STOP_POLL_S)
--- a/sassafraslock/decisions/claims.py
+++ b/sassafraslock/decisions/claims.py
@@ -22,6 +22,7 @@
 MAX_RECORDED_BYTES = 4 << 10
 MAX_BATCH_RECORDS = 256
 RING_MARGIN = 1.25
+OWNER_SILENT_MS = 2_500
 
 
 class ClaimRecord(msgspec.Struct, frozen=True, tag="c", array_like=True):
@@ -383,7 +384,7 @@
         waiting = [*self._batch_waiting, *self._waiting]
         self._batch, self._batch_waiting, self._waiting, self._pending = None, [], [], []
         reason = "the partition has another owner now"
-        return [_refuse(w, errors.ErrorKind.STORE_UNAVAILABLE, reason) for w in waiting]
+        return [_refuse(w, errors.ErrorKind.NOT_READY, reason) for w in waiting]
 
     def _row_key(self, sequence: int) -> str:
         return f"{ring_prefix(self.partition)}{sequence % ring_rows(self.settings):08d}"
@@ -407,7 +408,11 @@
 
 
 def may_take_over(
-    head: Head | None, live: typing.Collection[str], candidates: list[str], me: str
+    head: Head | None,
+    live: typing.Collection[str],
+    candidates: list[str],
+    me: str,
+    listened_ms: int,
 ) -> bool:
     """Tell whether this entry should become a partition's owner.
 
@@ -418,7 +423,8 @@
     :param live: the entries not suspected, this one included.
     :param candidates: the entries in order of preference, this one included.
     :param me: this entry.
+    :param listened_ms: how long this process has listened for heartbeats.
     """
-    if head is not None and head.owner in live:
+    if head is not None and (head.owner in live or listened_ms < OWNER_SILENT_MS):
         return False
     return next((c for c in candidates if c in live), "") == me
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -121,6 +121,15 @@
                 self.kernel.request_stop()
 
 
+async def run_process(process: settings.Settings) -> str:
+    """Build an entry and serve until SIGTERM or SIGINT.
+
+    :param process: the process settings.
+    :returns: the name of the service that made the process give up, or nothing.
+    """
+    return await Entry(process).run_with_signals()
+
+
 class Departure:
     """Ends an entry's service without cutting off a request."""
 
--- a/sassafraslock/services/claim_service.py
+++ b/sassafraslock/services/claim_service.py
@@ -15,6 +15,7 @@
 RESEND_MS = 400
 RETRY_COMMIT_MS = 50
 SCAN_LIMIT = 1000
+OWNER_CHANGE_MS = 20
 
 ClaimResult = messages.RecordedAnswer | errors.Refusal | None
 
@@ -38,6 +39,7 @@
         "_steward",
         "_local",
         "_wake",
+        "_started_ms",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         self._config = settings_service
         self._steward = steward
         self._local: dict[str, _LocalWaiter] = {}
+        self._started_ms = clock.monotonic_ms()
         self._wake: dict[int, anyio.Event] = {}
         peers.handle(messages.ClaimRequest, self._on_request)
         peers.handle(messages.ClaimRelease, self._on_release)
@@ -107,7 +110,9 @@
         if not self._steward.leaving:
             ids.add(self._settings.entry_id)
         candidates = self._candidates(partition, live)
-        if not claims.may_take_over(None, ids, candidates, self._settings.entry_id):
+        listened_ms = clock.monotonic_ms() - self._started_ms
+        me = self._settings.entry_id
+        if not claims.may_take_over(None, ids, candidates, me, listened_ms):
             return
         key = claims.head_key(partition)
         result = await self._platform.transact(platform.Transaction(reads=[key]))
@@ -117,7 +122,7 @@
         head = msgspec.msgpack.decode(row.value, type=claims.Head) if row else None
         if head and head.owner == self._settings.entry_id:
             head = None  # an earlier incarnation, or a take-over whose answer was lost
-        if not claims.may_take_over(head, ids, candidates, self._settings.entry_id):
+        if not claims.may_take_over(head, ids, candidates, me, listened_ms):
             return
         epoch = msgspec.msgpack.decode(row.value, type=claims.Head).epoch + 1 if row else 1
         await self._take_over(partition, row.version if row else 0, epoch)
@@ -204,26 +209,19 @@
                 waiter.verdict = verdict
                 waiter.event.set()
             return
-        refusal = verdict.refusal
-        reply = messages.ClaimReply(
-            sender=self._settings.entry_id,
-            request_id=request.request_id,
-            granted=verdict.granted,
-            answer=verdict.answer,
-            refusal_kind=refusal.kind if refusal else None,
-            reason=refusal.reason if refusal else "",
-        )
-        self._peers.send_to(request.sender, reply)
+        self._peers.send_to(request.sender, self._reply(verdict))
 
     def _submit(self, request: messages.ClaimRequest) -> None:
         """Decide a claim at its owner, now or with the next batch."""
         partition = claims.partition_of(request.key, self._rules.partitions)
         log = self.logs.get(partition)
         if log is None:
-            self._answer(_unavailable(request, "this entry does not own the key's partition"))
+            self._answer(_refused(request, errors.ErrorKind.NOT_READY, "the owner changed"))
             return
         if not self._platform.available:
-            self._answer(_unavailable(request, "the table service is down"))
+            self._answer(
+                _refused(request, errors.ErrorKind.STORE_UNAVAILABLE, "the table service is down")
+            )
             return
         verdict = log.submit(request, clock.wall_ms())
         if verdict:
@@ -276,33 +274,48 @@
             after a refusal the caller must never dispatch under this nonce.
         """
         give_up_ms = clock.monotonic_ms() + left_ms
-        deadline_ms = clock.wall_ms() + left_ms
-        while (now_ms := clock.monotonic_ms()) < give_up_ms:
-            owner = self.owner_of(key, now_ms)
-            if not owner:
-                reason = "no live entry owns the key's partition"
-                return errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, reason)
-            request = messages.ClaimRequest(
-                sender=self._settings.entry_id,
-                request_id=self._peers.next_id(),
-                key=key,
-                nonce=nonce,
-                body_hash=body_hash,
-                deadline_ms=deadline_ms,
-            )
-            if owner == self._settings.entry_id:
-                return await self._claim_here(request, give_up_ms - now_ms)
-            wait_ms = min(RESEND_MS, give_up_ms - now_ms)
-            reply = await self._peers.call(owner, request, wait_ms)
-            if isinstance(reply, messages.ClaimReply):
-                if reply.refusal_kind:
-                    self.release(key, nonce)
-                return _result(reply.granted, reply.answer, reply.refusal_kind, reply.reason)
+        request = messages.ClaimRequest(
+            sender=self._settings.entry_id,
+            request_id=0,
+            key=key,
+            nonce=nonce,
+            body_hash=body_hash,
+            deadline_ms=clock.wall_ms() + left_ms,
+        )
+        while clock.monotonic_ms() < give_up_ms:
+            answer = await self._ask_owner(request, give_up_ms)
+            if answer is None:
+                continue
+            if answer.refusal_kind is errors.ErrorKind.NOT_READY:
+                await anyio.sleep(OWNER_CHANGE_MS / 1000)
+                continue
+            if answer.refusal_kind:
+                self.release(key, nonce)
+            return _result(answer)
         self.release(key, nonce)
         reason = "the claim was not confirmed before the deadline"
         return errors.Refusal(errors.ErrorKind.DEADLINE_EXCEEDED, reason)
 
-    async def _claim_here(self, request: messages.ClaimRequest, wait_ms: int) -> ClaimResult:
+    async def _ask_owner(
+        self, request: messages.ClaimRequest, give_up_ms: int
+    ) -> messages.ClaimReply | None:
+        """Ask the partition's owner once; none means that no reply came in time."""
+        now_ms = clock.monotonic_ms()
+        owner = self.owner_of(request.key, now_ms)
+        numbered = msgspec.structs.replace(request, request_id=self._peers.next_id())
+        if not owner:
+            reason = "no live entry owns the key's partition"
+            kind = errors.ErrorKind.STORE_UNAVAILABLE
+            return self._reply(_refused(numbered, kind, reason))
+        if owner == self._settings.entry_id:
+            return await self._ask_here(numbered, give_up_ms - now_ms)
+        wait_ms = min(RESEND_MS, give_up_ms - now_ms)
+        reply = await self._peers.call(owner, numbered, wait_ms)
+        return reply if isinstance(reply, messages.ClaimReply) else None
+
+    async def _ask_here(
+        self, request: messages.ClaimRequest, wait_ms: int
+    ) -> messages.ClaimReply | None:
         waiter = _LocalWaiter(anyio.Event())
         self._local[request.nonce] = waiter
         try:
@@ -311,14 +324,18 @@
                 await waiter.event.wait()
         finally:
             del self._local[request.nonce]
-        verdict = waiter.verdict
-        if verdict is None:
-            self.release(request.key, request.nonce)
-            reason = "the claim was not committed before the deadline"
-            return errors.Refusal(errors.ErrorKind.DEADLINE_EXCEEDED, reason)
+        return self._reply(waiter.verdict) if waiter.verdict else None
+
+    def _reply(self, verdict: claims.Verdict) -> messages.ClaimReply:
         refusal = verdict.refusal
-        kind, reason = (refusal.kind, refusal.reason) if refusal else (None, "")
-        return _result(verdict.granted, verdict.answer, kind, reason)
+        return messages.ClaimReply(
+            sender=self._settings.entry_id,
+            request_id=verdict.request.request_id,
+            granted=verdict.granted,
+            answer=verdict.answer,
+            refusal_kind=refusal.kind if refusal else None,
+            reason=refusal.reason if refusal else "",
+        )
 
     def release(self, key: str, nonce: str) -> None:
         """Say that an attempt was never dispatched and never will be.
@@ -367,17 +384,13 @@
         }
 
 
-def _unavailable(request: messages.ClaimRequest, reason: str) -> claims.Verdict:
-    refusal = errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, reason)
+def _refused(request: messages.ClaimRequest, kind: errors.ErrorKind, reason: str) -> claims.Verdict:
+    refusal = errors.Refusal(kind, reason)
     return claims.Verdict(request, refusal=refusal)
 
 
-def _result(
-    granted: bool,
-    answer: messages.RecordedAnswer | None,
-    kind: errors.ErrorKind | None,
-    reason: str,
-) -> ClaimResult:
-    if granted:
+def _result(reply: messages.ClaimReply) -> ClaimResult:
+    if reply.granted:
         return None
-    return answer or errors.Refusal(kind or errors.ErrorKind.STORE_UNAVAILABLE, reason)
+    kind = reply.refusal_kind or errors.ErrorKind.STORE_UNAVAILABLE
+    return reply.answer or errors.Refusal(kind, reply.reason)
--- a/sassafraslock/services/health.py
+++ b/sassafraslock/services/health.py
@@ -32,7 +32,16 @@
 class HealthService:
     """Owns the signs of the servers that this entry hands out, and acts on its pools."""
 
-    __slots__ = ("signs", "vm_list", "_settings", "_platform", "_peers", "_config", "_steward", "_pool")
+    __slots__ = (
+        "signs",
+        "vm_list",
+        "_settings",
+        "_platform",
+        "_peers",
+        "_config",
+        "_steward",
+        "_pool",
+    )
 
     def __init__(
         self,
