--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -12,6 +12,7 @@
     VERSION,
     client,
     clock,
+    commands,
     demo,
     entry,
     errors,
@@ -19,8 +20,8 @@
     output,
     settings,
     settings_check,
-    standin_run,
 )
+from sassafraslock.decisions import client_blocks
 
 EXIT_SERVICE_FAILED = 11
 FORMATS = click.Choice(["table", "json", "toml"])
@@ -80,7 +81,7 @@
     Example: sassafraslock check examples/entry-a.toml
     """
     if team:
-        problems = standin_run.check_shared(team, path, system)
+        problems = commands.check_shared(team, path, system)
         for problem in problems:
             click.echo(f"{path}: {problem}", err=True)
         if problems:
@@ -307,6 +308,29 @@
     output.finish(client.Client(address, token).call("GET", "/dump"), form)
 
 
+@main.group()
+def blocks() -> None:
+    """Publish the table from client blocks to sites."""
+
+
+@blocks.command(name="publish")
+@click.argument("file", type=_PATH)
+@click.option("--settings", "path", type=_PATH, required=True, help="Settings of any entry.")
+def blocks_publish(file: pathlib.Path, path: pathlib.Path) -> None:
+    """Publish lines of 10.0.3.0/24,REGION/ZONE to the platform's object store.
+
+    Example: sassafraslock blocks publish blocks.csv --settings examples/walk/entry-a.toml
+    """
+    try:
+        sites, table = client_blocks.parse_table(file.read_text().splitlines())
+    except ValueError as error:
+        output.finish(errors.Refusal(errors.ErrorKind.BAD_REQUEST, f"{file}: {error}"), "table")
+        return
+    revision = clock.wall_ms()
+    refused = anyio.run(commands.publish_blocks, _load(path), sites, table, revision)
+    output.finish(refused or {"revision": revision, "blocks": len(table)}, "table")
+
+
 @main.group()
 def standin() -> None:
     """Run small stand-ins, to try real processes on loopback."""
@@ -322,7 +346,7 @@
 
     Example: sassafraslock standin platform --shared examples/shared
     """
-    anyio.run(standin_run.run_platform, host, port, shared)
+    anyio.run(commands.run_platform, host, port, shared)
 
 
 @standin.command(name="backend")
@@ -336,7 +360,7 @@
 
     Example: sassafraslock standin backend logbook-1 --port 7401
     """
-    anyio.run(standin_run.run_backend, server_id, host, port, slots, work_ms)
+    anyio.run(commands.run_backend, server_id, host, port, slots, work_ms)
 
 
 @main.command(name="demo")
--- a/sassafraslock/standin_run.py
+++ b/sassafraslock/commands.py
@@ -1,4 +1,4 @@
-"""Runs stand-ins as processes of their own, and checks shared settings in files."""
+"""What the command line runs: stand-ins as processes, checks of files, published tables."""
 
 from __future__ import annotations
 
@@ -8,8 +8,19 @@
 import anyio
 import msgspec
 
-from sassafraslock import asgi, clock, kernel, logs, platform, settings_check, shared_settings
-from sassafraslock.decisions import revisions
+from sassafraslock import (
+    asgi,
+    clock,
+    errors,
+    kernel,
+    logs,
+    platform,
+    settings,
+    settings_check,
+    shared_settings,
+)
+from sassafraslock.decisions import client_blocks, revisions
+from sassafraslock.services import block_loader, platform_client
 from sassafraslock.standin import backend, platform_api
 from sassafraslock.standin import platform as standin_platform
 
@@ -118,3 +129,20 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async for _ in received:
             core.request_stop()
+
+
+async def publish_blocks(
+    process: settings.Settings,
+    sites: list[str],
+    table: list[client_blocks.Block],
+    revision: int,
+) -> errors.Refusal | None:
+    """Publish a table of client blocks through the platform of an entry's settings.
+
+    :param process: the settings of any entry.
+    :param sites: the sites by number.
+    :param table: the blocks in order of address.
+    :param revision: the table's revision.
+    """
+    store = platform_client.PlatformClient(process.platform)
+    return await block_loader.publish(store, sites, table, revision)
--- a/sassafraslock/decisions/client_blocks.py
+++ b/sassafraslock/decisions/client_blocks.py
@@ -1,8 +1,8 @@
 """The table from blocks of client addresses to sites.
 
 Blocks are ranges of IPv4 addresses. The table is cut by the upper 16 bits of the address into
-pages that never change; an update builds new pages and puts them in place one by one, so that
-a look-up always sees a whole page and never waits.
+pages that never change. A new part of the table is decoded first and put in place page by page,
+so that a look-up always sees a whole page and never waits.
 """
 
 from __future__ import annotations
@@ -11,9 +11,13 @@
 import bisect
 import dataclasses
 import ipaddress
+import sys
 import typing
 
+import msgspec
+
 PAGE_COUNT = 1 << 16
+PAGES_PER_PART = 1 << 8
 PAGE_SHIFT = 16
 PAGE_MASK = (1 << PAGE_SHIFT) - 1
 NO_SITE = 0xFFFF
@@ -29,12 +33,30 @@
     site: int
 
 
-class _Page(typing.NamedTuple):
+class Page(typing.NamedTuple):
+    """The ranges of one page: where each starts, and its site's number."""
+
     starts: array.array[int]
     sites: array.array[int]
 
 
-_EMPTY = _Page(array.array("H", [0]), array.array("H", [NO_SITE]))
+_EMPTY = Page(array.array("H", [0]), array.array("H", [NO_SITE]))
+
+
+class Manifest(msgspec.Struct, frozen=True):
+    """Names the sites by number, and the object that holds each part of the table."""
+
+    revision: int
+    sites: list[str]
+    parts: dict[int, str]
+
+
+class PackedPage(msgspec.Struct, frozen=True, array_like=True):
+    """A page as the object store keeps it, with little-endian numbers of 16 bits."""
+
+    number: int
+    starts: bytes
+    sites: bytes
 
 
 class ClientBlocks:
@@ -43,7 +65,7 @@
     __slots__ = ("_pages", "sites", "revision")
 
     def __init__(self) -> None:
-        self._pages: list[_Page] = [_EMPTY] * PAGE_COUNT
+        self._pages: list[Page] = [_EMPTY] * PAGE_COUNT
         self.sites: list[str] = []
         self.revision = 0
 
@@ -54,49 +76,51 @@
         """
         page = self._pages[address >> PAGE_SHIFT]
         site = page.sites[bisect.bisect_right(page.starts, address & PAGE_MASK) - 1]
-        return self.sites[site] if site != NO_SITE else ""
+        return self.sites[site] if site < len(self.sites) else ""
 
-    def replace(self, sites: list[str], blocks: typing.Iterable[Block], revision: int) -> None:
-        """Load a whole table.
+    def install(self, part: int, raw: bytes) -> None:
+        """Put a part of the table in place, page by page.
 
-        :param sites: the sites by number.
-        :param blocks: the blocks, which do not overlap, in order of address.
-        :param revision: the table's revision.
-        """
-        by_page: dict[int, list[Block]] = {}
-        for block in blocks:
-            self._add(by_page, block)
-        pages = [_EMPTY] * PAGE_COUNT
-        for number, page_blocks in by_page.items():
-            pages[number] = _build(page_blocks)
-        self.sites, self._pages, self.revision = sites, pages, revision
-
-    def update(self, blocks: list[Block], revision: int) -> None:
-        """Move some blocks to other sites, page by page.
-
-        :param blocks: the blocks that changed, in order of address.
-        :param revision: the table's new revision.
+        :param part: the part's number, the upper 8 bits of its addresses.
+        :param raw: the part as :func:`pack` made it.
+        :raises msgspec.DecodeError: if the part is damaged; then nothing changed.
         """
-        by_page: dict[int, list[Block]] = {}
-        for block in blocks:
-            self._add(by_page, block)
-        for number, changed in by_page.items():
-            self._pages[number] = _overlay(self._pages[number], changed)
-        self.revision = revision
-
-    def _add(self, by_page: dict[int, list[Block]], block: Block) -> None:
-        for number in range(block.first >> PAGE_SHIFT, (block.last >> PAGE_SHIFT) + 1):
-            base = number << PAGE_SHIFT
-            first = max(block.first, base) - base
-            last = min(block.last, base + PAGE_MASK) - base
-            by_page.setdefault(number, []).append(Block(first, last, block.site))
-
-
-def _build(blocks: list[Block]) -> _Page:
+        pages = unpack(raw)
+        first = part * PAGES_PER_PART
+        for number in range(first, first + PAGES_PER_PART):
+            self._pages[number] = pages.get(number, _EMPTY)
+
+
+def build(blocks: typing.Iterable[Block]) -> dict[int, Page]:
+    """Build pages from blocks.
+
+    :param blocks: blocks that do not overlap, in order of address.
+    :raises ValueError: if blocks overlap or are out of order.
+    """
+    by_page: dict[int, list[Block]] = {}
+    free_from = 0
+    for block in blocks:
+        if block.first < free_from or block.last < block.first:
+            address = ipaddress.IPv4Address(block.first)
+            raise ValueError(f"the block at {address} overlaps the one before; sort and mend them")
+        free_from = block.last + 1
+        _cut_by_page(by_page, block)
+    return {number: _build_page(cut) for number, cut in by_page.items()}
+
+
+def _cut_by_page(by_page: dict[int, list[Block]], block: Block) -> None:
+    for number in range(block.first >> PAGE_SHIFT, (block.last >> PAGE_SHIFT) + 1):
+        base = number << PAGE_SHIFT
+        first = max(block.first, base) - base
+        last = min(block.last, base + PAGE_MASK) - base
+        by_page.setdefault(number, []).append(Block(first, last, block.site))
+
+
+def _build_page(blocks: list[Block]) -> Page:
     starts, sites = array.array("H"), array.array("H")
     free_from = 0
     for block in blocks:
-        if block.first > free_from or not starts and block.first > 0:
+        if block.first > free_from:
             starts.append(free_from)
             sites.append(NO_SITE)
         starts.append(block.first)
@@ -105,31 +129,52 @@
     if free_from <= PAGE_MASK:
         starts.append(free_from)
         sites.append(NO_SITE)
-    return _Page(starts, sites)
+    return Page(starts, sites)
+
+
+def pack(pages: dict[int, Page]) -> dict[int, bytes]:
+    """Return the parts of a table as bytes for the object store.
+
+    :param pages: the pages by number.
+    """
+    parts: dict[int, list[PackedPage]] = {}
+    for number, page in sorted(pages.items()):
+        packed = PackedPage(number, _little(page.starts), _little(page.sites))
+        parts.setdefault(number // PAGES_PER_PART, []).append(packed)
+    return {part: msgspec.msgpack.encode(packed) for part, packed in parts.items()}
+
 
+def unpack(raw: bytes) -> dict[int, Page]:
+    """Return the pages of a part.
+
+    :param raw: the part as :func:`pack` made it.
+    :raises msgspec.DecodeError: if the part is damaged.
+    """
+    pages = {}
+    for packed in msgspec.msgpack.decode(raw, type=list[PackedPage]):
+        page = Page(_numbers(packed.starts), _numbers(packed.sites))
+        if len(page.starts) != len(page.sites) or not page.starts or page.starts[0] != 0:
+            raise msgspec.DecodeError(f"page {packed.number} is damaged")
+        pages[packed.number] = page
+    return pages
 
-def _overlay(page: _Page, changed: list[Block]) -> _Page:
-    """Return a page with some ranges given to other sites."""
-    ends = [*page.starts[1:], PAGE_MASK + 1]
-    ranges = [
-        Block(s, e - 1, site) for s, e, site in zip(page.starts, ends, page.sites, strict=True)
-    ]
-    for block in changed:
-        ranges = [piece for known in ranges for piece in _cut(known, block)]
-        ranges.append(block)
-    ranges.sort(key=lambda b: b.first)
-    starts = array.array("H", [b.first for b in ranges])
-    return _Page(starts, array.array("H", [b.site for b in ranges]))
 
+def _little(numbers: array.array[int]) -> bytes:
+    copy = array.array("H", numbers)
+    if sys.byteorder == "big":
+        copy.byteswap()
+    return copy.tobytes()
 
-def _cut(known: Block, block: Block) -> list[Block]:
-    """Return what is left of a range after another took its part."""
-    pieces = []
-    if known.first < block.first:
-        pieces.append(Block(known.first, min(known.last, block.first - 1), known.site))
-    if known.last > block.last:
-        pieces.append(Block(max(known.first, block.last + 1), known.last, known.site))
-    return pieces
+
+def _numbers(raw: bytes) -> array.array[int]:
+    numbers = array.array("H")
+    try:
+        numbers.frombytes(raw)
+    except ValueError as error:
+        raise msgspec.DecodeError("a page has half a number") from error
+    if sys.byteorder == "big":
+        numbers.byteswap()
+    return numbers
 
 
 def parse_address(text: str) -> int | None:
@@ -141,3 +186,26 @@
         return int(ipaddress.IPv4Address(text.partition("/")[0]))
     except ValueError:
         return None
+
+
+def parse_table(lines: typing.Iterable[str]) -> tuple[list[str], list[Block]]:
+    """Read blocks from lines of ``10.0.3.0/24,REGION/ZONE``.
+
+    :param lines: the lines; empty ones are passed over.
+    :raises ValueError: naming the line at fault and what to write.
+    """
+    numbers: dict[str, int] = {}
+    blocks = []
+    for count, line in enumerate(lines, 1):
+        if not line.strip():
+            continue
+        network, _, site = line.strip().partition(",")
+        try:
+            parsed = ipaddress.IPv4Network(network)
+        except ValueError as error:
+            raise ValueError(f"line {count}: {error}; write 10.0.3.0/24,REGION/ZONE") from error
+        number = numbers.setdefault(site, len(numbers))
+        blocks.append(Block(int(parsed.network_address), int(parsed.broadcast_address), number))
+    if len(numbers) > MAX_SITES:
+        raise ValueError(f"{len(numbers)} sites are more than {MAX_SITES}")
+    return list(numbers), sorted(blocks, key=lambda b: b.first)
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import signal
-import time
+import typing
 
 import anyio
 
@@ -11,6 +12,7 @@
 from sassafraslock.decisions import client_blocks
 from sassafraslock.services import (
     admission,
+    block_loader,
     caller_api,
     claim_service,
     forwarder,
@@ -22,51 +24,91 @@
     request_path,
     settings_sync,
     steward,
+    transport,
 )
 
 STOP_POLL_S = 0.05
 LEAVE_FACTOR = 2
 
 
+@dataclasses.dataclass(slots=True)
+class Outside:
+    """What an entry meets the outside with; tests put fakes in its place."""
+
+    platform: typing.Any
+    transport: transport.Transport
+    forwarder: typing.Any
+
+
+def real_outside(process: settings.Settings) -> Outside:
+    """Return the connections of a real process.
+
+    :param process: the process settings.
+    """
+    return Outside(
+        platform_client.PlatformClient(process.platform),
+        transport.NngTransport(process.peer),
+        forwarder.Forwarder(),
+    )
+
+
 class Entry:
     """An entry VM's process: builds the kernel and stops it gracefully."""
 
     __slots__ = ("settings", "kernel", "incarnation", "blocks")
 
-    def __init__(self, process: settings.Settings) -> None:
+    def __init__(self, process: settings.Settings, outside: Outside | None = None) -> None:
         self.settings = process
-        self.incarnation = time.time_ns() // 1_000_000
+        self.incarnation = clock.wall_ms()
         self.blocks = client_blocks.ClientBlocks()
-        self.kernel = core = kernel.Kernel()
-        platform = platform_client.PlatformClient(process.platform)
-        peer = peers.PeerService(process)
-        config = settings_sync.SettingsService(process, platform, peer)
-        holder = steward.StewardService(process, self.incarnation, platform, peer, config)
-        signs = health.HealthService(process, platform, peer, config, holder)
+        self.kernel = kernel.Kernel()
+        self._register_core(outside or real_outside(process))
+        if outside is None:
+            self._register_servers()
+        self.kernel.register("departure", Departure(self))
+        self.kernel.find("peers").describe_with(self.heartbeat)
+
+    def _register_core(self, outside: Outside) -> None:
+        process, core = self.settings, self.kernel
+        peer = peers.PeerService(process, outside.transport)
+        config = settings_sync.SettingsService(process, outside.platform, peer)
+        holder = steward.StewardService(process, self.incarnation, outside.platform, peer, config)
+        signs = health.HealthService(
+            process, outside.platform, peer, config, holder, outside.forwarder
+        )
         claiming = claim_service.ClaimService(
-            process, self.incarnation, platform, peer, config, holder
+            process, self.incarnation, outside.platform, peer, config, holder
         )
         admitting = admission.AdmissionService(process, peer, holder, signs)
-        forwarding = forwarder.Forwarder()
-        path = request_path.RequestPath(process, peer, config, claiming, admitting, forwarding)
-        counters = metrics.Metrics()
-        callers = caller_api.CallerApi(process, peer, holder, config, path, self.blocks)
-        callers.observe = counters.observe
-        operators = operator_api.OperatorApi(process, core, counters)
-        core.register("platform", platform)
+        path = request_path.RequestPath(
+            process, peer, config, claiming, admitting, outside.forwarder
+        )
+        core.register("platform", outside.platform)
         core.register("peers", peer)
         core.register("settings", config)
         core.register("steward", holder)
         core.register("health", signs)
         core.register("claims", claiming)
         core.register("admission", admitting)
-        core.register("forwarder", forwarding)
+        core.register("forwarder", outside.forwarder)
         core.register("path", path)
-        core.register("blocks", _BlockLoader(self))
-        core.register("operators", _server(operators, process.operator))
-        core.register("callers", _server(callers, process.caller))
-        core.register("departure", Departure(self))
-        peer.describe_with(self.heartbeat)
+        core.register("blocks", block_loader.BlockLoader(process, outside.platform, self.blocks))
+
+    def _register_servers(self) -> None:
+        find = self.kernel.find
+        counters = metrics.Metrics()
+        callers = caller_api.CallerApi(
+            self.settings,
+            find("peers"),
+            find("steward"),
+            find("settings"),
+            find("path"),
+            self.blocks,
+        )
+        callers.observe = counters.observe
+        operators = operator_api.OperatorApi(self.settings, self.kernel, counters)
+        self.kernel.register("operators", _server(operators, self.settings.operator))
+        self.kernel.register("callers", _server(callers, self.settings.caller))
 
     def heartbeat(self, sequence: int) -> messages.Heartbeat:
         """Return what this entry tells its peers.
@@ -159,22 +201,5 @@
             await anyio.sleep(STOP_POLL_S)
 
 
-class _BlockLoader:
-    """Loads the client blocks from the object store and keeps them current."""
-
-    __slots__ = ("_entry",)
-
-    def __init__(self, entry: Entry) -> None:
-        self._entry = entry
-
-    async def run(self, ready: anyio.Event) -> None:
-        """Look for a newer table until cancelled.
-
-        :param ready: set at once.
-        """
-        ready.set()
-        await anyio.sleep_forever()
-
-
 def _server(app: asgi.App, where: settings.Address | settings.Operator) -> asgi.HttpServer:
     return asgi.HttpServer(app, where.host, where.port)
--- a/sassafraslock/services/forwarder.py
+++ b/sassafraslock/services/forwarder.py
@@ -17,6 +17,7 @@
 )
 NOT_RUN_HEADER = b"sassafraslock-not-run"
 BODILESS_STATUSES = (204, 304)
+PoolKey = tuple[str, int]
 UNSENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 BROKEN_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
 
@@ -55,7 +56,7 @@
     __slots__ = ("_pools", "late_answers")
 
     def __init__(self) -> None:
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._pools: dict[PoolKey, httpcore.AsyncConnectionPool] = {}
         self.late_answers = 0
 
     async def run(self, ready: anyio.Event) -> None:
@@ -72,14 +73,14 @@
                     await pool.aclose()
 
     def _pool(self, address: str, connections: int) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(address)
+        pool = self._pools.get((address, connections))
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
                 max_connections=connections,
                 max_keepalive_connections=connections,
                 keepalive_expiry=KEEP_ALIVE_S,
             )
-            self._pools[address] = pool
+            self._pools[(address, connections)] = pool
         return pool
 
     async def attempt(
@@ -110,6 +111,9 @@
         outgoing: Outgoing,
         max_bytes: int,
     ) -> Attempt:
+        headers = list(outgoing.headers)
+        if not any(name == b"host" for name, _ in headers):
+            headers.insert(0, (b"host", address.encode()))
         url = httpcore.URL(
             scheme=b"http",
             host=address.rpartition(":")[0].encode(),
@@ -118,7 +122,7 @@
         )
         try:
             async with pool.stream(
-                outgoing.method, url, headers=outgoing.headers, content=outgoing.body
+                outgoing.method, url, headers=headers, content=outgoing.body
             ) as response:
                 return await _read(response, outgoing.method, max_bytes)
         except UNSENT_ERRORS as error:
@@ -129,7 +133,7 @@
 
     def dump(self) -> dict[str, object]:
         """Return the connections held to each address."""
-        return {address: len(pool.connections) for address, pool in self._pools.items()}
+        return {f"{a} of {n}": len(pool.connections) for (a, n), pool in self._pools.items()}
 
 
 async def _read(response: httpcore.Response, method: str, max_bytes: int) -> Attempt:
--- a/sassafraslock/services/health.py
+++ b/sassafraslock/services/health.py
@@ -7,15 +7,15 @@
 import typing
 
 import anyio
-import httpcore
 import msgspec
 
 from sassafraslock import clock, errors, events, settings, shared_settings
-from sassafraslock.decisions import drain
+from sassafraslock.decisions import drain, retry
+from sassafraslock.services import forwarder
 
-REPORT_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_MS = 500
+MAX_REPORT_BYTES = 64 << 10
 REPORT_INTERVAL_S = 1.0
-REPORT_CONNECTIONS = 32
 REPORT_PATH = "/healthz"
 
 ServerKey = tuple[str, str]
@@ -40,7 +40,7 @@
         "_peers",
         "_config",
         "_steward",
-        "_pool",
+        "_forwarder",
     )
 
     def __init__(
@@ -50,6 +50,7 @@
         peers: typing.Any,
         settings_service: typing.Any,
         steward: typing.Any,
+        reporting: typing.Any,
     ) -> None:
         self.signs: dict[ServerKey, drain.ServerSigns] = {}
         self.vm_list: dict[str, bool] = {}
@@ -58,7 +59,7 @@
         self._peers = peers
         self._config = settings_service
         self._steward = steward
-        self._pool = httpcore.AsyncConnectionPool(max_connections=REPORT_CONNECTIONS)
+        self._forwarder = reporting
         steward.attempt_observer = self.note_attempt
         settings_service.on_change(self._on_settings)
 
@@ -100,13 +101,14 @@
         server = rules.servers.get(server_id) if rules else None
         if server is None:
             return
-        url = f"http://{server.host}:{server.port}{REPORT_PATH}"
-        try:
-            with anyio.fail_after(REPORT_TIMEOUT_S):
-                response = await self._pool.request("GET", url)
-            report = msgspec.json.decode(response.content, type=Report)
-        except (TimeoutError, OSError, httpcore.NetworkError, httpcore.ProtocolError):
+        asked = forwarder.Outgoing("GET", REPORT_PATH, [], b"")
+        attempt = await self._forwarder.attempt(
+            f"{server.host}:{server.port}", 1, asked, REPORT_TIMEOUT_MS, MAX_REPORT_BYTES
+        )
+        if attempt.end is not retry.AttemptEnd.ANSWERED:
             return
+        try:
+            report = msgspec.json.decode(attempt.body, type=Report)
         except (msgspec.DecodeError, msgspec.ValidationError):
             return
         signs = self.signs.setdefault(key, drain.ServerSigns())
--- a/sassafraslock/services/peers.py
+++ b/sassafraslock/services/peers.py
@@ -1,4 +1,4 @@
-"""Messages to and from the other entries over pynng."""
+"""Messages to and from the other entries: heartbeats, requests and replies."""
 
 from __future__ import annotations
 
@@ -12,13 +12,12 @@
 
 import anyio
 import anyio.abc
-import pynng
 
 from sassafraslock import clock, errors, events, messages, settings
 from sassafraslock.decisions import membership
+from sassafraslock.services import transport
 
 MAC_BYTES = 16
-SEND_QUEUE_MESSAGES = 512
 FANOUT = 16
 
 Handler = typing.Callable[[typing.Any], typing.Coroutine[typing.Any, typing.Any, None]]
@@ -38,7 +37,7 @@
 
 
 class PeerService:
-    """Owns one listening socket and one dialing socket for each peer.
+    """Sends heartbeats, calls peers and hands their messages to the services.
 
     Every message carries a keyed digest, so that a damaged message or one from a stranger is
     dropped and counted.
@@ -50,36 +49,32 @@
         "sent_bytes",
         "_settings",
         "_key",
-        "_dialers",
+        "_transport",
         "_handlers",
+        "_late_replies",
+        "_observers",
         "_waiters",
         "_ids",
         "_sequence",
         "_describe",
         "_wake",
-        "_late_replies",
-        "_observers",
-        "blocked",
-        "_group",
     )
 
-    def __init__(self, process: settings.Settings) -> None:
+    def __init__(self, process: settings.Settings, carrier: transport.Transport) -> None:
         self.table = membership.PeerTable()
         self.rejected = 0
         self.sent_bytes = 0
-        self.blocked: set[str] = set()
         self._settings = process
         self._key = hashlib.blake2b(process.peer_token.encode()).digest()
-        self._dialers: dict[str, pynng.Push0] = {}
+        self._transport = carrier
         self._handlers: dict[type, Handler] = {messages.Heartbeat: self._on_heartbeat}
+        self._late_replies: dict[type, Handler] = {}
+        self._observers: list[Handler] = []
         self._waiters: dict[int, _Waiter] = {}
         self._ids = itertools.count(1)
         self._sequence = itertools.count(1)
         self._describe: Describe | None = None
         self._wake = anyio.Event()
-        self._late_replies: dict[type, Handler] = {}
-        self._observers: list[Handler] = []
-        self._group: anyio.abc.TaskGroup | None = None
 
     def handle(self, kind: type, handler: Handler) -> None:
         """Name the handler of one type of message.
@@ -122,38 +117,23 @@
     async def run(self, ready: anyio.Event) -> None:
         """Receive and send until cancelled.
 
-        :param ready: set once the listening socket is bound.
+        :param ready: set once messages can be received.
         """
-        listener = pynng.Pull0(
-            listen=f"tcp://{self._settings.peer}", recv_max_size=messages.MAX_MESSAGE_BYTES
-        )
-        try:
-            async with anyio.create_task_group() as group:
-                self._group = group
-                ready.set()
-                group.start_soon(self._beat)
-                await self._receive(listener, group)
-        finally:
-            listener.close()
-            for dialer in self._dialers.values():
-                dialer.close()
-            self._dialers.clear()
-
-    async def _receive(self, listener: pynng.Pull0, group: anyio.abc.TaskGroup) -> None:
-        while True:
-            raw = await listener.arecv()
-            message = self._open(raw)
-            if isinstance(message, errors.Refusal):
-                self._reject(message)
-                continue
-            if message.sender in self.blocked:
-                continue
-            if isinstance(message, messages.Reply):
-                self._resolve(message, group)
-                continue
-            handler = self._handlers.get(type(message))
-            if handler:
-                group.start_soon(handler, message)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._beat)
+            await self._transport.run(lambda raw: self._deliver(raw, group), ready)
+
+    def _deliver(self, raw: bytes, group: anyio.abc.TaskGroup) -> None:
+        message = self._open(raw)
+        if isinstance(message, errors.Refusal):
+            self._reject(message)
+            return
+        if isinstance(message, messages.Reply):
+            self._resolve(message, group)
+            return
+        handler = self._handlers.get(type(message))
+        if handler:
+            group.start_soon(handler, message)
 
     def _open(self, raw: bytes) -> messages.AnyMessage | errors.Refusal:
         body, mac = raw[:-MAC_BYTES], raw[-MAC_BYTES:]
@@ -193,11 +173,7 @@
         :returns: whether the message was queued.
         """
         body = messages.encode(message)
-        try:
-            self._dialer(address).send(body + self._mac(body), block=False)
-        except pynng.TryAgain:
-            return False
-        except pynng.NNGException:
+        if not self._transport.send(address, body + self._mac(body)):
             return False
         self.sent_bytes += len(body) + MAC_BYTES
         return True
@@ -209,18 +185,10 @@
         :param message: the message.
         """
         peer = self.table.peers.get(entry_id)
-        if peer is None or entry_id in self.blocked:
+        if peer is None:
             return False
         return self.send(peer.heartbeat.peer_address, message)
 
-    def _dialer(self, address: str) -> pynng.Push0:
-        dialer = self._dialers.get(address)
-        if dialer is None:
-            dialer = pynng.Push0(send_buffer_size=SEND_QUEUE_MESSAGES, reconnect_time_max=500)
-            dialer.dial(f"tcp://{address}", block=False)
-            self._dialers[address] = dialer
-        return dialer
-
     async def call(
         self, entry_id: str, request: typing.Any, timeout_ms: float
     ) -> messages.Reply | None:
@@ -252,11 +220,7 @@
 
     def _send_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         addresses = {str(a) for a in self._settings.peers}
-        addresses |= {
-            p.heartbeat.peer_address
-            for p in self.table.peers.values()
-            if p.heartbeat.sender not in self.blocked
-        }
+        addresses |= {p.heartbeat.peer_address for p in self.table.peers.values()}
         addresses.discard(str(self._settings.peer))
         chosen = sorted(addresses)
         if len(chosen) > FANOUT:
--- a/sassafraslock/services/platform_client.py
+++ b/sassafraslock/services/platform_client.py
@@ -10,37 +10,37 @@
 import msgspec
 
 from sassafraslock import clock, errors, events, platform, settings
+from sassafraslock.decisions import breaker
 
-FAILURES_TO_OPEN = 3
-OPEN_MS = 500
 MAX_CONNECTIONS = 16
-
-_T = typing.TypeVar("_T")
+KEEP_ALIVE_S = 5.0
 
 
 class PlatformClient:
     """Calls table service, object store and VM list with a bound on each call.
 
-    After :data:`FAILURES_TO_OPEN` failures in a row, calls are refused at once except for one
-    probe each :data:`OPEN_MS`, so that nobody waits on a platform known to be down.
+    After failures in a row, calls are refused at once except for a probe now and then.
     """
 
-    __slots__ = ("_base", "_timeout_s", "_pool", "_failures", "_retry_at_ms", "last_ok_ms")
+    __slots__ = ("_base", "_timeout_s", "_pool", "_breaker")
 
     def __init__(self, where: settings.Platform) -> None:
         self._base = f"http://{where.host}:{where.port}"
         self._timeout_s = where.timeout_ms / 1000
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, keepalive_expiry=5
+            max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEP_ALIVE_S
         )
-        self._failures = 0
-        self._retry_at_ms = 0
-        self.last_ok_ms = 0
+        self._breaker = breaker.Breaker()
 
     @property
     def available(self) -> bool:
         """Whether the last calls were answered."""
-        return self._failures < FAILURES_TO_OPEN
+        return self._breaker.closed
+
+    @property
+    def last_ok_ms(self) -> int:
+        """When the platform last answered."""
+        return self._breaker.last_ok_ms
 
     async def run(self, ready: anyio.Event) -> None:
         """Keep the connections until cancelled, then close them.
@@ -82,36 +82,28 @@
         return await self._call("GET", "/vms", b"", list[platform.Vm])
 
     async def _call(self, method: str, path: str, body: bytes, answer: typing.Any) -> typing.Any:
-        now_ms = clock.monotonic_ms()
-        if not self.available and now_ms < self._retry_at_ms:
-            return self._refusal("the platform did not answer lately")
-        self._retry_at_ms = now_ms + OPEN_MS
+        if not self._breaker.allows(clock.monotonic_ms()):
+            return _refusal("the platform did not answer lately")
         try:
             with anyio.fail_after(self._timeout_s):
                 response = await self._pool.request(method, self._base + path, content=body)
         except (TimeoutError, httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
-            self._note_failure()
-            return self._refusal(f"the platform call failed: {type(error).__name__}")
+            return self._failed(f"the platform call failed: {type(error).__name__}")
         if response.status != 200:
-            self._note_failure()
-            return self._refusal(f"the platform answered {response.status}")
-        self._note_success()
+            return self._failed(f"the platform answered {response.status}")
+        if self._breaker.note_success(clock.monotonic_ms()):
+            events.log(events.Event.STORE_UP, "the platform answers again")
         return msgspec.msgpack.decode(response.content, type=answer)
 
-    def _refusal(self, reason: str) -> errors.Refusal:
-        return errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, reason, OPEN_MS)
-
-    def _note_failure(self) -> None:
-        self._failures += 1
-        if self._failures == FAILURES_TO_OPEN:
+    def _failed(self, reason: str) -> errors.Refusal:
+        if self._breaker.note_failure():
             events.log(events.Event.STORE_DOWN, "the platform does not answer", logging.WARNING)
-
-    def _note_success(self) -> None:
-        if not self.available:
-            events.log(events.Event.STORE_UP, "the platform answers again")
-        self._failures = 0
-        self.last_ok_ms = clock.monotonic_ms()
+        return _refusal(reason)
 
     def dump(self) -> dict[str, object]:
         """Return the state of the circuit breaker."""
-        return {"available": self.available, "failures_in_a_row": self._failures}
+        return {"available": self.available, "last_ok_ms": self.last_ok_ms}
+
+
+def _refusal(reason: str) -> errors.Refusal:
+    return errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, reason, breaker.PROBE_INTERVAL_MS)
