--- a/sassafraslock/kernel.py
+++ b/sassafraslock/kernel.py
@@ -56,12 +56,13 @@
     :data:`RESTART_WINDOW_MS`; after that the whole process stops with a failure.
     """
 
-    __slots__ = ("_entries", "_stop_requested", "_failed")
+    __slots__ = ("_entries", "_stop_requested", "_failed", "_killed")
 
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
         self._stop_requested = anyio.Event()
         self._failed = ""
+        self._killed = False
 
     def register(self, name: str, service: Service) -> None:
         """Add a service; services start in the order of registration.
@@ -107,15 +108,17 @@
                 group.start_soon(self._supervise, name, entry)
                 await self._wait_ready(entry)
             await self._stop_requested.wait()
-            with anyio.move_on_after(stop_bound_ms / 1000):
-                await self._stop_services()
+            if not self._killed:
+                with anyio.move_on_after(stop_bound_ms / 1000):
+                    await self._stop_services()
             for entry in reversed(self._entries.values()):
                 entry.scope.cancel()
                 await entry.done.wait()
             group.cancel_scope.cancel()
 
     def kill(self) -> None:
-        """Cancel every task at once, as a crash would."""
+        """Cancel every task at once, without a goodbye, as a crash would."""
+        self._killed = True
         for entry in self._entries.values():
             entry.scope.cancel()
         self._stop_requested.set()
