The cap on moved traffic holds through restarts, skew and every cause

Cause: the per-request gate let a restarted entry jump to the plan's split (51 % of requests moved in a window against a cap of 20 %), and entries of a region moved different cells. Change: cells move as wholes in one order; a region's entries follow the first live one; the reached split is kept in the view and in heartbeats, and a new process starts from it, held for a window. Conclusion: a shift with little traffic is slower than its cap, never faster.

--- a/sassafraslock/decisions/cells.py
+++ b/sassafraslock/decisions/cells.py
@@ -36,7 +36,15 @@
     return xxhash.xxh64_intdigest(f"{salt}|{cell}".encode()) / HASH_SPAN
 
 
-PLACES = [(_unit(c, "place"), _unit(c, "choice")) for c in range(CELL_COUNT)]
+def _places() -> list[tuple[float, float]]:
+    """Return each cell's place, evenly spread in random order, and its choice."""
+    ranked = sorted(range(CELL_COUNT), key=lambda c: _unit(c, "place"))
+    place_of = {cell: (rank + 0.5) / CELL_COUNT for rank, cell in enumerate(ranked)}
+    return [(place_of[c], _unit(c, "choice")) for c in range(CELL_COUNT)]
+
+
+PLACES = _places()
+MOVE_ORDER = sorted(range(CELL_COUNT), key=lambda c: -PLACES[c][0])
 
 
 class WindowCount:
@@ -75,7 +83,7 @@
 @dataclasses.dataclass(slots=True)
 class _Move:
     at_ms: int
-    expected: int
+    expected: float
     met: int = 0
 
 
@@ -84,7 +92,8 @@
 
     A cell moves only if the requests expected of all cells moved within a window stay under
     the cap by three standard deviations of their number. So a service with little traffic moves
-    slowly or not at all, and its requests are served where they are.
+    slowly or not at all, and its requests are served where they are. Cells move in one order at
+    every entry, so that the entries' tables stay alike without a word between them.
     """
 
     __slots__ = (
@@ -103,6 +112,7 @@
         "_held_until_ms",
         "_wanted",
         "_goal",
+        "_pending",
     )
 
     def __init__(
@@ -119,7 +129,7 @@
         nothing moves before a whole window has passed.
 
         :param accepted: the split before any shift, by which cells are laid out.
-        :param reached: the split that is taken over as it is.
+        :param reached: the split that the region's entries were at, taken over as it is.
         :param cap: the share that may move within a window.
         :param window_ms: the window's length.
         :param now_ms: the present time.
@@ -131,6 +141,7 @@
         self._numbers: dict[str, int] = {}
         self._wanted: shared_settings.Split | None = None
         self._goal = array.array("B")
+        self._pending: list[int] = []
         self._cells = self._lay_out(reached)
         self._requests = WindowCount(window_ms)
         self._spilled = WindowCount(window_ms)
@@ -165,17 +176,18 @@
         return self._numbers[region]
 
     def place(self, cell: int, wanted: shared_settings.Split, now_ms: int) -> str:
-        """Return the region for a request, after moving its cell where the cap allows it.
+        """Return the region for a request, after moving cells as far as the cap allows.
 
         :param cell: the caller's cell.
         :param wanted: the split to reach.
         :param now_ms: the present time.
         """
-        if wanted is not self._wanted and wanted != self._wanted:
-            self._wanted, self._goal = wanted, self._lay_out(wanted)
         self._count(cell, now_ms)
-        if self._goal[cell] != self._cells[cell] and self._may_move(cell, now_ms):
-            self._move(cell, now_ms)
+        if wanted != self._wanted:
+            self._wanted, self._goal = wanted, self._lay_out(wanted)
+            self._pending = [c for c in MOVE_ORDER if self._goal[c] != self._cells[c]]
+        if self._pending:
+            self._advance(now_ms)
         move = self._moves.get(cell)
         if move:
             move.met += 1
@@ -217,16 +229,29 @@
         self._counts[cell] += 1
         self._requests.add(1, now_ms)
 
-    def _expected(self, cell: int) -> int:
-        return max(self._counts[cell], self._last_counts[cell], 1)
-
-    def _may_move(self, cell: int, now_ms: int) -> bool:
-        if self.cap >= 1.0:
-            return True
-        used = self._used(now_ms)
-        if now_ms < self._held_until_ms or cell in self._moves:
-            return False
-        return used + self._expected(cell) <= self._allowed(now_ms)
+    def _expected(self, cell: int, now_ms: int) -> float:
+        """Return the requests that a cell will bring in a window, from the last two."""
+        windows = 1.0 + min(1.0, (now_ms - self._rotated_ms) / self.window_ms)
+        return (self._counts[cell] + self._last_counts[cell]) / windows
+
+    def _advance(self, now_ms: int) -> None:
+        """Move pending cells in order until the cap is reached."""
+        left = self._allowed(now_ms) - self._used(now_ms)
+        if left <= 0:
+            return
+        kept = []
+        for number, cell in enumerate(self._pending):
+            if cell in self._moves:
+                kept.append(cell)
+                continue
+            expected = self._expected(cell, now_ms)
+            if expected > left:
+                kept += self._pending[number:]
+                break
+            left -= expected
+            self._cells[cell] = self._goal[cell]
+            self._moves[cell] = _Move(now_ms, expected)
+        self._pending = kept
 
     def _allowed(self, now_ms: int) -> float:
         if self.cap >= 1.0:
@@ -236,11 +261,7 @@
         capped = self.cap * self._requests.total(now_ms)
         return capped - DEVIATIONS * math.sqrt(capped)
 
-    def _move(self, cell: int, now_ms: int) -> None:
-        self._cells[cell] = self._goal[cell]
-        self._moves[cell] = _Move(now_ms, self._expected(cell))
-
-    def _used(self, now_ms: int) -> int:
+    def _used(self, now_ms: int) -> float:
         horizon_ms = now_ms - self.window_ms
         while self._moves:
             oldest = next(iter(self._moves))
--- a/sassafraslock/decisions/view.py
+++ b/sassafraslock/decisions/view.py
@@ -9,13 +9,16 @@
 
 import dataclasses
 import math
+import typing
 
 import xxhash
 
 from sassafraslock import shared_settings
+from sassafraslock.decisions import shift
 
 LINK_PREFIX = "link/"
 LINK_PARTS = 4
+SPLIT_STEP = 0.02
 SERVER_PREFIX = "server/"
 
 
@@ -46,11 +49,23 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class View:
-    """One region's members and stewards under one epoch."""
+    """One region's members, stewards and reached splits under one epoch.
+
+    ``splits`` tells where traffic that enters this region is served, by service, so that a
+    restarted entry goes on from there.
+    """
 
     epoch: int = 0
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     stewards: dict[str, Stewardship] = dataclasses.field(default_factory=dict)
+    splits: dict[str, shared_settings.Split] = dataclasses.field(default_factory=dict)
+
+    def advance(self, **changes: typing.Any) -> View:
+        """Return the next epoch's view.
+
+        :param changes: the fields that differ.
+        """
+        return dataclasses.replace(self, epoch=self.epoch + 1, **changes)
 
     def steward_of(self, resource: str) -> Member | None:
         """Return the member that hands out a resource.
@@ -163,7 +178,7 @@
             stewards[resource] = Stewardship(member.entry_id, member.incarnation, False)
         else:
             stewards[resource] = held
-    return View(view.epoch + 1, {**view.members, member.entry_id: member}, stewards)
+    return view.advance(members={**view.members, member.entry_id: member}, stewards=stewards)
 
 
 def claim_free(view: View, me: Member, resources: list[str]) -> View:
@@ -183,7 +198,7 @@
             mine[resource] = Stewardship(me.entry_id, me.incarnation, held is None)
     if not mine:
         return view
-    return View(view.epoch + 1, view.members, view.stewards | mine)
+    return view.advance(stewards=view.stewards | mine)
 
 
 def _is_orphan(view: View, held: Stewardship) -> bool:
@@ -223,7 +238,7 @@
             del stewards[resource]
     if stewards == view.stewards:
         return view
-    return View(view.epoch + 1, view.members, stewards)
+    return view.advance(stewards=stewards)
 
 
 def remove(view: View, entry_id: str) -> View:
@@ -242,4 +257,18 @@
             stewards[resource] = Stewardship(heir.entry_id, heir.incarnation, False)
         else:
             stewards[resource] = Stewardship(entry_id, 0, False)
-    return View(view.epoch + 1, members, stewards)
+    return view.advance(members=members, stewards=stewards)
+
+
+def note_splits(view: View, splits: dict[str, shared_settings.Split]) -> View:
+    """Take over the splits reached, where one differs by a step worth a write.
+
+    :param view: the view as read.
+    :param splits: the splits of this entry by service.
+    """
+    changed = {
+        service: split
+        for service, split in splits.items()
+        if shift.distance(split, view.splits.get(service, {})) >= SPLIT_STEP
+    }
+    return view.advance(splits=view.splits | changed) if changed else view
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -81,7 +81,7 @@
         )
         admitting = admission.AdmissionService(process, peer, holder, signs)
         path = request_path.RequestPath(
-            process, peer, config, claiming, admitting, outside.forwarder
+            process, peer, config, claiming, holder, admitting, outside.forwarder
         )
         core.register("platform", outside.platform)
         core.register("peers", peer)
@@ -126,12 +126,13 @@
             caller_address=str(self.settings.caller),
             peer_address=str(self.settings.peer),
             leaving=holder.leaving,
-            ready=find("settings").current,
+            ready=find("path").ready,
             in_flight=find("path").in_flight,
             revisions=dict(find("settings").revisions.in_force),
             view_epochs={self.settings.region: holder.view.epoch},
             claim_epochs=find("claims").epochs(),
             services=holder.loads(clock.monotonic_ms()),
+            splits=find("path").splits(),
         )
 
     async def run(self) -> str:
--- a/sassafraslock/judgement.py
+++ b/sassafraslock/judgement.py
@@ -12,6 +12,7 @@
 PHASES = 10
 
 Answers = list[caller.Answered]
+Mark = tuple[int, str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,39 +57,46 @@
 def largest_shift(answers: Answers, region_of: dict[str, str], window_ms: int) -> float:
     """Return the largest share of one service's requests that moved within any window.
 
-    A request moved if its server's region differs from the region that last served the same
-    caller through the same region's entries before the window.
+    Callers of each region are judged apart, since the split holds for each entry region.
 
-    :param answers: what callers saw.
+    :param answers: what callers saw, refusals included.
     :param region_of: the region of each server.
     :param window_ms: the window's length.
     """
-    by_service: dict[tuple[str, str], Answers] = collections.defaultdict(list)
-    for answer in sorted(answers, key=lambda a: a.at_ms):
-        by_service[(answer.service, answer.entry_region)].append(answer)
-    return max(
-        (_largest_of(found, region_of, window_ms) for found in by_service.values()), default=0.0
-    )
+    marks: dict[tuple[str, str], list[Mark]] = collections.defaultdict(list)
+    for answer in answers:
+        mark = (answer.at_ms, region_of.get(answer.server, ""))
+        marks[(answer.service, answer.entry_region)].append(mark)
+    return max((largest_gain(found, window_ms) for found in marks.values()), default=0.0)
+
+
+def largest_gain(marks: list[Mark], window_ms: int) -> float:
+    """Return the largest share by which regions gained from one window to the next.
 
+    Every phase of the window is looked at. Requests that no region served count in the whole,
+    so that refusals are no movement.
 
-def _largest_of(answers: Answers, region_of: dict[str, str], window_ms: int) -> float:
-    times = [a.at_ms for a in answers]
+    :param marks: the moment and the serving region of each request, empty where it was refused.
+    :param window_ms: the window's length.
+    """
+    marks = sorted(marks)
+    times = [at_ms for at_ms, _ in marks]
     largest = 0.0
-    last: dict[str, str] = {}
-    index = 0
-    start_ms = times[0]
-    while start_ms + window_ms <= times[-1]:
-        while index < len(answers) and times[index] < start_ms:
-            last[answers[index].client] = region_of.get(answers[index].server, "")
-            index += 1
-        end = bisect.bisect_left(times, start_ms + window_ms)
-        known = [a for a in answers[index:end] if a.client in last]
-        moved = sum(region_of.get(a.server, "") != last[a.client] for a in known)
-        largest = max(largest, moved / max(1, end - index))
-        start_ms += max(1, window_ms // PHASES)
+    step_ms = max(1, window_ms // PHASES)
+    for middle_ms in range(times[0] + window_ms, times[-1] - window_ms, step_ms):
+        before = _shares(marks, times, middle_ms - window_ms, middle_ms)
+        after = _shares(marks, times, middle_ms, middle_ms + window_ms)
+        gained = sum(max(0.0, after[r] - before.get(r, 0.0)) for r in after if r)
+        largest = max(largest, gained)
     return largest
 
 
+def _shares(marks: list[Mark], times: list[int], from_ms: int, to_ms: int) -> dict[str, float]:
+    found = marks[bisect.bisect_left(times, from_ms) : bisect.bisect_left(times, to_ms)]
+    counts = collections.Counter(region for _, region in found)
+    return {region: count / len(found) for region, count in counts.items()}
+
+
 def highest_link_use(
     answers: Answers, region_of: dict[str, str], limits: dict[frozenset[str], int]
 ) -> float:
--- a/sassafraslock/messages.py
+++ b/sassafraslock/messages.py
@@ -20,11 +20,10 @@
 
 
 class ServiceLoad(msgspec.Struct, frozen=True):
-    """What a peer has of one service: free slots, all slots, and its split in force."""
+    """What a peer has of one service: free slots and all slots."""
 
     free_slots: int
     slots: int
-    splits: dict[str, float] = {}
 
 
 class Heartbeat(Message, frozen=True):
@@ -43,6 +42,7 @@
     view_epochs: dict[str, int]
     claim_epochs: dict[str, int]
     services: dict[str, ServiceLoad]
+    splits: dict[str, dict[str, float]] = {}
 
 
 class SlotRequest(Message, frozen=True):
--- a/sassafraslock/services/caller_api.py
+++ b/sassafraslock/services/caller_api.py
@@ -115,7 +115,7 @@
         known = [
             _named(h, service) for h in self._peers.table.live(now_ms) if h.ready and not h.leaving
         ]
-        if not self._steward.leaving and self._config.current:
+        if not self._steward.leaving and self._path.ready:
             known.append(self._own(service, now_ms))
         known.sort(key=lambda e: (e.region != site_region, e.zone != site_zone, -e.weight))
         return EntryList(service, self._settings.validity_ms, known)
--- a/sassafraslock/services/operator_api.py
+++ b/sassafraslock/services/operator_api.py
@@ -130,7 +130,7 @@
         )
 
     def _readiness(self) -> object:
-        if self._kernel.find("settings").current:
+        if self._kernel.find("path").ready:
             return {"ready": True}
         return errors.Refusal(errors.ErrorKind.NOT_READY, "the settings are not current yet")
 
@@ -166,7 +166,7 @@
             VERSION,
             self._settings.region,
             self._settings.zone,
-            find("settings").current,
+            find("path").ready,
             steward.leaving,
             find("platform").available,
             find("settings").revisions.in_force,
--- a/sassafraslock/services/request_path.py
+++ b/sassafraslock/services/request_path.py
@@ -75,6 +75,7 @@
         "_admission",
         "_forwarder",
         "_response_bytes",
+        "_steward",
     )
 
     def __init__(
@@ -83,6 +84,7 @@
         peers: typing.Any,
         settings_service: typing.Any,
         claim_service: typing.Any,
+        steward: typing.Any,
         admission_service: typing.Any,
         forwarding: typing.Any,
     ) -> None:
@@ -97,7 +99,9 @@
         self._claims = claim_service
         self._admission = admission_service
         self._forwarder = forwarding
+        self._steward = steward
         self._response_bytes: dict[str, float] = {}
+        steward.splits_source = self.splits
         peers.handle(messages.Suspicion, self._on_suspicion)
 
     async def run(self, ready: anyio.Event) -> None:
@@ -108,6 +112,15 @@
         ready.set()
         await anyio.sleep_forever()
 
+    @property
+    def ready(self) -> bool:
+        """Whether this entry knows the settings and where its region's traffic is served."""
+        return self._config.current and (self._steward.followed or bool(self._neighbours()))
+
+    def _neighbours(self) -> list[messages.Heartbeat]:
+        live = self._peers.table.live(clock.monotonic_ms())
+        return [h for h in live if h.region == self._settings.region and h.ready]
+
     async def handle(
         self, request: asgi.Request, receive: asgi.Receive, peer_address: str
     ) -> PathResult:
@@ -128,8 +141,9 @@
 
     async def _admit(self, request: asgi.Request, receive: asgi.Receive) -> typing.Any:
         """Check a request and build its exchange, or refuse it as not run."""
-        if not self._config.current:
-            return errors.Refusal(errors.ErrorKind.NOT_READY, "the settings are not current yet")
+        if not self.ready:
+            reason = "the settings or the region's view are not current yet"
+            return errors.Refusal(errors.ErrorKind.NOT_READY, reason)
         service, target = _split_path(request)
         rules = self._config.shared.services.get(service)
         if rules is None:
@@ -220,21 +234,43 @@
     def wanted_split(self, service: str, rules: shared_settings.Service) -> shared_settings.Split:
         """Return the split to reach: the plan's, without regions that cannot serve.
 
+        All entries of a region follow the first of them, so that a caller who changes from one
+        to another finds the same split.
+
         :param service: the service.
         :param rules: its settings.
         """
+        leader = self._leader()
+        if leader and service in leader.splits:
+            return leader.splits[service]
+        planned = self._planned(rules)
+        usable = self._usable_regions(service)
+        unusable = set(planned) - usable
+        return shift.without(planned, unusable, sorted(usable)) if unusable else planned
+
+    def _leader(self) -> messages.Heartbeat | None:
+        """Return the last heartbeat of the region's first live entry, none if it is this one."""
+        staying = [h for h in self._neighbours() if not h.leaving]
+        first = min(staying, key=lambda h: h.sender, default=None)
+        return first if first and first.sender < self._settings.entry_id else None
+
+    def _reached(self, service: str) -> shared_settings.Split | None:
+        """Return the split that the region is at, from peers or the view, if any knows it."""
+        for peer in self._neighbours():
+            if service in peer.splits:
+                return peer.splits[service]
+        splits: dict[str, shared_settings.Split] = self._steward.view.splits
+        return splits.get(service)
+
+    def _planned(self, rules: shared_settings.Service) -> shared_settings.Split:
         region = self._settings.region
-        accepted = self._config.shared.split_for(rules, region)
-        planned = shift.planned(
-            accepted,
+        return shift.planned(
+            self._config.shared.split_for(rules, region),
             rules.shifts.get(region),
             rules.shift_cap_ratio,
             rules.shift_window_ms,
             clock.wall_ms(),
         )
-        usable = self._usable_regions(service)
-        unusable = set(planned) - usable
-        return shift.without(planned, unusable, sorted(usable)) if unusable else planned
 
     def _usable_regions(self, service: str) -> set[str]:
         live = self._peers.table.live(clock.monotonic_ms())
@@ -252,16 +288,9 @@
         accepted = self._config.shared.split_for(rules, self._settings.region)
         table = self.tables.get(service)
         if table is None:
-            planned = shift.planned(
-                accepted,
-                rules.shifts.get(self._settings.region),
-                rules.shift_cap_ratio,
-                rules.shift_window_ms,
-                clock.wall_ms(),
-            )
             table = cells.CellTable(
                 accepted,
-                planned,
+                self._reached(service) or self._planned(rules),
                 rules.shift_cap_ratio,
                 rules.shift_window_ms,
                 clock.monotonic_ms(),
@@ -270,6 +299,10 @@
         table.relimit(rules.shift_cap_ratio, rules.shift_window_ms, accepted)
         return table
 
+    def splits(self) -> dict[str, shared_settings.Split]:
+        """Return the split in force of each service for traffic that enters here."""
+        return {name: table.shares() for name, table in self.tables.items()}
+
     async def _dispatch(self, exchange: Exchange, peer_address: str) -> PathResult:
         if exchange.hop_region:
             return await self._serve_hop(exchange)
--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -18,6 +18,7 @@
 LINK_RESERVE_RATIO = 0.2
 LINK_DATA_RATIO = 0.95
 
+SplitsSource = typing.Callable[[], dict[str, shared_settings.Split]]
 AttemptObserver = typing.Callable[[tuple[str, str], bool, int], None]
 
 
@@ -38,11 +39,13 @@
         "_version",
         "_last_tick_ms",
         "_confirmed",
+        "_looked",
         "_giving_up",
         "_released",
         "_wake",
         "gone",
         "attempt_observer",
+        "splits_source",
     )
 
     def __init__(
@@ -59,6 +62,7 @@
         self.leaving = False
         self.gone = False
         self.attempt_observer: AttemptObserver | None = None
+        self.splits_source: SplitsSource | None = None
         self.me = view.Member(
             process.entry_id, incarnation, process.zone, str(process.caller), str(process.peer)
         )
@@ -70,6 +74,7 @@
         self._version = 0
         self._last_tick_ms = 0
         self._confirmed = False
+        self._looked = False
         self._giving_up: set[str] = set()
         self._released = anyio.Event()
         self._wake = anyio.Event()
@@ -119,7 +124,7 @@
 
     def _take(self, row: platform.Row | None) -> None:
         """Follow the view as the store has it."""
-        self._confirmed = True
+        self._confirmed = self._looked = True
         if row is None or row.version == self._version:
             return
         seen = msgspec.msgpack.decode(row.value, type=view.View)
@@ -154,7 +159,16 @@
         self._giving_up = set(view.to_give_up(wanted, me, resources))
         self._sync(now_ms)
         idle = [r for r in self._giving_up if self._is_idle(r, now_ms)]
-        return view.give_up(wanted, me, idle, resources)
+        wanted = view.give_up(wanted, me, idle, resources)
+        if self.splits_source and self._is_first_live(now_ms):
+            wanted = view.note_splits(wanted, self.splits_source())
+        return wanted
+
+    def _is_first_live(self, now_ms: int) -> bool:
+        """Tell whether this entry is the one that writes the region's splits."""
+        live = self._peers.table.live(now_ms)
+        ids = [h.sender for h in live if h.sender in self.view.members]
+        return all(self.me.entry_id < entry_id for entry_id in ids)
 
     def _view_without_me(self, wanted: view.View) -> view.View:
         known = wanted.members.get(self.me.entry_id)
@@ -222,6 +236,11 @@
             if resource not in parts or resource in self._giving_up:
                 del self.budgets[resource]
 
+    @property
+    def followed(self) -> bool:
+        """Whether the region's view was ever read by this process."""
+        return self._version > 0 or self._looked
+
     def may_act(self, now_ms: int) -> bool:
         """Tell whether grants are allowed now.
 
--- a/sassafraslock/standin/caller.py
+++ b/sassafraslock/standin/caller.py
@@ -131,6 +131,7 @@
         started_ms = clock.monotonic_ms()
         refusal: caller_api.ErrorBody | None = None
         certain = True
+        entry: caller_api.NamedEntry | None = None
         for number in range(MAX_TRIES):
             entries = await self.entries(request.service)
             if not entries:
@@ -147,7 +148,7 @@
                 break
             wait_ms = refusal.retry_after_ms if refusal else RETRY_MS
             await anyio.sleep(wait_ms * self._random.uniform(0.8, 1.2) / 1000)
-        self._note_failure(request, certain)
+        self._note_failure(request, entry.region if entry else "", certain)
 
     def _choose(self, entries: list[caller_api.NamedEntry]) -> caller_api.NamedEntry:
         """Choose by weight among the entries nearest to the caller."""
@@ -159,7 +160,9 @@
         self.journal.answers.append(answer)
         self.journal.latency.record_value(max(1, (answer.at_ms - started_ms) * 1000))
 
-    def _note_failure(self, request: Request, certain: bool) -> None:
+    def _note_failure(self, request: Request, entry_region: str, certain: bool) -> None:
+        refused = Answered(clock.monotonic_ms(), request.service, self.client, entry_region, "", 0)
+        self.journal.answers.append(refused)
         if not certain:
             self.journal.unknown += 1
             return
--- a/tests/load.py
+++ b/tests/load.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from sassafraslock import judgement
 from tests import world as virtual
 from tests.test_entry import new_key
 
@@ -34,7 +35,7 @@
             for e in self.world.entries
             if self.world.process[e].region == self.region
             and not self.world.part(e, "steward").leaving
-            and self.world.part(e, "settings").current
+            and self.world.part(e, "path").ready
         ]
         return named or list(self.world.entries)
 
@@ -76,18 +77,7 @@
         return [k for k, told in self.told_not_run.items() if told and self.world.runs[k]]
 
     def largest_shift(self, window_ms):
-        """Return the largest moved share of any window, by each client's last region before it."""
-        answered = [s for s in self.seen if s.server]
-        answered.sort(key=lambda s: s.at_ms)
+        """Return the largest share of requests by which regions gained from window to window."""
         region_of = {s.server_id: s.region for s in self.world.servers.values()}
-        times = [s.at_ms for s in answered]
-        largest, last, index = 0.0, {}, 0
-        for start_ms in range(times[0], times[-1] - window_ms, window_ms // 12):
-            while index < len(answered) and times[index] < start_ms:
-                last[answered[index].client] = region_of[answered[index].server]
-                index += 1
-            inside = [s for s in answered[index:] if s.at_ms < start_ms + window_ms]
-            known = [s for s in inside if s.client in last]
-            moved = sum(region_of[s.server] != last[s.client] for s in known)
-            largest = max(largest, moved / max(1, len(inside)))
-        return largest
+        marks = [(s.at_ms, region_of.get(s.server, "")) for s in self.seen]
+        return judgement.largest_gain(marks, window_ms)
