--- a/sassafraslock/decisions/membership.py
+++ b/sassafraslock/decisions/membership.py
@@ -8,8 +8,8 @@
 
 SUSPECT_AFTER_MS = 2_000
 EVICT_AFTER_MS = 10_000
+EVICT_UNLISTED_AFTER_MS = 120_000
 ISOLATED_AFTER_MS = 5_000
-PAUSE_LIMIT_MS = 4_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,11 +23,12 @@
 class PeerTable:
     """What this entry last heard of each peer. Suspicion only ever reduces use."""
 
-    __slots__ = ("peers", "_listed_ms", "_absent_since_ms")
+    __slots__ = ("peers", "listed", "_first_list_ms", "_absent_since_ms")
 
     def __init__(self) -> None:
         self.peers: dict[str, Peer] = {}
-        self._listed_ms: dict[str, int] = {}
+        self.listed: set[str] = set()
+        self._first_list_ms: int | None = None
         self._absent_since_ms: dict[str, int] = {}
 
     def hear(self, heartbeat: messages.Heartbeat, now_ms: int) -> bool:
@@ -64,33 +65,34 @@
         return now_ms - peer.heard_ms <= SUSPECT_AFTER_MS
 
     def note_vms(self, vms: list[platform.Vm], now_ms: int) -> None:
-        """Take in the platform's VM list.
-
-        An entry counts as absent only if an earlier list named it, since the list lags and a
-        new VM may not be on it yet.
+        """Take in the platform's VM list, which lags.
 
         :param vms: the list as read.
         :param now_ms: the present time.
         """
-        listed = {vm.vm_id for vm in vms}
-        for vm_id in listed:
-            self._listed_ms[vm_id] = now_ms
-            self._absent_since_ms.pop(vm_id, None)
-        for vm_id in self._listed_ms:
-            if vm_id not in listed:
-                self._absent_since_ms.setdefault(vm_id, now_ms)
-
-    def certainly_gone(self, entry_id: str, now_ms: int) -> bool:
+        if self._first_list_ms is None:
+            self._first_list_ms = now_ms
+        before, self.listed = self.listed, {vm.vm_id for vm in vms}
+        for vm_id in before - self.listed:
+            self._absent_since_ms[vm_id] = now_ms
+
+    def certainly_gone(self, entry_id: str, was_listed: bool, now_ms: int) -> bool:
         """Tell whether an entry's VM is gone: off the list, and silent, both for long enough.
 
+        A member that the list never named may be too new for a list that lags, so it is given
+        more time.
+
         :param entry_id: the entry, whose id is its VM's.
+        :param was_listed: whether the member was on the list since it joined.
         :param now_ms: the present time.
         """
-        absent_ms = self._absent_since_ms.get(entry_id)
-        if absent_ms is None or now_ms - absent_ms < EVICT_AFTER_MS:
+        if self._first_list_ms is None or entry_id in self.listed:
             return False
+        wait_ms = EVICT_AFTER_MS if was_listed else EVICT_UNLISTED_AFTER_MS
+        absent_ms = self._absent_since_ms.get(entry_id, self._first_list_ms)
         peer = self.peers.get(entry_id)
-        return peer is None or now_ms - peer.heard_ms >= EVICT_AFTER_MS
+        heard_ms = peer.heard_ms if peer else self._first_list_ms
+        return now_ms - max(absent_ms, heard_ms) >= wait_ms
 
     def may_act(self, region: str, members: int, store_age_ms: int, now_ms: int) -> bool:
         """Tell whether this entry may hand out what the frozen view gives it.
--- a/sassafraslock/decisions/view.py
+++ b/sassafraslock/decisions/view.py
@@ -24,7 +24,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Member:
-    """An entry as the view knows it; a restart gets a new incarnation."""
+    """An entry as the view knows it; a restart gets a new incarnation.
+
+    ``listed`` tells that the platform's VM list has named it since it joined.
+    """
 
     entry_id: str
     incarnation: int
@@ -32,6 +35,7 @@
     caller_address: str
     peer_address: str
     leaving: bool = False
+    listed: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sassafraslock/services/request_path.py
+++ b/sassafraslock/services/request_path.py
@@ -49,7 +49,8 @@
     key: str = ""
     nonce: str = ""
     attempts: int = 0
-    dispatched: bool = False
+    trial: str = ""
+    trial_nonce: str = ""
 
     def left_ms(self, now_ms: int) -> int:
         """Return the time left to the deadline.
@@ -187,6 +188,11 @@
         suspect = await self._check_suspect(exchange)
         if suspect:
             return suspect
+        result = await self._run_checked(exchange, peer_address)
+        self._end_trial(exchange, result)
+        return result
+
+    async def _run_checked(self, exchange: Exchange, peer_address: str) -> PathResult:
         if not exchange.key:
             return await self._dispatch(exchange, peer_address)
         exchange.nonce = uuid.uuid4().hex
@@ -213,7 +219,11 @@
         self._claims.done(exchange.key, exchange.nonce, answer)
 
     async def _check_suspect(self, exchange: Exchange) -> errors.Refusal | None:
-        """Refuse a quarantined request, and let a suspect one run once in the whole system."""
+        """Refuse a quarantined request, and let a suspect one run once in the whole system.
+
+        The claim service grants each trial once, so resends through other entries are refused
+        while it runs.
+        """
         now_ms = clock.monotonic_ms()
         broken = self.quarantine.broken_servers(exchange.mark)
         if not broken:
@@ -221,16 +231,21 @@
         reason = f"this request broke {len(broken)} servers and is not run"
         if self.quarantine.is_quarantined(exchange.mark, now_ms):
             return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
-        if exchange.hop_region:
+        if exchange.hop_region and not exchange.attempts:
             return None
         trial = f"trial|{exchange.mark}|{','.join(broken)}"
-        verdict = await self._claims.claim(
-            trial, uuid.uuid4().hex, exchange.mark, exchange.left_ms(now_ms)
-        )
+        nonce = uuid.uuid4().hex
+        verdict = await self._claims.claim(trial, nonce, exchange.mark, exchange.left_ms(now_ms))
         if verdict is None:
+            exchange.trial, exchange.trial_nonce = trial, nonce
             return None
         return errors.Refusal(errors.ErrorKind.QUARANTINED, reason, 1_000)
 
+    def _end_trial(self, exchange: Exchange, result: PathResult) -> None:
+        """Allow another trial if this one did not reach a server."""
+        if exchange.trial and isinstance(result, errors.Refusal) and result.answer.not_run:
+            self._claims.release(exchange.trial, exchange.trial_nonce)
+
     def wanted_split(self, service: str, rules: shared_settings.Service) -> shared_settings.Split:
         """Return the split to reach: the plan's, without regions that cannot serve.
 
@@ -374,10 +389,12 @@
                 return result
             left_ms = exchange.left_ms(clock.monotonic_ms())
             again = retry.may_retry(result.end, exchange.idempotent, exchange.attempts, left_ms)
-            if result.end is retry.AttemptEnd.BROKE_MID_RUN and again:
-                again = await self._check_suspect(exchange) is None
             if not again or not self.budget.take():
                 return _give_up(exchange, result)
+            if result.end is retry.AttemptEnd.BROKE_MID_RUN:
+                refused = await self._check_suspect(exchange)
+                if refused:
+                    return _give_up(exchange, result)
             self.counts["retries"] += 1
 
     async def _attempt(self, exchange: Exchange, avoid: list[str]) -> PathResult:
--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -139,6 +139,9 @@
         self._sync(clock.monotonic_ms())
 
     def _wanted_view(self, now_ms: int) -> view.View:
+        table = self._peers.table
+        if self.me.entry_id in table.listed:
+            self.me = dataclasses.replace(self.me, listed=True)
         me = dataclasses.replace(self.me, leaving=self.leaving)
         wanted = self.view
         resources = view.resources_of(self._shared, self._settings.region)
@@ -151,9 +154,11 @@
             wanted = view.join(wanted, me)
         if me.entry_id not in wanted.members:
             return wanted
-        for entry_id in wanted.members:
-            if entry_id != me.entry_id and self._peers.table.certainly_gone(entry_id, now_ms):
-                wanted = view.remove(wanted, entry_id)
+        for other in list(wanted.members.values()):
+            if other.entry_id == me.entry_id:
+                continue
+            if table.certainly_gone(other.entry_id, other.listed, now_ms):
+                wanted = view.remove(wanted, other.entry_id)
         if not self.leaving:
             wanted = view.claim_free(wanted, me, resources)
         self._giving_up = set(view.to_give_up(wanted, me, resources))
