--- a/sassafraslock/asgi.py
+++ b/sassafraslock/asgi.py
@@ -151,7 +151,7 @@
 
     def _bind(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             listener.bind((self._host, self._port))
--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -30,7 +30,7 @@
 FIRST_PORT = 21_700
 CALLERS = 32
 PAUSE_MS = (150, 300)
-FILING_RATIO = 0.3
+FILING_CALLERS_EVERY = 3
 SHIFT_CAP_RATIO = 0.5
 SHIFT_WINDOW_MS = 3_000
 LINK_BYTES_PER_S = 2_000_000
@@ -137,7 +137,7 @@
     service = SHIFTED if number % 2 else list(SERVICES)[number // 2 % len(SERVICES)]
     try:
         while True:
-            if source.random() < FILING_RATIO:
+            if number % FILING_CALLERS_EVERY == 0:
                 await one.file(service, "/filings", f"filing {source.random()}".encode())
             else:
                 await one.read(service, "/entries/7")
--- a/sassafraslock/judgement.py
+++ b/sassafraslock/judgement.py
@@ -71,10 +71,10 @@
 
 
 def largest_gain(marks: list[Mark], window_ms: int) -> float:
-    """Return the largest share by which regions gained from one window to the next.
+    """Return the largest share that went from one region to another from window to window.
 
     Every phase of the window is looked at. Requests that no region served count in the whole,
-    so that refusals are no movement.
+    and neither their start nor their end is a movement.
 
     :param marks: the moment and the serving region of each request, empty where it was refused.
     :param window_ms: the window's length.
@@ -87,7 +87,8 @@
         before = _shares(marks, times, middle_ms - window_ms, middle_ms)
         after = _shares(marks, times, middle_ms, middle_ms + window_ms)
         gained = sum(max(0.0, after[r] - before.get(r, 0.0)) for r in after if r)
-        largest = max(largest, gained)
+        lost = sum(max(0.0, before[r] - after.get(r, 0.0)) for r in before if r)
+        largest = max(largest, min(gained, lost))
     return largest
 
 
