Requests wait in a steward's queue; entries without slots forward whole requests

Change: a steward queues by deadline; an entry waits in its own queue and, with two requests at most, in a peer's; an entry without slots of a service forwards the request to a steward.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: policy beside baselines, and slopes for the capacity page."""
--- a/sassafraslock/decisions/slots.py
+++ b/sassafraslock/decisions/slots.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 
 from sassafraslock import errors, shared_settings
 
 SLOW_START_MS = 5_000
+GRANT_MARGIN_MS = 500
+EXPIRY_STEP_MS = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +55,17 @@
         return max(1, self.limit * age_ms // SLOW_START_MS)
 
 
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """A request that waits for a slot; ``ticket`` tells the asker which one it is."""
+
+    ticket: str
+    filing: bool
+    deadline_ms: int
+    give_up_ms: int
+    avoid: list[str] = dataclasses.field(default_factory=list)
+
+
 class SlotPool:
     """The servers of one service of which this entry is steward.
 
@@ -59,12 +73,14 @@
     the choice among servers with room.
     """
 
-    __slots__ = ("servers", "reserve_ratio", "_grants")
+    __slots__ = ("servers", "reserve_ratio", "_grants", "_waiting", "_next_expiry_ms")
 
     def __init__(self, reserve_ratio: float) -> None:
         self.servers: dict[str, ServerSlots] = {}
         self.reserve_ratio = reserve_ratio
         self._grants: dict[str, ServerSlots] = {}
+        self._waiting: list[Waiter] = []
+        self._next_expiry_ms = 0
 
     def hold(self, server_id: str, limit: int, usable_from_ms: int, warm: bool) -> None:
         """Start to hand out a server's slots, or change its limit.
@@ -153,10 +169,54 @@
 
         :param now_ms: the present time.
         """
+        if now_ms < self._next_expiry_ms:
+            return
+        self._next_expiry_ms = now_ms + EXPIRY_STEP_MS
         for server in self.servers.values():
             for grant in [g for g in server.grants.values() if g.expires_ms <= now_ms]:
                 self.release(grant.grant_id)
 
+    def wait(self, waiter: Waiter) -> None:
+        """Queue a request behind those with an earlier deadline.
+
+        :param waiter: the request.
+        """
+        bisect.insort(self._waiting, waiter, key=lambda w: w.deadline_ms)
+
+    def cancel(self, ticket: str) -> None:
+        """Take a request out of the queue; one that is not in it is ignored.
+
+        :param ticket: the request's ticket.
+        """
+        self._waiting = [w for w in self._waiting if w.ticket != ticket]
+
+    @property
+    def waiting(self) -> int:
+        """The number of requests in the queue."""
+        return len(self._waiting)
+
+    def grant_waiting(self, now_ms: int) -> list[tuple[Waiter, Grant]]:
+        """Give free slots to the queue in order of deadline; those too late are dropped.
+
+        :param now_ms: the present time.
+        """
+        granted: list[tuple[Waiter, Grant]] = []
+        kept: list[Waiter] = []
+        for number, waiter in enumerate(self._waiting):
+            if waiter.give_up_ms <= now_ms:
+                continue
+            if self.free(now_ms) == 0:
+                kept += self._waiting[number:]
+                break
+            expires_ms = waiter.deadline_ms + GRANT_MARGIN_MS
+            grant = self.acquire(waiter.ticket, waiter.filing, expires_ms, waiter.avoid, now_ms)
+            if isinstance(grant, Grant):
+                granted.append((waiter, grant))
+            else:
+                kept.append(waiter)
+        self._waiting = kept
+        return granted
+
     def free(self, now_ms: int) -> int:
         """Return the free slots over all servers.
 
--- a/sassafraslock/messages.py
+++ b/sassafraslock/messages.py
@@ -20,10 +20,11 @@
 
 
 class ServiceLoad(msgspec.Struct, frozen=True):
-    """What a peer has of one service: free slots and all slots."""
+    """What a peer has of one service: free slots, all slots, and requests that wait for one."""
 
     free_slots: int
     slots: int
+    waiting: int = 0
 
 
 class Heartbeat(Message, frozen=True):
@@ -46,12 +47,16 @@
 
 
 class SlotRequest(Message, frozen=True):
-    """Asks a steward for one slot of a service until the deadline has passed."""
+    """Asks a steward for one slot of a service until the deadline has passed.
+
+    Where ``wait_ms`` is not 0, the steward queues the request for so long.
+    """
 
     request_id: int
     service: str
     filing: bool
     duration_ms: int
+    wait_ms: int
     avoid: list[str]
 
 
--- a/sassafraslock/services/admission.py
+++ b/sassafraslock/services/admission.py
@@ -12,6 +12,7 @@
 from sassafraslock.decisions import borrow, links, slots
 
 LEND_TIMEOUT_MS = 50
+LEND_WAIT_MS = 200
 RECHECK_MS = 20
 MAX_QUEUE_MS = 1_000
 BYTES_TIMEOUT_MS = 100
@@ -28,6 +29,29 @@
     lender: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Wanted:
+    service: str
+    filing: bool
+    deadline_ms: int
+    avoid: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class _Queued:
+    ticket: str
+    granted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    grant: slots.Grant | None = None
+
+    def note(self, grant: slots.Grant) -> None:
+        self.grant = grant
+        self.granted.set()
+
+    def take(self, service: str) -> Slot | None:
+        grant, self.grant = self.grant, None
+        return Slot(service, grant.grant_id, grant.server_id, "") if grant else None
+
+
 SlotResult = Slot | errors.Refusal
 
 
@@ -59,6 +83,18 @@
         """
         return bool(self._steward.serves(service, clock.monotonic_ms()))
 
+    def choose_steward(self, service: str) -> messages.Heartbeat | None:
+        """Return the neighbour with most room in its slots, none where nobody has any.
+
+        :param service: the service.
+        """
+        now_ms = clock.monotonic_ms()
+        return self._borrower.choose(service, self._region(now_ms), False, now_ms)
+
+    def _region(self, now_ms: int) -> list[messages.Heartbeat]:
+        live = self._peers.table.live(now_ms)
+        return [h for h in live if h.region == self._settings.region and h.ready]
+
     async def acquire(
         self, service: str, filing: bool, deadline_ms: int, avoid: list[str]
     ) -> SlotResult:
@@ -71,14 +107,53 @@
         """
         now_ms = clock.monotonic_ms()
         give_up_ms = now_ms + min(MAX_QUEUE_MS, (deadline_ms - now_ms) // 2)
-        while True:
-            now_ms = clock.monotonic_ms()
-            found = self._own(service, filing, deadline_ms - now_ms, avoid, now_ms)
-            if isinstance(found, errors.Refusal):
-                found = await self._lent(service, filing, deadline_ms, avoid) or found
-            if isinstance(found, Slot) or clock.monotonic_ms() >= give_up_ms:
+        found = self._own(service, filing, deadline_ms - now_ms, avoid, now_ms)
+        if isinstance(found, Slot):
+            return found
+        wanted = _Wanted(service, filing, deadline_ms, avoid)
+        queued = _Queued(self._steward.new_ticket())
+        waiter = slots.Waiter(queued.ticket, filing, deadline_ms, give_up_ms, avoid)
+        if self._steward.wait(service, waiter, queued.note):
+            return await self._queue(wanted, queued, give_up_ms) or found
+        return await self._borrow(wanted, give_up_ms, False) or found
+
+    async def _queue(self, wanted: _Wanted, queued: _Queued, give_up_ms: int) -> Slot | None:
+        """Wait for an own slot and a lent one at once, and take the first."""
+        lent: list[Slot] = []
+        try:
+            async with anyio.create_task_group() as group:
+
+                async def borrow_one() -> None:
+                    found = await self._borrow(wanted, give_up_ms, True)
+                    if found:
+                        lent.append(found)
+                        group.cancel_scope.cancel()
+
+                group.start_soon(borrow_one)
+                with anyio.move_on_after((give_up_ms - clock.monotonic_ms()) / 1000):
+                    await queued.granted.wait()
+                group.cancel_scope.cancel()
+            if not lent and queued.grant:
+                self.counts["own"] += 1
+                return queued.take(wanted.service)
+            return lent[0] if lent else None
+        finally:
+            self._steward.cancel(wanted.service, queued.ticket)
+            if queued.grant:
+                self._steward.release(wanted.service, queued.grant.grant_id)
+
+    async def _borrow(self, wanted: _Wanted, give_up_ms: int, queued: bool) -> Slot | None:
+        """Ask stewards one after another until one lends a slot."""
+        while (now_ms := clock.monotonic_ms()) < give_up_ms:
+            peer = self._borrower.choose(wanted.service, self._region(now_ms), queued, now_ms)
+            if peer is None:
+                await anyio.sleep(RECHECK_MS / 1000)
+                continue
+            found = await self._ask(wanted, peer, min(LEND_WAIT_MS, give_up_ms - now_ms))
+            if found:
                 return found
-            await self._steward.wait_for_release(RECHECK_MS)
+            self._borrower.note_denied(wanted.service, peer, clock.monotonic_ms())
+        return None
 
     def _own(
         self, service: str, filing: bool, duration_ms: int, avoid: list[str], now_ms: int
@@ -89,30 +164,29 @@
         self.counts["own"] += 1
         return Slot(service, grant.grant_id, grant.server_id, "")
 
-    async def _lent(
-        self, service: str, filing: bool, deadline_ms: int, avoid: list[str]
-    ) -> Slot | None:
-        now_ms = clock.monotonic_ms()
-        region = [h for h in self._peers.table.live(now_ms) if h.region == self._settings.region]
-        for peer in self._borrower.candidates(service, region, now_ms):
-            now_ms = clock.monotonic_ms()
-            request = messages.SlotRequest(
-                sender=self._settings.entry_id,
-                request_id=self._peers.next_id(),
-                service=service,
-                filing=filing,
-                duration_ms=max(0, deadline_ms - now_ms),
-                avoid=avoid,
-            )
-            reply = await self._peers.call(
-                peer.sender, request, min(LEND_TIMEOUT_MS, deadline_ms - now_ms)
-            )
-            if isinstance(reply, messages.SlotReply) and reply.server_id:
-                self._borrower.note_granted(service, peer)
-                self.counts["lent"] += 1
-                return Slot(service, reply.grant_id, reply.server_id, peer.sender)
-            self._borrower.note_denied(service, peer, clock.monotonic_ms())
-        return None
+    async def _ask(self, wanted: _Wanted, peer: messages.Heartbeat, wait_ms: int) -> Slot | None:
+        """Wait for a slot in one steward's queue."""
+        left_ms = max(0, wanted.deadline_ms - clock.monotonic_ms())
+        request = messages.SlotRequest(
+            sender=self._settings.entry_id,
+            request_id=self._peers.next_id(),
+            service=wanted.service,
+            filing=wanted.filing,
+            duration_ms=left_ms,
+            wait_ms=wait_ms,
+            avoid=wanted.avoid,
+        )
+        self._borrower.note_asked(wanted.service, peer)
+        try:
+            timeout_ms = min(LEND_TIMEOUT_MS + wait_ms, left_ms)
+            reply = await self._peers.call(peer.sender, request, timeout_ms)
+        finally:
+            self._borrower.note_ended(wanted.service, peer)
+        if not isinstance(reply, messages.SlotReply) or not reply.server_id:
+            return None
+        self._borrower.note_granted(wanted.service, peer)
+        self.counts["lent"] += 1
+        return Slot(wanted.service, reply.grant_id, reply.server_id, peer.sender)
 
     async def _on_late_reply(self, reply: messages.SlotReply) -> None:
         if reply.server_id:
--- a/sassafraslock/services/request_path.py
+++ b/sassafraslock/services/request_path.py
@@ -319,6 +319,8 @@
         return {name: table.shares() for name, table in self.tables.items()}
 
     async def _dispatch(self, exchange: Exchange, peer_address: str) -> PathResult:
+        if exchange.hop_region == self._settings.region:
+            return await self._run_here(exchange)
         if exchange.hop_region:
             return await self._serve_hop(exchange)
         table = self.table(exchange.service, exchange.rules)
@@ -349,9 +351,22 @@
         return await self._run_in(exchange, random.choice(others))
 
     async def _run_in(self, exchange: Exchange, region: str) -> PathResult:
-        if region == self._settings.region:
+        if region != self._settings.region:
+            return await self._run_there(exchange, region)
+        if self._admission.has_own(exchange.service):
             return await self._run_here(exchange)
-        return await self._run_there(exchange, region)
+        return await self._run_at_steward(exchange)
+
+    async def _run_at_steward(self, exchange: Exchange) -> PathResult:
+        """Send a request to a neighbour that hands out slots, for this entry has none.
+
+        The request waits in the steward's own queue, so that a slot never idles while a grant
+        travels.
+        """
+        peer = self._admission.choose_steward(exchange.service)
+        if peer is None:
+            return await self._run_here(exchange)
+        return await self._run_through(exchange, peer)
 
     async def _serve_hop(self, exchange: Exchange) -> PathResult:
         """Serve a request of another region and keep to this side of the link."""
@@ -489,6 +504,9 @@
         )
         if not taken:
             return errors.Refusal(errors.ErrorKind.LINK_FULL, f"the link to {region} is full")
+        return await self._run_through(exchange, peer)
+
+    async def _run_through(self, exchange: Exchange, peer: messages.Heartbeat) -> PathResult:
         left_ms = exchange.left_ms(clock.monotonic_ms())
         if left_ms <= 0:
             reason = "the deadline passed before the request was sent"
@@ -496,7 +514,7 @@
         result = await self._forwarder.attempt(
             peer.caller_address,
             PEER_CONNECTIONS,
-            outgoing,
+            self._outgoing(exchange, left_ms, self._settings.region.encode()),
             left_ms,
             exchange.rules.max_response_bytes,
         )
--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -13,11 +13,11 @@
 from sassafraslock import clock, errors, events, messages, platform, settings, shared_settings
 from sassafraslock.decisions import links, slots, view
 
-GRANT_MARGIN_MS = 500
 VIEW_PREFIX = "view/"
 LINK_RESERVE_RATIO = 0.2
 LINK_DATA_RATIO = 0.95
 
+OnGrant = typing.Callable[[slots.Grant], None]
 SplitsSource = typing.Callable[[], dict[str, shared_settings.Split]]
 AttemptObserver = typing.Callable[[tuple[str, str], bool, int], None]
 
@@ -41,7 +41,7 @@
         "_confirmed",
         "_looked",
         "_giving_up",
-        "_released",
+        "_on_grant",
         "_wake",
         "gone",
         "attempt_observer",
@@ -76,7 +76,7 @@
         self._confirmed = False
         self._looked = False
         self._giving_up: set[str] = set()
-        self._released = anyio.Event()
+        self._on_grant: dict[str, OnGrant] = {}
         self._wake = anyio.Event()
         settings_service.on_change(self._on_settings)
         peers.handle(messages.SlotRequest, self._on_slot_request)
@@ -96,6 +96,9 @@
         while True:
             self._last_tick_ms = clock.monotonic_ms()
             await self._step()
+            for pool in self.pools.values():
+                pool.expire(clock.monotonic_ms())
+                self._serve_waiting(pool)
             ready.set()
             self._wake = anyio.Event()
             with anyio.move_on_after(self._settings.poll_ms / 1000):
@@ -225,7 +228,7 @@
             if stewardship is None and pool.in_use(server_id) == 0:
                 pool.forget(server_id)
             return
-        wait_ms = 0 if stewardship.settled else rules.max_deadline_ms + GRANT_MARGIN_MS
+        wait_ms = 0 if stewardship.settled else rules.max_deadline_ms + slots.GRANT_MARGIN_MS
         pool.hold(server_id, limit, now_ms + wait_ms, True)
 
     def _sync_links(self, held: dict[str, view.Stewardship], now_ms: int) -> None:
@@ -282,12 +285,13 @@
         pool = self.pools.get(service)
         if pool is None or not self.may_act(now_ms):
             return errors.Refusal(errors.ErrorKind.NO_CAPACITY, "this entry hands out no slot")
-        grant_id = f"{self.me.entry_id}:{self.me.incarnation}:{next(self._grant_ids)}"
-        expires_ms = now_ms + duration_ms + GRANT_MARGIN_MS
-        return pool.acquire(grant_id, filing, expires_ms, avoid, now_ms)
+        if pool.waiting:
+            return errors.Refusal(errors.ErrorKind.NO_CAPACITY, "requests wait for a slot already")
+        expires_ms = now_ms + duration_ms + slots.GRANT_MARGIN_MS
+        return pool.acquire(self.new_ticket(), filing, expires_ms, avoid, now_ms)
 
     def release(self, service: str, grant_id: str) -> None:
-        """Take a slot back and wake those that wait for one.
+        """Take a slot back and hand it to the next request in the queue.
 
         :param service: the service, or nothing where it is not known any more.
         :param grant_id: the grant.
@@ -295,35 +299,73 @@
         pools = [self.pools[service]] if service in self.pools else self.pools.values()
         for pool in pools:
             pool.release(grant_id)
-        self._released.set()
-        self._released = anyio.Event()
+            self._serve_waiting(pool)
 
-    async def wait_for_release(self, timeout_ms: float) -> None:
-        """Wait until any slot comes back.
+    def _serve_waiting(self, pool: slots.SlotPool) -> None:
+        if not pool.waiting or not self.may_act(clock.monotonic_ms()):
+            return
+        for waiter, grant in pool.grant_waiting(clock.monotonic_ms()):
+            on_grant = self._on_grant.pop(waiter.ticket, None)
+            if on_grant:
+                on_grant(grant)
+            else:
+                pool.release(grant.grant_id)
+
+    def wait(self, service: str, waiter: slots.Waiter, on_grant: OnGrant) -> bool:
+        """Queue a request for one of this entry's own servers.
 
-        :param timeout_ms: the longest wait.
+        :param service: the service.
+        :param waiter: the request; its ticket becomes the grant's id.
+        :param on_grant: called with the grant.
+        :returns: whether this entry has a server of the service at all.
         """
-        released = self._released
-        with anyio.move_on_after(timeout_ms / 1000):
-            await released.wait()
+        pool = self.pools.get(service)
+        if pool is None or not pool.total:
+            return False
+        self._on_grant[waiter.ticket] = on_grant
+        pool.wait(waiter)
+        return True
+
+    def cancel(self, service: str, ticket: str) -> None:
+        """Take a request out of the queue.
+
+        :param service: the service.
+        :param ticket: the request's ticket.
+        """
+        self._on_grant.pop(ticket, None)
+        if service in self.pools:
+            self.pools[service].cancel(ticket)
+
+    def new_ticket(self) -> str:
+        """Return an id for a grant not used before by any process."""
+        return f"{self.me.entry_id}:{self.me.incarnation}:{next(self._grant_ids)}"
 
     async def _on_slot_request(self, request: messages.SlotRequest) -> None:
+        now_ms = clock.monotonic_ms()
         grant = self.acquire(
-            request.service,
-            request.filing,
-            request.duration_ms,
-            request.avoid,
-            clock.monotonic_ms(),
+            request.service, request.filing, request.duration_ms, request.avoid, now_ms
         )
-        granted = isinstance(grant, slots.Grant)
+        if isinstance(grant, errors.Refusal) and request.wait_ms:
+            waiter = slots.Waiter(
+                self.new_ticket(),
+                request.filing,
+                now_ms + request.duration_ms,
+                now_ms + request.wait_ms,
+                request.avoid,
+            )
+            if self.wait(request.service, waiter, lambda g: self._reply_slot(request, g)):
+                return
+        self._reply_slot(request, grant if isinstance(grant, slots.Grant) else None)
+
+    def _reply_slot(self, request: messages.SlotRequest, grant: slots.Grant | None) -> None:
         reply = messages.SlotReply(
             sender=self.me.entry_id,
             request_id=request.request_id,
-            grant_id=grant.grant_id if isinstance(grant, slots.Grant) else "",
-            server_id=grant.server_id if isinstance(grant, slots.Grant) else "",
+            grant_id=grant.grant_id if grant else "",
+            server_id=grant.server_id if grant else "",
         )
-        if not self._peers.send_to(request.sender, reply) and granted:
-            self.release(request.service, reply.grant_id)
+        if not self._peers.send_to(request.sender, reply) and grant:
+            self.release(request.service, grant.grant_id)
 
     async def _on_slot_return(self, message: messages.SlotReturn) -> None:
         self.release(message.service, message.grant_id)
@@ -382,7 +424,7 @@
         if not self.may_act(now_ms):
             return {}
         return {
-            service: messages.ServiceLoad(pool.free(now_ms), pool.total)
+            service: messages.ServiceLoad(pool.free(now_ms), pool.total, pool.waiting)
             for service, pool in self.pools.items()
             if pool.total
         }
