--- a/sassafraslock/decisions/claims.py
+++ b/sassafraslock/decisions/claims.py
@@ -23,6 +23,7 @@
 MAX_BATCH_RECORDS = 256
 RING_MARGIN = 1.25
 OWNER_SILENT_MS = 2_500
+OUTCOME_DELAY_MS = 200
 
 
 class ClaimRecord(msgspec.Struct, frozen=True, tag="c", array_like=True):
@@ -310,14 +311,19 @@
 
         :param now_ms: the present time of the monotonic clock.
         """
-        return self._batch is not None or (bool(self._pending) and now_ms >= self._next_commit_ms)
+        return self._batch is not None or (bool(self._pending) and now_ms >= self._due_ms)
+
+    @property
+    def _due_ms(self) -> int:
+        """When pending records are written; outcomes alone wait for claims to join them."""
+        return self._next_commit_ms + (0 if self._waiting else OUTCOME_DELAY_MS)
 
     def wait_ms(self, now_ms: int) -> int:
         """Return the time until the next batch may be written, 0 where nothing is pending.
 
         :param now_ms: the present time of the monotonic clock.
         """
-        return max(1, self._next_commit_ms - now_ms) if self._pending else 0
+        return max(1, self._due_ms - now_ms) if self._pending else 0
 
     @property
     def pending(self) -> int:
--- a/sassafraslock/decisions/view.py
+++ b/sassafraslock/decisions/view.py
@@ -136,14 +136,14 @@
 
 
 def targets(resources: list[str], members: dict[str, Member]) -> dict[str, str]:
-    """Spread resources over the members that stay, evenly for each service.
+    """Spread resources over the members, leaving ones only where none stays.
 
     The highest hash wins, as in rendezvous hashing, among members below an even load.
 
     :param resources: every resource of the region.
     :param members: the view's members.
     """
-    staying = sorted(m.entry_id for m in members.values() if not m.leaving)
+    staying = sorted(m.entry_id for m in members.values() if not m.leaving) or sorted(members)
     if not staying:
         return {}
     chosen: dict[str, str] = {}
@@ -185,18 +185,17 @@
     return view.advance(members={**view.members, member.entry_id: member}, stewards=stewards)
 
 
-def claim_free(view: View, me: Member, resources: list[str]) -> View:
+def claim_free(view: View, me: Member, goal: dict[str, str]) -> View:
     """Take the resources without a steward in the view whose target is this entry.
 
     One that had a steward before is taken unsettled.
 
     :param view: the view as read.
     :param me: the entry that takes.
-    :param resources: every resource of the region.
+    :param goal: the steward that each resource should have, as :func:`targets` gave it.
     """
-    goal = targets(resources, view.members)
     mine = {}
-    for resource in resources:
+    for resource in goal:
         held = view.stewards.get(resource)
         if goal.get(resource) == me.entry_id and (held is None or _is_orphan(view, held)):
             mine[resource] = Stewardship(me.entry_id, me.incarnation, held is None)
@@ -209,27 +208,25 @@
     return held.entry_id not in view.members
 
 
-def to_give_up(view: View, me: Member, resources: list[str]) -> list[str]:
+def to_give_up(view: View, me: Member, goal: dict[str, str]) -> list[str]:
     """Return the resources held by this entry that belong to another or to nobody any more.
 
     :param view: the view in force.
     :param me: the holder.
-    :param resources: every resource of the region.
+    :param goal: the steward that each resource should have.
     """
-    goal = targets(resources, view.members)
     held = view.held_by(me.entry_id, me.incarnation)
-    return [r for r in held if goal.get(r, "") != me.entry_id and (goal or not resources)]
+    return [r for r in held if goal.get(r, "") != me.entry_id]
 
 
-def give_up(view: View, me: Member, idle: list[str], resources: list[str]) -> View:
+def give_up(view: View, me: Member, idle: list[str], goal: dict[str, str]) -> View:
     """Hand resources with no grant in use to their targets, and drop those out of settings.
 
     :param view: the view as read.
     :param me: the holder, which writes this change itself.
     :param idle: the resources that it stopped handing out and that are unused.
-    :param resources: every resource of the region.
+    :param goal: the steward that each resource should have; one that is missing is dropped.
     """
-    goal = targets(resources, view.members)
     held = view.held_by(me.entry_id, me.incarnation)
     stewards = dict(view.stewards)
     for resource in idle:
@@ -238,7 +235,7 @@
             continue
         if heir is not None:
             stewards[resource] = Stewardship(heir.entry_id, heir.incarnation, True)
-        elif resource not in resources:
+        elif resource not in goal:
             del stewards[resource]
     if stewards == view.stewards:
         return view
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -101,7 +101,6 @@
             self.settings,
             find("peers"),
             find("steward"),
-            find("settings"),
             find("path"),
             self.blocks,
         )
--- a/sassafraslock/services/caller_api.py
+++ b/sassafraslock/services/caller_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 import typing
 
@@ -12,6 +13,11 @@
 from sassafraslock.services import forwarder, request_path
 
 ENTRIES_PATH = "/entries"
+CACHE_MS = 100
+MAX_CACHED = 4096
+MAX_NAMED = 16
+
+Site = tuple[str, str]
 
 
 class NamedEntry(msgspec.Struct, frozen=True):
@@ -41,24 +47,29 @@
     retry_after_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class _Cached:
+    answer: EntryList
+    until_ms: int
+
+
 class CallerApi:
     """Answers look-ups and hands requests to the request path."""
 
-    __slots__ = ("_settings", "_peers", "_steward", "_path", "_blocks", "_config", "observe")
+    __slots__ = ("_settings", "_peers", "_steward", "_path", "_blocks", "_cache", "observe")
 
     def __init__(
         self,
         process: settings.Settings,
         peers: typing.Any,
         steward: typing.Any,
-        settings_service: typing.Any,
         path: request_path.RequestPath,
         blocks: client_blocks.ClientBlocks,
     ) -> None:
         self._settings = process
         self._peers = peers
         self._steward = steward
-        self._config = settings_service
+        self._cache: dict[tuple[str, Site], _Cached] = {}
         self._path = path
         self._blocks = blocks
         self.observe: typing.Callable[[str, str, float], None] | None = None
@@ -110,15 +121,26 @@
         :param request: the look-up, with the service and the client's address as parameters.
         """
         service = request.parameter("service").strip("/")
-        site_region, site_zone = self._site(request.parameter("client"))
+        site = self._site(request.parameter("client"))
         now_ms = clock.monotonic_ms()
-        known = [
+        known = self._cache.get((service, site))
+        if known and now_ms < known.until_ms:
+            return known.answer
+        if len(self._cache) >= MAX_CACHED:
+            self._cache.clear()
+        answer = self._list(service, site, now_ms)
+        self._cache[(service, site)] = _Cached(answer, now_ms + CACHE_MS)
+        return answer
+
+    def _list(self, service: str, site: Site, now_ms: int) -> EntryList:
+        region, zone = site
+        named = [
             _named(h, service) for h in self._peers.table.live(now_ms) if h.ready and not h.leaving
         ]
         if not self._steward.leaving and self._path.ready:
-            known.append(self._own(service, now_ms))
-        known.sort(key=lambda e: (e.region != site_region, e.zone != site_zone, -e.weight))
-        return EntryList(service, self._settings.validity_ms, known)
+            named.append(self._own(service, now_ms))
+        named.sort(key=lambda e: (e.region != region, e.zone != zone, -e.weight))
+        return EntryList(service, self._settings.validity_ms, named[:MAX_NAMED])
 
     def _own(self, service: str, now_ms: int) -> NamedEntry:
         load = self._steward.loads(now_ms).get(service)
@@ -130,7 +152,7 @@
             1 + (load.free_slots if load else 0),
         )
 
-    def _site(self, client: str) -> tuple[str, str]:
+    def _site(self, client: str) -> Site:
         """Return the region and zone nearest to a client; sites are named REGION/ZONE."""
         address = client_blocks.parse_address(client)
         site = self._blocks.site_of(address) if address is not None else ""
--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -46,6 +46,8 @@
         "gone",
         "attempt_observer",
         "splits_source",
+        "_goal",
+        "_goal_basis",
     )
 
     def __init__(
@@ -62,6 +64,8 @@
         self.leaving = False
         self.gone = False
         self.attempt_observer: AttemptObserver | None = None
+        self._goal: dict[str, str] = {}
+        self._goal_basis: object = None
         self.splits_source: SplitsSource | None = None
         self.me = view.Member(
             process.entry_id, incarnation, process.zone, str(process.caller), str(process.peer)
@@ -147,7 +151,6 @@
             self.me = dataclasses.replace(self.me, listed=True)
         me = dataclasses.replace(self.me, leaving=self.leaving)
         wanted = self.view
-        resources = view.resources_of(self._shared, self._settings.region)
         if self.gone:
             return self._view_without_me(wanted)
         known = wanted.members.get(me.entry_id)
@@ -162,16 +165,26 @@
                 continue
             if table.certainly_gone(other.entry_id, other.listed, now_ms):
                 wanted = view.remove(wanted, other.entry_id)
+        goal = self._goal_of(wanted)
         if not self.leaving:
-            wanted = view.claim_free(wanted, me, resources)
-        self._giving_up = set(view.to_give_up(wanted, me, resources))
+            wanted = view.claim_free(wanted, me, goal)
+        self._giving_up = set(view.to_give_up(wanted, me, goal))
         self._sync(now_ms)
         idle = [r for r in self._giving_up if self._is_idle(r, now_ms)]
-        wanted = view.give_up(wanted, me, idle, resources)
+        wanted = view.give_up(wanted, me, idle, goal)
         if self.splits_source and self._is_first_live(now_ms):
             wanted = view.note_splits(wanted, self.splits_source())
         return wanted
 
+    def _goal_of(self, wanted: view.View) -> dict[str, str]:
+        """Return the steward that each resource should have; worked out once for each change."""
+        staying = tuple(sorted((m.entry_id, m.leaving) for m in wanted.members.values()))
+        basis = (staying, id(self._shared))
+        if basis != self._goal_basis:
+            resources = view.resources_of(self._shared, self._settings.region)
+            self._goal, self._goal_basis = view.targets(resources, wanted.members), basis
+        return self._goal
+
     def _is_first_live(self, now_ms: int) -> bool:
         """Tell whether this entry is the one that writes the region's splits."""
         live = self._peers.table.live(now_ms)
--- a/sassafraslock/shared_settings.py
+++ b/sassafraslock/shared_settings.py
@@ -81,7 +81,7 @@
     """How request keys are claimed."""
 
     partitions: Count = 2
-    commits_per_s: Count = 50
+    commits_per_s: Count = 45
     retention_ms: settings.Milliseconds = 600_000
 
 
