--- a/benchmarks/claims_cost.py
+++ b/benchmarks/claims_cost.py
@@ -7,7 +7,7 @@
 import random
 
 from sassafraslock import messages, platform, shared_settings
-from sassafraslock.decisions import claims
+from sassafraslock.decisions import claim_records, claims
 from sassafraslock.standin import platform as standin
 
 SECONDS = 20
@@ -42,7 +42,7 @@
         self.done: list[tuple[int, str]] = []
 
     def _own(self, partition: int) -> claims.ClaimLog:
-        key = claims.head_key(partition)
+        key = claim_records.head_key(partition)
         self.memory.apply(platform.Transaction(puts=[platform.Put(key, b"owner")]))
         log = claims.ClaimLog(partition, self.rules)
         log.recover([], self.memory.rows[key].version, 1)
@@ -81,7 +81,7 @@
         )
 
     def _submit(self, key: str, now_ms: int) -> None:
-        log = self.logs[claims.partition_of(key, len(self.logs))]
+        log = self.logs[claim_records.partition_of(key, len(self.logs))]
         self.asked_ms[key] = now_ms
         request = messages.ClaimRequest(
             sender="e", request_id=0, key=key, nonce=key, body_hash="b", deadline_ms=now_ms + 5000
@@ -96,7 +96,7 @@
             heapq.heappush(self.done, (now_ms + STORE_RTT_MS + RUN_MS, key))
 
     def _finish(self, key: str) -> None:
-        log = self.logs[claims.partition_of(key, len(self.logs))]
+        log = self.logs[claim_records.partition_of(key, len(self.logs))]
         answer = messages.RecordedAnswer(200, [], b"ok")
         log.done(messages.ClaimDone(sender="e", key=key, nonce=key, answer=answer))
 
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -10,7 +10,6 @@
 from sassafraslock import platform
 from tests import load
 from tests import world as virtual
-from tests.test_entry import SERVICE, build, new_key
 
 DRAIN_AT_S = 2.15  # early in the interval of reports, so that the next one is far off
 RULES = {"deadline_ms": 2_000, "max_deadline_ms": 3_000}
@@ -50,13 +49,16 @@
 
 
 async def _answers(world: virtual.World, entry_id: str, method: str) -> bool:
-    more = {"key": new_key(virtual.virtual_wall_ms())} if method == "POST" else {}
-    return virtual.kind_of(await world.request(entry_id, SERVICE, method, **more)) == "answered"
+    more = {"key": virtual.new_key(virtual.virtual_wall_ms())} if method == "POST" else {}
+    return (
+        virtual.kind_of(await world.request(entry_id, virtual.SERVICE, method, **more))
+        == "answered"
+    )
 
 
 async def _drain(world: virtual.World, source: str) -> int:
     victim = world.servers["logbook-r1-0"]
-    callers = load.Load(world, SERVICE, "r1", rate_per_s=60)
+    callers = load.Load(world, virtual.SERVICE, "r1", rate_per_s=60)
     started_ms = 0
 
     async def drain() -> None:
@@ -182,7 +184,7 @@
                 event: typing.Callable[[virtual.World], typing.Awaitable[int]] = event,
             ) -> None:
                 world.network.zone_ms, world.network.region_ms = firm.zone_ms, firm.region_ms
-                await build(world, **RULES)
+                await virtual.build(world, **RULES)
                 lines.append(Line(firm.name, what, await event(world)))
 
             virtual.run(scenario, _Patch)
--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -8,8 +8,8 @@
 import anyio
 import click
 
+import sassafraslock
 from sassafraslock import (
-    VERSION,
     client,
     clock,
     commands,
@@ -39,7 +39,7 @@
 
 
 @click.group(epilog='Shell completion: eval "$(_SASSAFRASLOCK_COMPLETE=bash_source sassafraslock)"')
-@click.version_option(VERSION)
+@click.version_option(sassafraslock.VERSION)
 def main() -> None:
     """Steer requests between callers and backend servers across regions."""
 
--- a/sassafraslock/decisions/claims.py
+++ b/sassafraslock/decisions/claims.py
@@ -11,66 +11,18 @@
 import dataclasses
 import math
 import typing
-import uuid
 
 import msgspec
-import xxhash
 
 from sassafraslock import errors, messages, platform, shared_settings
+from sassafraslock.decisions import claim_records
 
-MAX_KEY_AGE_SKEW_MS = 60_000
 MAX_RECORDED_BYTES = 4 << 10
 MAX_BATCH_RECORDS = 256
-RING_MARGIN = 1.25
 OWNER_SILENT_MS = 2_500
 OUTCOME_DELAY_MS = 200
 
 
-class ClaimRecord(msgspec.Struct, frozen=True, tag="c", array_like=True):
-    """A key claimed for one attempt."""
-
-    key: str
-    nonce: str
-    body_hash: str
-    at_ms: int
-    deadline_ms: int
-
-
-class ReleaseRecord(msgspec.Struct, frozen=True, tag="r", array_like=True):
-    """An attempt that was never dispatched."""
-
-    key: str
-    nonce: str
-
-
-class DoneRecord(msgspec.Struct, frozen=True, tag="d", array_like=True):
-    """An attempt that was answered."""
-
-    key: str
-    nonce: str
-    answer: messages.RecordedAnswer
-
-
-Record = ClaimRecord | ReleaseRecord | DoneRecord
-
-
-class BatchRow(msgspec.Struct, frozen=True):
-    """The value of one row of the ring."""
-
-    epoch: int
-    sequence: int
-    at_ms: int
-    records: list[Record]
-
-
-class Head(msgspec.Struct, frozen=True):
-    """The value of a partition's head row: who may write its ring."""
-
-    epoch: int
-    owner: str
-    incarnation: int
-
-
 @dataclasses.dataclass(slots=True)
 class Batch:
     """A transaction to run until its outcome is certain."""
@@ -100,63 +52,6 @@
     answer: messages.RecordedAnswer | None = None
 
 
-def partition_of(key: str, partitions: int) -> int:
-    """Return the partition that a request key belongs to.
-
-    :param key: the request key with its service.
-    :param partitions: the number of partitions.
-    """
-    return xxhash.xxh64_intdigest(key.encode()) % partitions
-
-
-def head_key(partition: int) -> str:
-    """Return the key of a partition's head row.
-
-    :param partition: the partition.
-    """
-    return f"claims/{partition}/head"
-
-
-def ring_prefix(partition: int) -> str:
-    """Return the prefix of a partition's ring rows.
-
-    :param partition: the partition.
-    """
-    return f"claims/{partition}/ring/"
-
-
-def ring_rows(settings: shared_settings.Claims) -> int:
-    """Return the rows that hold all batches of the retention time at the highest rate.
-
-    :param settings: the claims' settings.
-    """
-    return math.ceil(settings.retention_ms * settings.commits_per_s / 1000 * RING_MARGIN)
-
-
-def check_key(key: str, retention_ms: int, wall_ms: int) -> errors.Refusal | None:
-    """Refuse a request key that is not a UUIDv7 of the retention time.
-
-    :param key: the key as the caller sent it.
-    :param retention_ms: how long claims are kept.
-    :param wall_ms: the present time since 1970.
-    """
-    try:
-        parsed = uuid.UUID(key)
-    except ValueError:
-        parsed = uuid.UUID(int=0)
-    if parsed.version != 7 or str(parsed) != key:
-        reason = "the request key must be a UUID of version 7 in lower case (RFC 9562)"
-        return errors.Refusal(errors.ErrorKind.KEY_MALFORMED, reason)
-    age_ms = wall_ms - (parsed.int >> 80)
-    if age_ms < -MAX_KEY_AGE_SKEW_MS:
-        reason = "the request key's time lies ahead; set the caller's clock"
-        return errors.Refusal(errors.ErrorKind.KEY_MALFORMED, reason)
-    if age_ms > retention_ms - 2 * MAX_KEY_AGE_SKEW_MS:
-        reason = f"the request key is {age_ms} ms old and no longer remembered; look up the outcome"
-        return errors.Refusal(errors.ErrorKind.KEY_EXPIRED, reason)
-    return None
-
-
 class ClaimLog:
     """One partition's claims in the memory of its owner."""
 
@@ -187,7 +82,7 @@
         self._sequence = 0
         self._row_versions: dict[str, int] = {}
         self._row_times: dict[str, int] = {}
-        self._pending: list[Record] = []
+        self._pending: list[claim_records.Record] = []
         self._waiting: list[messages.ClaimRequest] = []
         self._batch: Batch | None = None
         self._batch_waiting: list[messages.ClaimRequest] = []
@@ -206,7 +101,9 @@
         :param epoch: the epoch under which this owner writes.
         """
         self.head_version, self.epoch = head_version, epoch
-        batches = [(row, msgspec.msgpack.decode(row.value, type=BatchRow)) for row in rows]
+        batches = [
+            (row, msgspec.msgpack.decode(row.value, type=claim_records.BatchRow)) for row in rows
+        ]
         for row, batch in sorted(batches, key=lambda pair: pair[1].sequence):
             self._row_versions[row.key] = row.version
             self._row_times[row.key] = batch.at_ms
@@ -214,15 +111,15 @@
             for record in batch.records:
                 self._replay(record)
 
-    def _replay(self, record: Record) -> None:
+    def _replay(self, record: claim_records.Record) -> None:
         match record:
-            case ClaimRecord():
+            case claim_records.ClaimRecord():
                 state = _KeyState(record.nonce, record.body_hash, record.at_ms, record.deadline_ms)
                 state.committed = True
                 self._remember(record.key, state)
-            case ReleaseRecord():
+            case claim_records.ReleaseRecord():
                 self._release(record)
-            case DoneRecord():
+            case claim_records.DoneRecord():
                 state_or_none = self._keys.get(record.key)
                 if state_or_none and state_or_none.nonce == record.nonce:
                     state_or_none.answer = record.answer
@@ -231,7 +128,7 @@
         self._keys[key] = state
         self._order.append((state.at_ms, key, state.nonce))
 
-    def _release(self, record: ReleaseRecord) -> bool:
+    def _release(self, record: claim_records.ReleaseRecord) -> bool:
         state = self._keys.get(record.key)
         if state is None or state.nonce != record.nonce or state.answer:
             return False
@@ -276,7 +173,7 @@
             return _refuse(request, errors.ErrorKind.STORE_UNAVAILABLE, reason)
         state = _KeyState(request.nonce, request.body_hash, wall_ms, request.deadline_ms)
         self._remember(request.key, state)
-        record = ClaimRecord(
+        record = claim_records.ClaimRecord(
             request.key, request.nonce, request.body_hash, wall_ms, request.deadline_ms
         )
         self._pending.append(record)
@@ -288,12 +185,12 @@
 
         :param message: the release.
         """
-        record = ReleaseRecord(message.key, message.nonce)
+        record = claim_records.ReleaseRecord(message.key, message.nonce)
         if self._release(record):
             self._pending.append(record)
 
     def done(self, message: messages.ClaimDone) -> None:
-        """Record an attempt's answer; a large body is left out.
+        """claim_records.Record an attempt's answer; a large body is left out.
 
         :param message: the answer.
         """
@@ -304,7 +201,7 @@
         if len(answer.body) > MAX_RECORDED_BYTES:
             answer = messages.RecordedAnswer(answer.status, answer.headers, b"")
         state.answer = answer
-        self._pending.append(DoneRecord(message.key, message.nonce, answer))
+        self._pending.append(claim_records.DoneRecord(message.key, message.nonce, answer))
 
     def due(self, now_ms: int) -> bool:
         """Tell whether a batch should be written now.
@@ -344,19 +241,21 @@
         self._next_commit_ms = now_ms + math.ceil(1000 / self.settings.commits_per_s)
         records = self._pending[:MAX_BATCH_RECORDS]
         del self._pending[:MAX_BATCH_RECORDS]
-        claimed = {(r.key, r.nonce) for r in records if isinstance(r, ClaimRecord)}
+        claimed = {(r.key, r.nonce) for r in records if isinstance(r, claim_records.ClaimRecord)}
         self._batch_waiting = [w for w in self._waiting if (w.key, w.nonce) in claimed]
         self._waiting = [w for w in self._waiting if (w.key, w.nonce) not in claimed]
         row_key = self._row_key(self._sequence)
-        value = msgspec.msgpack.encode(BatchRow(self.epoch, self._sequence, wall_ms, records))
+        value = msgspec.msgpack.encode(
+            claim_records.BatchRow(self.epoch, self._sequence, wall_ms, records)
+        )
         self._row_times[row_key] = wall_ms
         transaction = platform.Transaction(
             conditions=[
-                platform.Condition(head_key(self.partition), self.head_version),
+                platform.Condition(claim_records.head_key(self.partition), self.head_version),
                 platform.Condition(row_key, self._row_versions.get(row_key, 0)),
             ],
             puts=[platform.Put(row_key, value)],
-            reads=[head_key(self.partition), row_key],
+            reads=[claim_records.head_key(self.partition), row_key],
         )
         return Batch(row_key, value, transaction)
 
@@ -393,7 +292,8 @@
         return [_refuse(w, errors.ErrorKind.NOT_READY, reason) for w in waiting]
 
     def _row_key(self, sequence: int) -> str:
-        return f"{ring_prefix(self.partition)}{sequence % ring_rows(self.settings):08d}"
+        place = sequence % claim_records.ring_rows(self.settings)
+        return f"{claim_records.ring_prefix(self.partition)}{place:08d}"
 
     def _next_row_free(self, wall_ms: int) -> bool:
         ahead = len(self._pending) // MAX_BATCH_RECORDS + (1 if self._batch else 0)
@@ -414,7 +314,7 @@
 
 
 def may_take_over(
-    head: Head | None,
+    head: claim_records.Head | None,
     live: typing.Collection[str],
     candidates: list[str],
     me: str,
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -23,7 +23,9 @@
     platform_client,
     request_path,
     settings_sync,
+    splits,
     steward,
+    suspects,
     transport,
 )
 
@@ -80,8 +82,10 @@
             process, self.incarnation, outside.platform, peer, config, holder
         )
         admitting = admission.AdmissionService(process, peer, holder, signs)
+        dividing = splits.SplitService(process, peer, config, holder, admitting)
+        suspected = suspects.SuspectService(process, peer, claiming)
         path = request_path.RequestPath(
-            process, peer, config, claiming, holder, admitting, outside.forwarder
+            process, peer, config, claiming, dividing, suspected, admitting, outside.forwarder
         )
         core.register("platform", outside.platform)
         core.register("peers", peer)
@@ -91,6 +95,8 @@
         core.register("claims", claiming)
         core.register("admission", admitting)
         core.register("forwarder", outside.forwarder)
+        core.register("splits", dividing)
+        core.register("suspects", suspected)
         core.register("path", path)
         core.register("blocks", block_loader.BlockLoader(process, outside.platform, self.blocks))
 
@@ -131,7 +137,7 @@
             view_epochs={self.settings.region: holder.view.epoch},
             claim_epochs=find("claims").epochs(),
             services=holder.loads(clock.monotonic_ms()),
-            splits=find("path").splits(),
+            splits=find("splits").splits(),
         )
 
     async def run(self) -> str:
--- a/sassafraslock/kernel.py
+++ b/sassafraslock/kernel.py
@@ -20,7 +20,10 @@
     """A long-running part of the process, which owns its sockets and its state."""
 
     async def run(self, ready: anyio.Event) -> None:
-        """Serve until cancelled, and set ``ready`` once other services may rely on it."""
+        """Serve until cancelled.
+
+        :param ready: set once other services may rely on this one.
+        """
 
 
 @typing.runtime_checkable
--- a/sassafraslock/platform.py
+++ b/sassafraslock/platform.py
@@ -99,6 +99,8 @@
         """Run one transaction.
 
         A refusal of kind ``STORE_UNAVAILABLE`` leaves open whether it took effect.
+
+        :param transaction: what to check, write and read.
         """
 
 
@@ -106,10 +108,17 @@
     """The object store."""
 
     async def get_object(self, name: str) -> ObjectResult:
-        """Return an object's bytes, or none where it does not exist."""
+        """Return an object's bytes, or none where it does not exist.
+
+        :param name: the object's name.
+        """
 
     async def put_object(self, name: str, value: bytes) -> ObjectResult:
-        """Write an object whole."""
+        """Write an object whole.
+
+        :param name: the object's name.
+        :param value: its bytes.
+        """
 
 
 class VmList(typing.Protocol):
--- a/sassafraslock/services/caller_api.py
+++ b/sassafraslock/services/caller_api.py
@@ -10,7 +10,7 @@
 
 from sassafraslock import asgi, clock, errors, messages, settings
 from sassafraslock.decisions import client_blocks
-from sassafraslock.services import forwarder, request_path
+from sassafraslock.services import exchanges, forwarder, request_path
 
 ENTRIES_PATH = "/entries"
 CACHE_MS = 100
@@ -181,7 +181,7 @@
     """
     answer = refusal.answer
     headers: asgi.Headers = [
-        (request_path.ERROR_HEADER, refusal.kind.value.encode()),
+        (exchanges.ERROR_HEADER, refusal.kind.value.encode()),
         (forwarder.NOT_RUN_HEADER, b"true" if answer.not_run else b"false"),
     ]
     if refusal.wait_ms:
--- a/sassafraslock/services/claim_service.py
+++ b/sassafraslock/services/claim_service.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from sassafraslock import clock, errors, events, messages, platform, settings, shared_settings
-from sassafraslock.decisions import claims
+from sassafraslock.decisions import claim_records, claims
 
 RESEND_MS = 400
 RETRY_COMMIT_MS = 50
@@ -114,23 +114,23 @@
         me = self._settings.entry_id
         if not claims.may_take_over(None, ids, candidates, me, listened_ms):
             return
-        key = claims.head_key(partition)
+        key = claim_records.head_key(partition)
         result = await self._platform.transact(platform.Transaction(reads=[key]))
         if isinstance(result, errors.Refusal):
             return
         row = result.row(key)
-        head = msgspec.msgpack.decode(row.value, type=claims.Head) if row else None
+        head = msgspec.msgpack.decode(row.value, type=claim_records.Head) if row else None
         if head and head.owner == self._settings.entry_id:
             head = None  # an earlier incarnation, or a take-over whose answer was lost
         if not claims.may_take_over(head, ids, candidates, me, listened_ms):
             return
-        epoch = msgspec.msgpack.decode(row.value, type=claims.Head).epoch + 1 if row else 1
+        epoch = msgspec.msgpack.decode(row.value, type=claim_records.Head).epoch + 1 if row else 1
         await self._take_over(partition, row.version if row else 0, epoch)
 
     async def _take_over(self, partition: int, version: int, epoch: int) -> None:
-        key = claims.head_key(partition)
+        key = claim_records.head_key(partition)
         value = msgspec.msgpack.encode(
-            claims.Head(epoch, self._settings.entry_id, self._incarnation)
+            claim_records.Head(epoch, self._settings.entry_id, self._incarnation)
         )
         written = await self._platform.transact(
             platform.Transaction([platform.Condition(key, version)], [platform.Put(key, value)])
@@ -157,7 +157,7 @@
         found: list[platform.Row] = []
         after = ""
         while True:
-            scan = platform.Scan(claims.ring_prefix(partition), after, SCAN_LIMIT)
+            scan = platform.Scan(claim_records.ring_prefix(partition), after, SCAN_LIMIT)
             reads = [] if found else [head_key]
             result = await self._platform.transact(platform.Transaction(reads=reads, scan=scan))
             if isinstance(result, errors.Refusal) or (not found and not result.rows):
@@ -213,7 +213,7 @@
 
     def _submit(self, request: messages.ClaimRequest) -> None:
         """Decide a claim at its owner, now or with the next batch."""
-        partition = claims.partition_of(request.key, self._rules.partitions)
+        partition = claim_records.partition_of(request.key, self._rules.partitions)
         log = self.logs.get(partition)
         if log is None:
             self._answer(_refused(request, errors.ErrorKind.NOT_READY, "the owner changed"))
@@ -245,7 +245,7 @@
             self._wake[log.partition].set()
 
     def _log_of(self, key: str) -> claims.ClaimLog | None:
-        return self.logs.get(claims.partition_of(key, self._rules.partitions))
+        return self.logs.get(claim_records.partition_of(key, self._rules.partitions))
 
     def owner_of(self, key: str, now_ms: int) -> str:
         """Return the entry that owns a key's partition, empty where none is known to live.
@@ -253,7 +253,7 @@
         :param key: the request key with its service.
         :param now_ms: the present time.
         """
-        partition = claims.partition_of(key, self._rules.partitions)
+        partition = claim_records.partition_of(key, self._rules.partitions)
         if partition in self.logs:
             return self._settings.entry_id
         named = [
--- a/sassafraslock/services/operator_api.py
+++ b/sassafraslock/services/operator_api.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+import sassafraslock
 from sassafraslock import (
-    VERSION,
     asgi,
     clock,
     errors,
@@ -143,8 +143,7 @@
             "store_available", "1 if the store answers.", up, status.store_available
         )
         self._metrics.gauge("ready", "1 if the entry takes work.", up, status.ready)
-        path = self._kernel.find("path")
-        for service, table in path.tables.items():
+        for service, table in self._kernel.find("splits").tables.items():
             ratio = table.used_ratio(clock.monotonic_ms())
             self._metrics.gauge(
                 "moved_ratio", "Moved share of the window.", {"service": service}, ratio
@@ -160,10 +159,9 @@
         steward = find("steward")
         current: view.View = steward.view
         loads = steward.loads(now_ms)
-        path = find("path")
         return Status(
             self._settings.entry_id,
-            VERSION,
+            sassafraslock.VERSION,
             self._settings.region,
             self._settings.zone,
             find("path").ready,
@@ -173,8 +171,8 @@
             current.epoch,
             sorted(current.members),
             {service: load.free_slots for service, load in loads.items()},
-            {name: table.shares() for name, table in path.tables.items()},
-            path.shift_progress(clock.wall_ms()),
+            find("splits").splits(),
+            find("splits").shift_progress(clock.wall_ms()),
         )
 
     def _get_settings(self, team: str) -> object:
--- a/sassafraslock/services/request_path.py
+++ b/sassafraslock/services/request_path.py
@@ -3,27 +3,17 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import hmac
-import logging
 import random
 import typing
 import uuid
 
 import anyio
 
-from sassafraslock import asgi, clock, errors, events, messages, settings, shared_settings
-from sassafraslock.decisions import cells, claims, quarantine, retry, routing, shift
-from sassafraslock.services import admission, forwarder
-
-KEY_HEADER = b"sassafraslock-key"
-DEADLINE_HEADER = b"sassafraslock-deadline-ms"
-CLIENT_HEADER = b"sassafraslock-client"
-HOP_HEADER = b"sassafraslock-hop"
-PEER_TOKEN_HEADER = b"sassafraslock-peer-token"
-ERROR_HEADER = b"sassafraslock-error"
-OWN_HEADERS = frozenset([HOP_HEADER, PEER_TOKEN_HEADER, DEADLINE_HEADER, CLIENT_HEADER])
-SUSPICION_TIMEOUT_MS = 300
+from sassafraslock import asgi, clock, errors, messages, settings
+from sassafraslock.decisions import cells, claim_records, quarantine, retry, routing
+from sassafraslock.services import exchanges, forwarder
+
 EXPECTED_RESPONSE_BYTES = 16 << 10
 RESPONSE_WEIGHT = 0.1
 PEER_CONNECTIONS = 64
@@ -33,41 +23,12 @@
 PathResult = forwarder.Attempt | errors.Refusal
 
 
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """One request with everything that was decided about it."""
-
-    service: str
-    rules: shared_settings.Service
-    request: asgi.Request
-    target: str
-    body: bytes
-    idempotent: bool
-    deadline_ms: int
-    mark: str
-    hop_region: str = ""
-    key: str = ""
-    nonce: str = ""
-    attempts: int = 0
-    trial: str = ""
-    trial_nonce: str = ""
-
-    def left_ms(self, now_ms: int) -> int:
-        """Return the time left to the deadline.
-
-        :param now_ms: the present time.
-        """
-        return self.deadline_ms - now_ms
-
-
 class RequestPath:
     """Decides and carries out each request that callers or other entries send."""
 
     __slots__ = (
         "counts",
         "in_flight",
-        "tables",
-        "quarantine",
         "budget",
         "_settings",
         "_peers",
@@ -76,7 +37,8 @@
         "_admission",
         "_forwarder",
         "_response_bytes",
-        "_steward",
+        "_splits",
+        "_suspects",
     )
 
     def __init__(
@@ -85,14 +47,13 @@
         peers: typing.Any,
         settings_service: typing.Any,
         claim_service: typing.Any,
-        steward: typing.Any,
+        split_service: typing.Any,
+        suspects: typing.Any,
         admission_service: typing.Any,
         forwarding: typing.Any,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
-        self.tables: dict[str, cells.CellTable] = {}
-        self.quarantine = quarantine.Quarantine()
         self.budget = retry.RetryBudget()
         self._settings = process
         self._peers = peers
@@ -100,10 +61,9 @@
         self._claims = claim_service
         self._admission = admission_service
         self._forwarder = forwarding
-        self._steward = steward
+        self._splits = split_service
+        self._suspects = suspects
         self._response_bytes: dict[str, float] = {}
-        steward.splits_source = self.splits
-        peers.handle(messages.Suspicion, self._on_suspicion)
 
     async def run(self, ready: anyio.Event) -> None:
         """Exist until cancelled; the work is done by those that ask.
@@ -116,11 +76,7 @@
     @property
     def ready(self) -> bool:
         """Whether this entry knows the settings and where its region's traffic is served."""
-        return self._config.current and (self._steward.followed or bool(self._neighbours()))
-
-    def _neighbours(self) -> list[messages.Heartbeat]:
-        live = self._peers.table.live(clock.monotonic_ms())
-        return [h for h in live if h.region == self._settings.region and h.ready]
+        return bool(self._config.current and self._splits.known)
 
     async def handle(
         self, request: asgi.Request, receive: asgi.Receive, peer_address: str
@@ -145,12 +101,12 @@
         if not self.ready:
             reason = "the settings or the region's view are not current yet"
             return errors.Refusal(errors.ErrorKind.NOT_READY, reason)
-        service, target = _split_path(request)
+        service, target = exchanges.split_path(request)
         rules = self._config.shared.services.get(service)
         if rules is None:
             reason = f"no service {service!r}; paths start with /TEAM/SERVICE/"
             return errors.Refusal(errors.ErrorKind.UNKNOWN_SERVICE, reason)
-        limit_ms = routing.deadline_of(rules, request.header(DEADLINE_HEADER))
+        limit_ms = routing.deadline_of(rules, request.header(exchanges.DEADLINE_HEADER))
         if isinstance(limit_ms, errors.Refusal):
             return limit_ms
         deadline_ms = clock.monotonic_ms() + limit_ms
@@ -160,39 +116,46 @@
             return errors.Refusal(errors.ErrorKind.BODY_TOO_LARGE, reason)
         idempotent = routing.is_idempotent(rules, request.method, target.partition("?")[0])
         mark = quarantine.fingerprint(service, request.method, target, body)
-        exchange = Exchange(service, rules, request, target, body, idempotent, deadline_ms, mark)
+        exchange = exchanges.Exchange(
+            service, rules, request, target, body, idempotent, deadline_ms, mark
+        )
         return self._check_hop(exchange) or self._check_key(exchange) or exchange
 
-    def _check_hop(self, exchange: Exchange) -> errors.Refusal | None:
-        region = exchange.request.header(HOP_HEADER)
+    def _check_hop(self, exchange: exchanges.Exchange) -> errors.Refusal | None:
+        region = exchange.request.header(exchanges.HOP_HEADER)
         if not region:
             return None
-        token = exchange.request.header(PEER_TOKEN_HEADER)
+        token = exchange.request.header(exchanges.PEER_TOKEN_HEADER)
         if not hmac.compare_digest(token, self._settings.peer_token):
             reason = "only entries may set the hop header; check peer_token"
             return errors.Refusal(errors.ErrorKind.UNAUTHORIZED, reason)
         exchange.hop_region = region
         return None
 
-    def _check_key(self, exchange: Exchange) -> errors.Refusal | None:
+    def _check_key(self, exchange: exchanges.Exchange) -> errors.Refusal | None:
         if exchange.idempotent or exchange.hop_region:
             return None
-        key = exchange.request.header(KEY_HEADER)
+        key = exchange.request.header(exchanges.KEY_HEADER)
         if not key:
-            reason = f"this request must carry {KEY_HEADER.decode()} with a UUID of version 7"
+            reason = (
+                f"this request must carry {exchanges.KEY_HEADER.decode()} with a UUID of version 7"
+            )
             return errors.Refusal(errors.ErrorKind.KEY_MISSING, reason)
         exchange.key = f"{exchange.service}|{key}"
-        return claims.check_key(key, self._config.shared.claims.retention_ms, clock.wall_ms())
+        return claim_records.check_key(
+            key, self._config.shared.claims.retention_ms, clock.wall_ms()
+        )
 
-    async def _run(self, exchange: Exchange, peer_address: str) -> PathResult:
-        suspect = await self._check_suspect(exchange)
+    async def _run(self, exchange: exchanges.Exchange, peer_address: str) -> PathResult:
+        suspect: errors.Refusal | None = await self._suspects.check(exchange)
         if suspect:
             return suspect
         result = await self._run_checked(exchange, peer_address)
-        self._end_trial(exchange, result)
+        not_run = isinstance(result, errors.Refusal) and result.answer.not_run
+        self._suspects.end_trial(exchange, not_run)
         return result
 
-    async def _run_checked(self, exchange: Exchange, peer_address: str) -> PathResult:
+    async def _run_checked(self, exchange: exchanges.Exchange, peer_address: str) -> PathResult:
         if not exchange.key:
             return await self._dispatch(exchange, peer_address)
         exchange.nonce = uuid.uuid4().hex
@@ -210,7 +173,7 @@
         self._settle_claim(exchange, result)
         return result
 
-    def _settle_claim(self, exchange: Exchange, result: PathResult) -> None:
+    def _settle_claim(self, exchange: exchanges.Exchange, result: PathResult) -> None:
         if isinstance(result, errors.Refusal):
             if result.answer.not_run:
                 self._claims.release(exchange.key, exchange.nonce)
@@ -218,115 +181,17 @@
         answer = messages.RecordedAnswer(result.status, result.headers, result.body)
         self._claims.done(exchange.key, exchange.nonce, answer)
 
-    async def _check_suspect(self, exchange: Exchange) -> errors.Refusal | None:
-        """Refuse a quarantined request, and let a suspect one run once in the whole system.
-
-        The claim service grants each trial once, so resends through other entries are refused
-        while it runs.
-        """
-        now_ms = clock.monotonic_ms()
-        broken = self.quarantine.broken_servers(exchange.mark)
-        if not broken:
-            return None
-        reason = f"this request broke {len(broken)} servers and is not run"
-        if self.quarantine.is_quarantined(exchange.mark, now_ms):
-            return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
-        if exchange.hop_region and not exchange.attempts:
-            return None
-        trial = f"trial|{exchange.mark}|{','.join(broken)}"
-        nonce = uuid.uuid4().hex
-        verdict = await self._claims.claim(trial, nonce, exchange.mark, exchange.left_ms(now_ms))
-        if verdict is None:
-            exchange.trial, exchange.trial_nonce = trial, nonce
-            return None
-        return errors.Refusal(errors.ErrorKind.QUARANTINED, reason, 1_000)
-
-    def _end_trial(self, exchange: Exchange, result: PathResult) -> None:
-        """Allow another trial if this one did not reach a server."""
-        if exchange.trial and isinstance(result, errors.Refusal) and result.answer.not_run:
-            self._claims.release(exchange.trial, exchange.trial_nonce)
-
-    def wanted_split(self, service: str, rules: shared_settings.Service) -> shared_settings.Split:
-        """Return the split to reach: the plan's, without regions that cannot serve.
-
-        All entries of a region follow the first of them, so that a caller who changes from one
-        to another finds the same split.
-
-        :param service: the service.
-        :param rules: its settings.
-        """
-        leader = self._leader()
-        if leader and service in leader.splits:
-            return leader.splits[service]
-        planned = self._planned(rules)
-        usable = self._usable_regions(service)
-        unusable = set(planned) - usable
-        return shift.without(planned, unusable, sorted(usable)) if unusable else planned
-
-    def _leader(self) -> messages.Heartbeat | None:
-        """Return the last heartbeat of the region's first live entry, none if it is this one."""
-        staying = [h for h in self._neighbours() if not h.leaving]
-        first = min(staying, key=lambda h: h.sender, default=None)
-        return first if first and first.sender < self._settings.entry_id else None
-
-    def _reached(self, service: str) -> shared_settings.Split | None:
-        """Return the split that the region is at, from peers or the view, if any knows it."""
-        for peer in self._neighbours():
-            if service in peer.splits:
-                return peer.splits[service]
-        splits: dict[str, shared_settings.Split] = self._steward.view.splits
-        return splits.get(service)
-
-    def _planned(self, rules: shared_settings.Service) -> shared_settings.Split:
-        region = self._settings.region
-        return shift.planned(
-            self._config.shared.split_for(rules, region),
-            rules.shifts.get(region),
-            rules.shift_cap_ratio,
-            rules.shift_window_ms,
-            clock.wall_ms(),
-        )
-
-    def _usable_regions(self, service: str) -> set[str]:
-        live = self._peers.table.live(clock.monotonic_ms())
-        usable = {h.region for h in live if service in h.services and h.ready}
-        if self._admission.has_own(service):
-            usable.add(self._settings.region)
-        return usable
-
-    def table(self, service: str, rules: shared_settings.Service) -> cells.CellTable:
-        """Return the service's cells, made anew where cap or accepted split changed.
-
-        :param service: the service.
-        :param rules: its settings.
-        """
-        accepted = self._config.shared.split_for(rules, self._settings.region)
-        table = self.tables.get(service)
-        if table is None:
-            table = cells.CellTable(
-                accepted,
-                self._reached(service) or self._planned(rules),
-                rules.shift_cap_ratio,
-                rules.shift_window_ms,
-                clock.monotonic_ms(),
-            )
-            self.tables[service] = table
-        table.relimit(rules.shift_cap_ratio, rules.shift_window_ms, accepted)
-        return table
-
-    def splits(self) -> dict[str, shared_settings.Split]:
-        """Return the split in force of each service for traffic that enters here."""
-        return {name: table.shares() for name, table in self.tables.items()}
-
-    async def _dispatch(self, exchange: Exchange, peer_address: str) -> PathResult:
+    async def _dispatch(self, exchange: exchanges.Exchange, peer_address: str) -> PathResult:
         if exchange.hop_region == self._settings.region:
             return await self._run_here(exchange)
         if exchange.hop_region:
             return await self._serve_hop(exchange)
-        table = self.table(exchange.service, exchange.rules)
-        identity = exchange.request.header(CLIENT_HEADER) or peer_address.rpartition(".")[0]
+        table = self._splits.table(exchange.service, exchange.rules)
+        identity = (
+            exchange.request.header(exchanges.CLIENT_HEADER) or peer_address.rpartition(".")[0]
+        )
         cell = cells.cell_of(identity, exchange.service)
-        wanted = self.wanted_split(exchange.service, exchange.rules)
+        wanted = self._splits.wanted_split(exchange.service, exchange.rules)
         region = table.place(cell, wanted, clock.monotonic_ms())
         result = await self._run_in(exchange, region)
         if isinstance(result, errors.Refusal) and result.kind in SPILLING_KINDS:
@@ -335,13 +200,13 @@
 
     async def _spill(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         table: cells.CellTable,
         region: str,
         refusal: errors.Refusal,
     ) -> PathResult:
         """Serve a request away from its region if the cap on moved traffic allows it."""
-        others = [r for r in self._usable_regions(exchange.service) if r != region]
+        others = [r for r in self._splits.usable_regions(exchange.service) if r != region]
         if not others:
             return refusal
         if not table.may_spill(clock.monotonic_ms()):
@@ -350,14 +215,14 @@
         table.note_spill(clock.monotonic_ms())
         return await self._run_in(exchange, random.choice(others))
 
-    async def _run_in(self, exchange: Exchange, region: str) -> PathResult:
+    async def _run_in(self, exchange: exchanges.Exchange, region: str) -> PathResult:
         if region != self._settings.region:
             return await self._run_there(exchange, region)
         if self._admission.has_own(exchange.service):
             return await self._run_here(exchange)
         return await self._run_at_steward(exchange)
 
-    async def _run_at_steward(self, exchange: Exchange) -> PathResult:
+    async def _run_at_steward(self, exchange: exchanges.Exchange) -> PathResult:
         """Send a request to a neighbour that hands out slots, for this entry has none.
 
         The request waits in the steward's own queue, so that a slot never idles while a grant
@@ -368,7 +233,7 @@
             return await self._run_here(exchange)
         return await self._run_through(exchange, peer)
 
-    async def _serve_hop(self, exchange: Exchange) -> PathResult:
+    async def _serve_hop(self, exchange: exchanges.Exchange) -> PathResult:
         """Serve a request of another region and keep to this side of the link."""
         expected_bytes = int(self._response_bytes.get(exchange.service, EXPECTED_RESPONSE_BYTES))
         filing = not exchange.idempotent
@@ -380,7 +245,7 @@
         result = await self._run_here(exchange)
         if isinstance(result, errors.Refusal):
             return result
-        size_bytes = _size_bytes(result.headers, result.body)
+        size_bytes = exchanges.size_bytes(result.headers, result.body)
         known = self._response_bytes.get(exchange.service, float(EXPECTED_RESPONSE_BYTES))
         self._response_bytes[exchange.service] = known + (size_bytes - known) * RESPONSE_WEIGHT
         if size_bytes <= expected_bytes:
@@ -392,7 +257,7 @@
             return result
         return errors.Refusal(errors.ErrorKind.TIMED_OUT, "the link back stayed full")
 
-    async def _run_here(self, exchange: Exchange) -> PathResult:
+    async def _run_here(self, exchange: exchanges.Exchange) -> PathResult:
         """Make attempts on this region's servers."""
         avoid: list[str] = []
         self.budget.note_request()
@@ -407,12 +272,12 @@
             if not again or not self.budget.take():
                 return _give_up(exchange, result)
             if result.end is retry.AttemptEnd.BROKE_MID_RUN:
-                refused = await self._check_suspect(exchange)
+                refused = await self._suspects.check(exchange)
                 if refused:
                     return _give_up(exchange, result)
             self.counts["retries"] += 1
 
-    async def _attempt(self, exchange: Exchange, avoid: list[str]) -> PathResult:
+    async def _attempt(self, exchange: exchanges.Exchange, avoid: list[str]) -> PathResult:
         slot = await self._admission.acquire(
             exchange.service, not exchange.idempotent, exchange.deadline_ms, avoid
         )
@@ -439,55 +304,10 @@
             self._admission.release(slot, failed)
         if failed:
             avoid.append(slot.server_id)
-        await self._note_end(exchange, result, slot)
+        await self._suspects.note_end(exchange, result, slot)
         return result
 
-    async def _note_end(
-        self, exchange: Exchange, result: forwarder.Attempt, slot: admission.Slot
-    ) -> None:
-        if result.end is retry.AttemptEnd.ANSWERED:
-            if self.quarantine.broken_servers(exchange.mark):
-                self.quarantine.note_answered(exchange.mark)
-                await self._share_suspicion(exchange.mark, [])
-            return
-        if result.end is not retry.AttemptEnd.BROKE_MID_RUN:
-            return
-        server = f"{slot.service or exchange.service}/{slot.server_id}"
-        if not self.quarantine.note_break(exchange.mark, server, clock.monotonic_ms()):
-            return
-        broken = self.quarantine.broken_servers(exchange.mark)
-        events.log(
-            events.Event.REQUEST_QUARANTINED,
-            "a server broke while it ran a request",
-            logging.WARNING,
-            fingerprint=exchange.mark,
-            servers=broken,
-        )
-        await self._share_suspicion(exchange.mark, broken)
-
-    async def _share_suspicion(self, mark: str, servers: list[str]) -> None:
-        """Tell every live peer before the caller hears of it and can send again."""
-        async with anyio.create_task_group() as group:
-            for peer in self._peers.table.live(clock.monotonic_ms()):
-                message = messages.Suspicion(
-                    sender=self._settings.entry_id,
-                    request_id=self._peers.next_id(),
-                    fingerprint=mark,
-                    server_ids=servers,
-                )
-                group.start_soon(self._peers.call, peer.sender, message, SUSPICION_TIMEOUT_MS)
-
-    async def _on_suspicion(self, message: messages.Suspicion) -> None:
-        if message.server_ids:
-            self.quarantine.merge(message.fingerprint, message.server_ids, clock.monotonic_ms())
-        else:
-            self.quarantine.note_answered(message.fingerprint)
-        reply = messages.SuspicionNoted(
-            sender=self._settings.entry_id, request_id=message.request_id
-        )
-        self._peers.send_to(message.sender, reply)
-
-    async def _run_there(self, exchange: Exchange, region: str) -> PathResult:
+    async def _run_there(self, exchange: exchanges.Exchange, region: str) -> PathResult:
         """Send a request through an entry of another region."""
         peer = self._pick_peer(exchange.service, region)
         if peer is None:
@@ -497,7 +317,7 @@
         outgoing = self._outgoing(exchange, left_ms, self._settings.region.encode())
         taken = await self._admission.take_bytes(
             region,
-            _size_bytes(outgoing.headers, outgoing.body),
+            exchanges.size_bytes(outgoing.headers, outgoing.body),
             not exchange.idempotent,
             exchange.deadline_ms,
             False,
@@ -506,7 +326,9 @@
             return errors.Refusal(errors.ErrorKind.LINK_FULL, f"the link to {region} is full")
         return await self._run_through(exchange, peer)
 
-    async def _run_through(self, exchange: Exchange, peer: messages.Heartbeat) -> PathResult:
+    async def _run_through(
+        self, exchange: exchanges.Exchange, peer: messages.Heartbeat
+    ) -> PathResult:
         left_ms = exchange.left_ms(clock.monotonic_ms())
         if left_ms <= 0:
             reason = "the deadline passed before the request was sent"
@@ -518,7 +340,7 @@
             left_ms,
             exchange.rules.max_response_bytes,
         )
-        if result.end is retry.AttemptEnd.ANSWERED and not result.header(ERROR_HEADER):
+        if result.end is retry.AttemptEnd.ANSWERED and not result.header(exchanges.ERROR_HEADER):
             return typing.cast(PathResult, result)
         return _refusal_of(exchange, result)
 
@@ -533,63 +355,29 @@
         free = [h.services[service].free_slots if service in h.services else 0 for h in live]
         return random.choices(live, [f + 1 for f in free])[0]
 
-    def _outgoing(self, exchange: Exchange, left_ms: int, hop_region: bytes) -> forwarder.Outgoing:
+    def _outgoing(
+        self, exchange: exchanges.Exchange, left_ms: int, hop_region: bytes
+    ) -> forwarder.Outgoing:
         headers = [
             (n, v)
             for n, v in forwarder.end_to_end(exchange.request.headers)
-            if n not in OWN_HEADERS
+            if n not in exchanges.OWN_HEADERS
         ]
-        headers.append((DEADLINE_HEADER, str(left_ms).encode()))
+        headers.append((exchanges.DEADLINE_HEADER, str(left_ms).encode()))
         headers.append((b"content-length", str(len(exchange.body)).encode()))
         target = exchange.target
         if hop_region:
-            headers.append((HOP_HEADER, hop_region))
-            headers.append((PEER_TOKEN_HEADER, self._settings.peer_token.encode()))
+            headers.append((exchanges.HOP_HEADER, hop_region))
+            headers.append((exchanges.PEER_TOKEN_HEADER, self._settings.peer_token.encode()))
             target = f"/{exchange.service}{target}"
         return forwarder.Outgoing(exchange.request.method, target, headers, exchange.body)
 
-    def shift_progress(self, wall_ms: int) -> dict[str, float]:
-        """Return how far each planned shift of this region's traffic has come, from 0 to 1.
-
-        :param wall_ms: the present time since 1970.
-        """
-        region = self._settings.region
-        progress = {}
-        for name, rules in self._config.shared.services.items():
-            plan = rules.shifts.get(region)
-            if plan is None:
-                continue
-            accepted = self._config.shared.split_for(rules, region)
-            whole = shift.distance(accepted, plan.to)
-            table = self.tables.get(name)
-            left = shift.distance(table.shares(), plan.to) if table else whole
-            progress[name] = 1.0 - left / whole if whole > shift.SLACK else 1.0
-        return progress
-
     def dump(self) -> dict[str, object]:
-        """Return the counters, the splits in force and the quarantine's size."""
-        now_ms = clock.monotonic_ms()
-        return {
-            "in_flight": self.in_flight,
-            "counts": dict(self.counts),
-            "splits": {name: table.shares() for name, table in self.tables.items()},
-            "moved_ratio": {name: t.used_ratio(now_ms) for name, t in self.tables.items()},
-            "suspect_requests": self.quarantine.size,
-        }
-
-
-def _split_path(request: asgi.Request) -> tuple[str, str]:
-    parts = request.path.split("/", 3)
-    service = "/".join(parts[1:3])
-    target = "/" + (parts[3] if len(parts) > 3 else "")
-    return service, f"{target}?{request.query}" if request.query else target
-
-
-def _size_bytes(headers: asgi.Headers, body: bytes) -> int:
-    return admission.OVERHEAD_BYTES + sum(len(n) + len(v) + 4 for n, v in headers) + len(body)
+        """Return the counters."""
+        return {"in_flight": self.in_flight, "counts": dict(self.counts)}
 
 
-def _give_up(exchange: Exchange, result: forwarder.Attempt) -> errors.Refusal:
+def _give_up(exchange: exchanges.Exchange, result: forwarder.Attempt) -> errors.Refusal:
     """Return the refusal for a last attempt that was not answered."""
     if result.end in (retry.AttemptEnd.NOT_SENT, retry.AttemptEnd.REFUSED_NOT_RUN):
         reason = f"no server took the request: {result.reason or 'refused'}"
@@ -599,9 +387,9 @@
     return errors.Refusal(errors.ErrorKind.SERVER_FAILED, result.reason)
 
 
-def _refusal_of(exchange: Exchange, result: forwarder.Attempt) -> errors.Refusal:
+def _refusal_of(exchange: exchanges.Exchange, result: forwarder.Attempt) -> errors.Refusal:
     """Return the refusal that an entry of another region gave, or the break on the way."""
-    named = _FORWARDED_KINDS.get(result.header(ERROR_HEADER).decode("latin-1"))
+    named = _FORWARDED_KINDS.get(result.header(exchanges.ERROR_HEADER).decode("latin-1"))
     if named:
         return errors.Refusal(named, f"through another region: {result.body[:200].decode()}")
     return _give_up(exchange, result)
--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -11,11 +11,10 @@
 import msgspec
 
 from sassafraslock import clock, errors, events, messages, platform, settings, shared_settings
-from sassafraslock.decisions import links, slots, view
+from sassafraslock.decisions import slots, view
+from sassafraslock.services import holdings
 
 VIEW_PREFIX = "view/"
-LINK_RESERVE_RATIO = 0.2
-LINK_DATA_RATIO = 0.95
 
 OnGrant = typing.Callable[[slots.Grant], None]
 SplitsSource = typing.Callable[[], dict[str, shared_settings.Split]]
@@ -27,8 +26,7 @@
 
     __slots__ = (
         "view",
-        "pools",
-        "budgets",
+        "holdings",
         "leaving",
         "me",
         "_settings",
@@ -40,7 +38,6 @@
         "_last_tick_ms",
         "_confirmed",
         "_looked",
-        "_giving_up",
         "_on_grant",
         "_wake",
         "gone",
@@ -59,8 +56,7 @@
         settings_service: typing.Any,
     ) -> None:
         self.view = view.View()
-        self.pools: dict[str, slots.SlotPool] = {}
-        self.budgets: dict[str, links.LinkBudget] = {}
+        self.holdings = holdings.Holdings(process.region)
         self.leaving = False
         self.gone = False
         self.attempt_observer: AttemptObserver | None = None
@@ -79,7 +75,6 @@
         self._last_tick_ms = 0
         self._confirmed = False
         self._looked = False
-        self._giving_up: set[str] = set()
         self._on_grant: dict[str, OnGrant] = {}
         self._wake = anyio.Event()
         settings_service.on_change(self._on_settings)
@@ -168,9 +163,9 @@
         goal = self._goal_of(wanted)
         if not self.leaving:
             wanted = view.claim_free(wanted, me, goal)
-        self._giving_up = set(view.to_give_up(wanted, me, goal))
+        self.holdings.giving_up = set(view.to_give_up(wanted, me, goal))
         self._sync(now_ms)
-        idle = [r for r in self._giving_up if self._is_idle(r, now_ms)]
+        idle = [r for r in self.holdings.giving_up if self.holdings.is_idle(r, now_ms)]
         wanted = view.give_up(wanted, me, idle, goal)
         if self.splits_source and self._is_first_live(now_ms):
             wanted = view.note_splits(wanted, self.splits_source())
@@ -201,67 +196,20 @@
         region = self._shared.regions.get(self._settings.region)
         return region is not None and len(current.members) < region.max_entries
 
-    def _is_idle(self, resource: str, now_ms: int) -> bool:
-        if resource.startswith(view.LINK_PREFIX):
-            return True
-        service, _, server_id = resource.removeprefix(view.SERVER_PREFIX).rpartition("/")
-        pool = self.pools.get(service)
-        if pool is None:
-            return True
-        pool.expire(now_ms)
-        return pool.in_use(server_id) == 0
-
-    def _sync(self, now_ms: int) -> None:
-        """Bring pools and budgets in line with the view and the settings."""
-        held = self.view.held_by(self.me.entry_id, self.me.incarnation)
-        limits = slots.effective_limits(self._shared, self._settings.region)
-        for (service, server_id), limit in limits.items():
-            stewardship = held.get(view.server_resource(service, server_id))
-            self._sync_server(service, server_id, limit, stewardship, now_ms)
-        for service, pool in self.pools.items():
-            for server_id in list(pool.servers):
-                if (service, server_id) not in limits:
-                    pool.withdraw(server_id)
-        self._sync_links(held, now_ms)
-
-    def _sync_server(
-        self,
-        service: str,
-        server_id: str,
-        limit: int,
-        stewardship: view.Stewardship | None,
-        now_ms: int,
-    ) -> None:
-        rules = self._shared.services[service]
-        pool = self.pools.setdefault(service, slots.SlotPool(rules.filing_reserve_ratio))
-        pool.reserve_ratio = rules.filing_reserve_ratio
-        resource = view.server_resource(service, server_id)
-        if stewardship is None or resource in self._giving_up:
-            pool.withdraw(server_id)
-            if stewardship is None and pool.in_use(server_id) == 0:
-                pool.forget(server_id)
-            return
-        wait_ms = 0 if stewardship.settled else rules.max_deadline_ms + slots.GRANT_MARGIN_MS
-        pool.hold(server_id, limit, now_ms + wait_ms, True)
-
-    def _sync_links(self, held: dict[str, view.Stewardship], now_ms: int) -> None:
-        parts = {r: s for r, s in held.items() if r.startswith(view.LINK_PREFIX)}
-        for resource, stewardship in parts.items():
-            limit = self._shared.link_limit(self._settings.region, _to_region(resource))
-            part_limit = int(limit * LINK_DATA_RATIO / view.LINK_PARTS)
-            if resource not in self.budgets:
-                start_ms = now_ms if stewardship.settled else now_ms + links.QUOTA_LIFE_MS
-                self.budgets[resource] = links.LinkBudget(part_limit, LINK_RESERVE_RATIO, start_ms)
-            self.budgets[resource].bytes_per_s = part_limit
-        for resource in list(self.budgets):
-            if resource not in parts or resource in self._giving_up:
-                del self.budgets[resource]
-
     @property
     def followed(self) -> bool:
         """Whether the region's view was ever read by this process."""
         return self._version > 0 or self._looked
 
+    @property
+    def pools(self) -> dict[str, slots.SlotPool]:
+        """The slots that this entry hands out, by service."""
+        return self.holdings.pools
+
+    def _sync(self, now_ms: int) -> None:
+        held = self.view.held_by(self.me.entry_id, self.me.incarnation)
+        self.holdings.sync(held, self._shared, now_ms)
+
     def may_act(self, now_ms: int) -> bool:
         """Tell whether grants are allowed now.
 
@@ -406,8 +354,8 @@
         if not self.may_act(now_ms):
             return 0
         granted_bytes = 0
-        for resource, budget in self.budgets.items():
-            if _to_region(resource) == to_region:
+        for resource, budget in self.holdings.budgets.items():
+            if holdings.to_region_of(resource) == to_region:
                 granted_bytes += budget.take(size_bytes - granted_bytes, filing, now_ms)
         return granted_bytes
 
@@ -466,17 +414,5 @@
             "members": self.view.members,
             "stewards": self.view.stewards,
             "may_act": self.may_act(now_ms),
-            "pools": {
-                name: {
-                    s.server_id: {"limit": s.limit, "in_use": len(s.grants), "held": s.held}
-                    for s in pool.servers.values()
-                }
-                for name, pool in self.pools.items()
-            },
-            "link_bytes_per_s": {r: b.bytes_per_s for r, b in self.budgets.items()},
+            **self.holdings.dump(),
         }
-
-
-def _to_region(resource: str) -> str:
-    """Return the receiving region of a link's part."""
-    return resource.removeprefix(view.LINK_PREFIX).rpartition("/")[0]
--- a/sassafraslock/services/transport.py
+++ b/sassafraslock/services/transport.py
@@ -19,10 +19,18 @@
     """Moves messages; may lose, delay or reorder them."""
 
     def send(self, address: str, raw: bytes) -> bool:
-        """Send without waiting, and tell whether the message was queued."""
+        """Send without waiting, and tell whether the message was queued.
+
+        :param address: the peer's address.
+        :param raw: the message.
+        """
 
     async def run(self, deliver: Deliver, ready: anyio.Event) -> None:
-        """Receive until cancelled, and set ``ready`` once messages can be received."""
+        """Receive until cancelled.
+
+        :param deliver: called with each message.
+        :param ready: set once messages can be received.
+        """
 
 
 class NngTransport:
--- a/tests/claims_world.py
+++ b/tests/claims_world.py
@@ -11,11 +11,11 @@
 import msgspec
 
 from sassafraslock import errors, messages, platform, shared_settings
-from sassafraslock.decisions import claims
+from sassafraslock.decisions import claim_records, claims
 from sassafraslock.standin import platform as standin
 
 RULES = shared_settings.Claims(partitions=1, commits_per_s=1000, retention_ms=3_600_000)
-HEAD = claims.head_key(0)
+HEAD = claim_records.head_key(0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,13 +57,13 @@
         """Let a new owner fence the others, which may go on believing in their right."""
         self.take_overs += 1
         row = self.memory.apply(platform.Transaction(reads=[HEAD])).row(HEAD)
-        epoch = 1 + (msgspec.msgpack.decode(row.value, type=claims.Head).epoch if row else 0)
-        value = msgspec.msgpack.encode(claims.Head(epoch, f"owner-{epoch}", epoch))
+        epoch = 1 + (msgspec.msgpack.decode(row.value, type=claim_records.Head).epoch if row else 0)
+        value = msgspec.msgpack.encode(claim_records.Head(epoch, f"owner-{epoch}", epoch))
         version = row.version if row else 0
         self.memory.apply(
             platform.Transaction([platform.Condition(HEAD, version)], [platform.Put(HEAD, value)])
         )
-        scan = platform.Scan(claims.ring_prefix(0), limit=1_000_000)
+        scan = platform.Scan(claim_records.ring_prefix(0), limit=1_000_000)
         rows = self.memory.apply(platform.Transaction(reads=[HEAD], scan=scan)).rows
         log = claims.ClaimLog(0, RULES)
         log.recover(rows[1:], rows[0].version, epoch)
--- a/tests/load.py
+++ b/tests/load.py
@@ -7,7 +7,6 @@
 
 from sassafraslock import judgement
 from tests import world as virtual
-from tests.test_entry import new_key
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +56,7 @@
         started_ms = virtual.virtual_ms()
         key = ""
         if world.random.random() < self.filing_ratio:
-            key = new_key(virtual.virtual_wall_ms())
+            key = virtual.new_key(virtual.virtual_wall_ms())
             answer = await world.request(
                 entry_id, self.service, "POST", body=b"f", key=key, client=client
             )
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -6,7 +6,6 @@
 from sassafraslock.decisions import cells
 from tests import load
 from tests import world as virtual
-from tests.test_entry import SERVICE, build
 
 CAP = 0.2
 WINDOW_MS = 5_000
@@ -23,7 +22,7 @@
     for number in range(requests):
         now_ms = start_ms + int(number / per_ms)
         client = f"c{number * 7919 % 250}"
-        cell = cells.cell_of(client, SERVICE)
+        cell = cells.cell_of(client, virtual.SERVICE)
         sent.append((now_ms, client, made.place(cell, wanted, now_ms)))
     return sent
 
@@ -92,7 +91,7 @@
 
 async def steady(world, seconds, trouble=None):
     """Run callers of r1 for a while, with trouble after two windows."""
-    callers = load.Load(world, SERVICE, "r1", rate_per_s=120)
+    callers = load.Load(world, virtual.SERVICE, "r1", rate_per_s=120)
     async with anyio.create_task_group() as group:
         if trouble:
 
@@ -116,7 +115,7 @@
 
 def test_a_planned_shift_keeps_the_cap_while_entries_restart(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=6, **RULES)
+        await virtual.build(world, servers_per_region=6, **RULES)
 
         async def trouble():
             await plan_shift(world)
@@ -136,7 +135,7 @@
 
 def test_the_loss_of_a_regions_servers_keeps_the_cap(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=4, **RULES)
+        await virtual.build(world, servers_per_region=4, **RULES)
 
         async def trouble():
             for server in world.servers.values():
@@ -155,7 +154,7 @@
 
 def test_overload_spills_only_within_the_cap(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=2, **RULES)
+        await virtual.build(world, servers_per_region=2, **RULES)
         for server in world.servers.values():
             server.work_ms = 80 if server.region == "r1" else 20
         callers = await steady(world, 25)
--- a/tests/test_claim_service.py
+++ b/tests/test_claim_service.py
@@ -4,11 +4,10 @@
 import pytest
 
 from tests import world as virtual
-from tests.test_entry import SERVICE, build, new_key
 
 
 async def file(world, entry_id, key, **more):
-    return await world.request(entry_id, SERVICE, "POST", body=b"stove", key=key, **more)
+    return await world.request(entry_id, virtual.SERVICE, "POST", body=b"stove", key=key, **more)
 
 
 def owner_of(world):
@@ -17,8 +16,8 @@
 
 def test_same_key_at_all_entries_at_once_runs_once(monkeypatch):
     async def scenario(world):
-        await build(world)
-        key = new_key(virtual.virtual_wall_ms())
+        await virtual.build(world)
+        key = virtual.new_key(virtual.virtual_wall_ms())
         kinds = []
 
         async def one(entry_id):
@@ -50,14 +49,14 @@
 @pytest.mark.parametrize("loss_ratio", [0.0, 0.1])
 def test_filings_run_at_most_once_and_refusals_are_true(monkeypatch, faults, loss_ratio):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         for name, value in faults.items():
             setattr(world.faulty.faults, name, value)
         world.network.loss_ratio = loss_ratio
         certain = {}
 
         async def one(number):
-            key = new_key(virtual.virtual_wall_ms())
+            key = virtual.new_key(virtual.virtual_wall_ms())
             certain[key] = True
             for attempt in range(3):
                 entry_id = list(world.entries)[(number + attempt) % len(world.entries)]
@@ -80,20 +79,20 @@
 
 def test_store_down_refuses_filings_at_once_and_serves_reads(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         world.faulty.faults.down = True
         await anyio.sleep(4)
         for entry_id in world.entries:
-            key = new_key(virtual.virtual_wall_ms())
+            key = virtual.new_key(virtual.virtual_wall_ms())
             started_ms = virtual.virtual_ms()
             refused = await file(world, entry_id, key)
             assert virtual.kind_of(refused) == "store-unavailable"
             assert virtual.virtual_ms() - started_ms < 500
             assert world.runs[key] == 0
-            assert virtual.kind_of(await world.request(entry_id, SERVICE)) == "answered"
+            assert virtual.kind_of(await world.request(entry_id, virtual.SERVICE)) == "answered"
         world.faulty.faults.down = False
         await anyio.sleep(2)
-        key = new_key(virtual.virtual_wall_ms())
+        key = virtual.new_key(virtual.virtual_wall_ms())
         assert virtual.kind_of(await file(world, "r2-0", key)) == "answered"
 
     virtual.run(scenario, monkeypatch)
@@ -101,8 +100,8 @@
 
 def test_a_killed_owner_is_replaced_and_forgets_nothing(monkeypatch):
     async def scenario(world):
-        await build(world)
-        keys = [new_key(virtual.virtual_wall_ms()) for _ in range(10)]
+        await virtual.build(world)
+        keys = [virtual.new_key(virtual.virtual_wall_ms()) for _ in range(10)]
         for key in keys:
             assert virtual.kind_of(await file(world, "r2-0", key)) == "answered"
         while any(world.part(e, "claims").logs for e in world.entries if e != "r2-0"):
@@ -114,7 +113,7 @@
             answer = await file(world, "r3-0", key)
             assert virtual.kind_of(answer) in ("answered", "may-have-run")
             assert world.runs[key] == 1
-        fresh = new_key(virtual.virtual_wall_ms())
+        fresh = virtual.new_key(virtual.virtual_wall_ms())
         assert virtual.kind_of(await file(world, "r3-0", fresh)) == "answered"
 
     virtual.run(scenario, monkeypatch)
@@ -122,14 +121,14 @@
 
 def test_an_owner_cut_off_from_store_and_peers_cannot_grant(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         owner = owner_of(world)
         for other in world.entries:
             if other != owner:
                 world.network.cut.add(frozenset((owner, other)))
         world.no_store.add(owner)
         await anyio.sleep(6)
-        key = new_key(virtual.virtual_wall_ms())
+        key = virtual.new_key(virtual.virtual_wall_ms())
         behind = await file(world, owner, key, deadline_ms=1000)
         assert virtual.kind_of(behind) != "answered"
         helper = next(e for e in world.entries if e != owner)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,7 @@
 import uuid6
 
 from sassafraslock import errors, messages, platform, shared_settings
-from sassafraslock.decisions import claims
+from sassafraslock.decisions import claim_records, claims
 from sassafraslock.standin import platform as standin
 from tests import claims_world
 
@@ -42,7 +42,7 @@
     ],
 )
 def test_keys_are_checked(key, kind):
-    found = claims.check_key(key, RETENTION_MS, NOW_MS)
+    found = claim_records.check_key(key, RETENTION_MS, NOW_MS)
     assert (found.kind if found else None) == kind
 
 
@@ -57,10 +57,10 @@
 
     def __init__(self, **rules):
         self.memory = standin.MemoryPlatform()
-        head = platform.Put(claims.head_key(0), b"head")
+        head = platform.Put(claim_records.head_key(0), b"head")
         self.memory.apply(platform.Transaction(puts=[head]))
         self.log = claims.ClaimLog(0, shared_settings.Claims(partitions=1, **rules))
-        self.log.recover([], self.memory.rows[claims.head_key(0)].version, 1)
+        self.log.recover([], self.memory.rows[claim_records.head_key(0)].version, 1)
 
     def commit(self, now_ms=0, wall_ms=NOW_MS):
         batch = self.log.next_batch(now_ms, wall_ms)
@@ -108,7 +108,7 @@
 def test_a_fenced_owner_loses_its_batch():
     owned = Owned()
     owned.log.submit(request("k", "n1"), NOW_MS)
-    owned.memory.apply(platform.Transaction(puts=[platform.Put(claims.head_key(0), b"new")]))
+    owned.memory.apply(platform.Transaction(puts=[platform.Put(claim_records.head_key(0), b"new")]))
     assert owned.commit() is None
     (verdict,) = owned.log.abandon()
     assert verdict.refusal.kind is errors.ErrorKind.NOT_READY
@@ -116,7 +116,7 @@
 
 def test_a_full_ring_refuses_instead_of_forgetting():
     owned = Owned(commits_per_s=1, retention_ms=4000)
-    rows = claims.ring_rows(owned.log.settings)
+    rows = claim_records.ring_rows(owned.log.settings)
     for number in range(rows):
         assert owned.log.submit(request(f"k{number}", "n"), NOW_MS) is None
         owned.commit(number * 10_000)
@@ -130,7 +130,7 @@
     for number in range(5):
         owned.log.submit(request(f"k{number}", "n"), NOW_MS)
         owned.commit(number * 1000)
-    rows = [r for k, r in owned.memory.rows.items() if k.startswith(claims.ring_prefix(0))]
+    rows = [r for k, r in owned.memory.rows.items() if k.startswith(claim_records.ring_prefix(0))]
     heir = claims.ClaimLog(0, owned.log.settings)
     heir.recover(rows, 99, 2)
     for number in range(5):
@@ -139,7 +139,7 @@
 
 
 def test_only_the_first_live_candidate_takes_over():
-    head = claims.Head(1, "a", 1)
+    head = claim_records.Head(1, "a", 1)
     order = ["a", "b", "c"]
     assert not claims.may_take_over(head, {"a", "b"}, order, "b", 10_000)
     assert claims.may_take_over(head, {"b", "c"}, order, "b", 10_000)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,6 @@
 from sassafraslock.decisions import membership
 from tests import load
 from tests import world as virtual
-from tests.test_entry import SERVICE, build, new_key
 
 RULES = {"deadline_ms": 2_000, "max_deadline_ms": 3_000}
 HOUR_S = 3_600
@@ -78,8 +77,8 @@
     """Return the seconds until an entry answers a request."""
     started_s = anyio.current_time()
     while anyio.current_time() - started_s < timeout_s:
-        more = {"key": new_key(virtual.virtual_wall_ms())} if method == "POST" else {}
-        answer = await world.request(entry_id, SERVICE, method, **more)
+        more = {"key": virtual.new_key(virtual.virtual_wall_ms())} if method == "POST" else {}
+        answer = await world.request(entry_id, virtual.SERVICE, method, **more)
         if virtual.kind_of(answer) == "answered":
             return anyio.current_time() - started_s
         await anyio.sleep(0.1)
@@ -88,7 +87,7 @@
 
 def test_a_region_cut_off_for_an_hour_serves_reads_and_returns(monkeypatch):
     async def scenario(world):
-        await build(world, **RULES)
+        await virtual.build(world, **RULES)
         away = [e for e in world.entries if e.startswith("r3")]
         others = [e for e in world.entries if not e.startswith("r3")]
         world.network.cut = {frozenset((a, b)) for a in away for b in others}
@@ -96,8 +95,8 @@
         await anyio.sleep(20)
         for entry_id in away:
             assert await answered(world, entry_id) < 1
-            key = new_key(virtual.virtual_wall_ms())
-            refused = await world.request(entry_id, SERVICE, "POST", key=key)
+            key = virtual.new_key(virtual.virtual_wall_ms())
+            refused = await world.request(entry_id, virtual.SERVICE, "POST", key=key)
             assert virtual.kind_of(refused) == "store-unavailable"
         config = world.part("r1-0", "settings")
         document = config.document("kocar")
@@ -117,7 +116,7 @@
 
 def test_all_entries_of_a_region_are_replaced_at_once(monkeypatch):
     async def scenario(world):
-        await build(world, **RULES)
+        await virtual.build(world, **RULES)
         old = [e for e in world.entries if e.startswith("r1")]
         for entry_id in old:
             world.kill(entry_id, vm_gone=True)
@@ -129,7 +128,7 @@
             assert await answered(world, f"r1-new-{number}", "POST") < 1
         now_ms = virtual.virtual_ms()
         loads = [world.part(f"r1-new-{n}", "steward").loads(now_ms) for n in range(3)]
-        held = [found[SERVICE].slots for found in loads if SERVICE in found]
+        held = [found[virtual.SERVICE].slots for found in loads if virtual.SERVICE in found]
         assert sum(held) == 6
         assert world.over_limit == 0
 
@@ -138,7 +137,7 @@
 
 def test_all_entries_restart_while_the_store_is_down(monkeypatch):
     async def scenario(world):
-        await build(world, **RULES)
+        await virtual.build(world, **RULES)
         world.faulty.faults.down = True
         for entry_id in list(world.entries):
             world.kill(entry_id)
@@ -146,7 +145,7 @@
         for entry_id in list(world.process):
             world.start(entry_id)
         await anyio.sleep(30)
-        assert virtual.kind_of(await world.request("r1-0", SERVICE)) == "not-ready"
+        assert virtual.kind_of(await world.request("r1-0", virtual.SERVICE)) == "not-ready"
         world.faulty.faults.down = False
         for entry_id in list(world.entries):
             assert await answered(world, entry_id) < 10
@@ -158,8 +157,8 @@
 
 def test_limits_and_claims_hold_under_pairs_of_faults(monkeypatch):
     async def scenario(world):
-        await build(world, **RULES)
-        callers = load.Load(world, SERVICE, "r2", rate_per_s=60, filing_ratio=0.3)
+        await virtual.build(world, **RULES)
+        callers = load.Load(world, virtual.SERVICE, "r2", rate_per_s=60, filing_ratio=0.3)
 
         async def store_down():
             world.faulty.faults.down = True
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -4,10 +4,9 @@
 import pytest
 
 from sassafraslock import errors, platform
-from sassafraslock.services import request_path
+from sassafraslock.services import exchanges
 from tests import load
 from tests import world as virtual
-from tests.test_entry import SERVICE, build, new_key
 
 NO_NEW_WORK_MS = 3_000
 ATTEMPTS_LIMIT = 1.1
@@ -17,32 +16,35 @@
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_a_poison_request_breaks_two_servers_at_most(monkeypatch, resends, method):
     async def scenario(world):
-        await build(world, servers_per_region=4)
+        await virtual.build(world, servers_per_region=4)
         world.poison = b"/crash"
         kinds = set()
         for number in range(resends):
             entry_id = world.random.choice(list(world.entries))
-            more = {"key": new_key(virtual.virtual_wall_ms())} if method == "POST" else {}
-            answer = await world.request(entry_id, SERVICE, method, "/crash", **more)
+            more = {"key": virtual.new_key(virtual.virtual_wall_ms())} if method == "POST" else {}
+            answer = await world.request(entry_id, virtual.SERVICE, method, "/crash", **more)
             kinds.add(virtual.kind_of(answer))
             await anyio.sleep(0.3 + number * 0.1)
         assert sum(s.crashes for s in world.servers.values()) <= 2
         assert "quarantined" in kinds
-        assert virtual.kind_of(await world.request("r2-1", SERVICE, path="/sound")) == "answered"
+        assert (
+            virtual.kind_of(await world.request("r2-1", virtual.SERVICE, path="/sound"))
+            == "answered"
+        )
 
     virtual.run(scenario, monkeypatch)
 
 
 def test_a_dying_vms_innocent_requests_are_answered(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=3, slots=6)
+        await virtual.build(world, servers_per_region=3, slots=6)
         for server in world.servers.values():
             server.work_ms = 300
         answers = []
 
         async def one(number):
             entry_id = f"r1-{number % 3}"
-            answers.append(await world.request(entry_id, SERVICE, path=f"/huts/{number}"))
+            answers.append(await world.request(entry_id, virtual.SERVICE, path=f"/huts/{number}"))
 
         async with anyio.create_task_group() as group:
             for number in range(15):
@@ -53,7 +55,7 @@
             victim.dead = True
             victim.crash()
         for number in range(15):
-            answer = await world.request("r1-1", SERVICE, path=f"/huts/{number}")
+            answer = await world.request("r1-1", virtual.SERVICE, path=f"/huts/{number}")
             assert virtual.kind_of(answer) == "answered"
 
     virtual.run(scenario, monkeypatch)
@@ -61,7 +63,7 @@
 
 def test_attempts_stay_in_budget_when_half_the_servers_fail(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=4)
+        await virtual.build(world, servers_per_region=4)
         attempts = 0
         forward = virtual.VirtualForwarder.attempt
 
@@ -73,7 +75,7 @@
         monkeypatch.setattr(virtual.VirtualForwarder, "attempt", counted)
         for number, server in enumerate(world.servers.values()):
             server.dead = number % 2 == 0
-        callers = load.Load(world, SERVICE, "r1", rate_per_s=100)
+        callers = load.Load(world, virtual.SERVICE, "r1", rate_per_s=100)
         await callers.run(15)
         assert attempts / len(callers.seen) <= ATTEMPTS_LIMIT
         assert callers.kinds()["answered"] / len(callers.seen) > 0.9
@@ -83,14 +85,14 @@
 
 def test_a_filing_whose_server_broke_is_never_run_again(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         for server in world.servers.values():
             server.work_ms = 500
-        key = new_key(virtual.virtual_wall_ms())
+        key = virtual.new_key(virtual.virtual_wall_ms())
         answers = []
 
         async def one():
-            answers.append(await world.request("r1-0", SERVICE, "POST", body=b"f", key=key))
+            answers.append(await world.request("r1-0", virtual.SERVICE, "POST", body=b"f", key=key))
 
         async with anyio.create_task_group() as group:
             group.start_soon(one)
@@ -100,7 +102,7 @@
         assert virtual.kind_of(answers[0]) == "server-failed"
         assert answers[0].header(b"sassafraslock-not-run") == b"false"
         await anyio.sleep(10)
-        again = await world.request("r2-0", SERVICE, "POST", body=b"f", key=key)
+        again = await world.request("r2-0", virtual.SERVICE, "POST", body=b"f", key=key)
         assert virtual.kind_of(again) in ("may-have-run", "quarantined")
         assert world.runs[key] == 1
 
@@ -113,7 +115,7 @@
 @pytest.mark.parametrize("source", SOURCES)
 def test_a_draining_server_gets_no_new_work_and_cuts_off_none(monkeypatch, source):
     async def scenario(world):
-        await build(world, servers_per_region=2)
+        await virtual.build(world, servers_per_region=2)
         for server in world.servers.values():
             server.work_ms = 400
         victim = world.servers["logbook-r1-0"]
@@ -133,7 +135,7 @@
                 document["services"]["logbook"]["servers"][victim.server_id]["state"] = "draining"
                 await config.put("kocar", document, 1, "test", 0)
 
-        callers = load.Load(world, SERVICE, "r1", rate_per_s=20, filing_ratio=0.3)
+        callers = load.Load(world, virtual.SERVICE, "r1", rate_per_s=20, filing_ratio=0.3)
         async with anyio.create_task_group() as group:
             group.start_soon(drain)
             await callers.run(12)
@@ -146,10 +148,10 @@
 
 def test_an_entry_that_stops_cuts_off_no_request_and_hands_its_share_over(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=3)
+        await virtual.build(world, servers_per_region=3)
         for server in world.servers.values():
             server.work_ms = 600
-        callers = load.Load(world, SERVICE, "r1", rate_per_s=25, filing_ratio=0.3)
+        callers = load.Load(world, virtual.SERVICE, "r1", rate_per_s=25, filing_ratio=0.3)
         leaving = world.entries["r1-1"]
         over_ms = 0
 
@@ -171,7 +173,7 @@
         assert not {"server-failed", "timed-out", "may-have-run"} & set(callers.kinds())
         assert 0 < over_ms < 15_000
         loads = [world.part(e, "steward").loads(virtual.virtual_ms()) for e in ("r1-0", "r1-2")]
-        assert sum(found[SERVICE].slots for found in loads) == 9
+        assert sum(found[virtual.SERVICE].slots for found in loads) == 9
         assert callers.false_not_run() == []
 
     virtual.run(scenario, monkeypatch)
@@ -192,8 +194,8 @@
 @pytest.mark.parametrize(("asked", "kind"), BAD_REQUESTS)
 def test_bad_requests_are_refused_as_not_run(monkeypatch, asked, kind):
     async def scenario(world):
-        await build(world)
-        answer = await world.request("r1-0", asked.pop("service", SERVICE), **asked)
+        await virtual.build(world)
+        answer = await world.request("r1-0", asked.pop("service", virtual.SERVICE), **asked)
         assert virtual.kind_of(answer) == kind
         assert answer.header(b"sassafraslock-not-run") == b"true"
         assert sum(s.starts for s in world.servers.values()) == 0
@@ -202,6 +204,6 @@
 
 
 def test_every_own_header_is_kept_from_servers():
-    hidden = request_path.OWN_HEADERS
-    assert request_path.PEER_TOKEN_HEADER in hidden
-    assert request_path.HOP_HEADER in hidden
+    hidden = exchanges.OWN_HEADERS
+    assert exchanges.PEER_TOKEN_HEADER in hidden
+    assert exchanges.HOP_HEADER in hidden
--- a/tests/test_settings_sync.py
+++ b/tests/test_settings_sync.py
@@ -4,7 +4,6 @@
 
 from sassafraslock import errors
 from tests import world as virtual
-from tests.test_entry import SERVICE, build
 
 IN_FORCE_BOUND_MS = 3_000
 
@@ -22,7 +21,7 @@
 
 def test_a_change_is_in_force_everywhere_within_the_bound(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         for number, entry_id in enumerate(list(world.entries)):
             accepted = await change(world, entry_id, 4000 + number)
             started_ms = virtual.virtual_ms()
@@ -35,7 +34,7 @@
 
 def test_peers_bring_a_change_to_entries_without_the_store(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         world.no_store.update({"r2-0", "r3-1"})
         await change(world, "r1-0", 4321)
         await anyio.sleep(IN_FORCE_BOUND_MS / 1000)
@@ -46,7 +45,7 @@
 
 def test_operators_at_once_get_one_success_and_conflicts_that_show_both(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         results = []
 
         async def one(entry_id, work):
@@ -67,7 +66,7 @@
 
 def test_a_lost_answer_does_not_lose_or_double_a_change(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         for number in range(12):
             world.faulty.faults.lost_answer_ratio = 0.4
             before = revision(world, "r1-0")
@@ -86,7 +85,7 @@
 
 def test_revisions_never_fall_while_entries_restart_and_split(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         highest = {}
 
         def look():
@@ -120,24 +119,24 @@
 
 def test_a_starting_entry_takes_no_work_behind_its_peers(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         world.kill("r1-0")
         world.faulty.faults.down = True
         await anyio.sleep(3)
         world.start("r1-0")
         await anyio.sleep(0.01)
-        early = await world.request("r1-0", SERVICE)
+        early = await world.request("r1-0", virtual.SERVICE)
         assert virtual.kind_of(early) == "not-ready"
         await anyio.sleep(3)
         assert revision(world, "r1-0") == 1
-        assert virtual.kind_of(await world.request("r1-0", SERVICE)) == "answered"
+        assert virtual.kind_of(await world.request("r1-0", virtual.SERVICE)) == "answered"
 
     virtual.run(scenario, monkeypatch)
 
 
 def test_invalid_settings_name_every_path_and_change_nothing(monkeypatch):
     async def scenario(world):
-        await build(world)
+        await virtual.build(world)
         config = world.part("r1-0", "settings")
         document = config.document("kocar")
         document["services"]["logbook"]["shift_cap_ratio"] = 7
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -7,7 +7,6 @@
 from sassafraslock.decisions import membership
 from tests import load
 from tests import world as virtual
-from tests.test_entry import SERVICE, build
 
 LONG_MS = 3_000
 SHORT_RULES = {"deadline_ms": 2_000, "max_deadline_ms": LONG_MS}
@@ -34,11 +33,11 @@
 @pytest.mark.parametrize("report", list(REPORTS))
 def test_limits_hold_and_work_flows_whatever_servers_report(monkeypatch, report):
     async def scenario(world):
-        await build(world, servers_per_region=2, slots=3, **SHORT_RULES)
+        await virtual.build(world, servers_per_region=2, slots=3, **SHORT_RULES)
         for server in world.servers.values():
             server.report = REPORTS[report]
             server.work_ms = 50
-        callers = load.Load(world, SERVICE, "r1", rate_per_s=250, filing_ratio=0.1)
+        callers = load.Load(world, virtual.SERVICE, "r1", rate_per_s=250, filing_ratio=0.1)
         await callers.run(4)
         assert world.over_limit == 0
         assert max(world.runs.values()) == 1
@@ -50,7 +49,7 @@
 def test_each_entry_gets_a_share_and_a_newcomer_too(monkeypatch):
     async def scenario(world):
         newcomer = "r1-2"
-        world.add_service(SERVICE, servers_per_region=6, **SHORT_RULES)
+        world.add_service(virtual.SERVICE, servers_per_region=6, **SHORT_RULES)
         world.accept_settings()
         for entry_id in world.process:
             if entry_id != newcomer:
@@ -59,7 +58,7 @@
         assert held(world, "r1") == 18
         world.start(newcomer)
         await world.settle()
-        own = world.part(newcomer, "steward").loads(virtual.virtual_ms())[SERVICE]
+        own = world.part(newcomer, "steward").loads(virtual.virtual_ms())[virtual.SERVICE]
         assert own.slots == 6
         assert held(world, "r1") == 18
 
@@ -68,7 +67,7 @@
 
 def test_a_dead_entrys_share_idles_until_its_vm_is_gone(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=6, **SHORT_RULES)
+        await virtual.build(world, servers_per_region=6, **SHORT_RULES)
         world.kill("r1-1")
         await anyio.sleep(20)
         assert held(world, "r1") == 12
@@ -81,27 +80,27 @@
 
 def test_a_restarted_entry_takes_its_share_up_again(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=6, **SHORT_RULES)
+        await virtual.build(world, servers_per_region=6, **SHORT_RULES)
         world.kill("r1-1")
         await anyio.sleep(1)
         world.start("r1-1")
         await anyio.sleep(1)
         assert held(world, "r1") == 18
         pools = world.part("r1-1", "steward").pools
-        assert pools[SERVICE].free(virtual.virtual_ms()) == 0
+        assert pools[virtual.SERVICE].free(virtual.virtual_ms()) == 0
         await anyio.sleep(LONG_MS / 1000 + 1)
-        assert pools[SERVICE].free(virtual.virtual_ms()) == 6
+        assert pools[virtual.SERVICE].free(virtual.virtual_ms()) == 6
 
     virtual.run(scenario, monkeypatch)
 
 
 def test_limits_hold_while_entries_die_restart_and_lose_messages(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=2, **SHORT_RULES)
+        await virtual.build(world, servers_per_region=2, **SHORT_RULES)
         for server in world.servers.values():
             server.work_ms = 80
         world.network.loss_ratio = 0.05
-        callers = load.Load(world, SERVICE, "r1", rate_per_s=90, filing_ratio=0.2)
+        callers = load.Load(world, virtual.SERVICE, "r1", rate_per_s=90, filing_ratio=0.2)
 
         async def trouble():
             for _ in range(6):
@@ -124,7 +123,7 @@
 @pytest.mark.parametrize("listed", [True, False])
 def test_a_cut_off_entry_never_shares_a_slot_with_its_successor(monkeypatch, listed):
     async def scenario(world):
-        await build(world, servers_per_region=3, **SHORT_RULES)
+        await virtual.build(world, servers_per_region=3, **SHORT_RULES)
         alone = "r1-0"
         world.network.cut = {frozenset((alone, other)) for other in world.entries}
         world.no_store.add(alone)
@@ -143,13 +142,13 @@
 
 async def hammer(world, entry_id):
     for _ in range(200):
-        await world.request(entry_id, SERVICE, deadline_ms=1000)
+        await world.request(entry_id, virtual.SERVICE, deadline_ms=1000)
         await anyio.sleep(0.01)
 
 
 def test_an_entry_still_listed_by_a_lagging_list_is_not_evicted_early(monkeypatch):
     async def scenario(world):
-        await build(world, servers_per_region=3, **SHORT_RULES)
+        await virtual.build(world, servers_per_region=3, **SHORT_RULES)
         table = world.part("r1-1", "peers").table
         table.note_vms([platform.Vm("r1-1")], virtual.virtual_ms())
         await anyio.sleep(30)
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,14 +12,16 @@
 import msgspec
 import trio
 import trio.testing
+import uuid6
 
 from sassafraslock import asgi, clock, entry, errors, platform, settings, shared_settings
 from sassafraslock.decisions import breaker, retry, revisions
-from sassafraslock.services import forwarder, request_path
+from sassafraslock.services import exchanges, forwarder
 from sassafraslock.standin import platform as standin
 
 EPOCH_MS = 1_800_000_000_000
 TOKEN = "virtual-token"
+SERVICE = "kocar/logbook"
 
 
 def virtual_ms():
@@ -311,7 +313,7 @@
 
     async def run_on(self, server, outgoing):
         headers = dict(outgoing.headers)
-        key = headers.get(request_path.KEY_HEADER, b"")
+        key = headers.get(exchanges.KEY_HEADER, b"")
         server.running += 1
         server.starts += 1
         server.last_start_ms = virtual_ms()
@@ -354,7 +356,7 @@
 
 def _as_answer(refusal):
     named = [
-        (request_path.ERROR_HEADER, refusal.kind.value.encode()),
+        (exchanges.ERROR_HEADER, refusal.kind.value.encode()),
         (forwarder.NOT_RUN_HEADER, b"true" if refusal.answer.not_run else b"false"),
     ]
     end = retry.AttemptEnd.ANSWERED
@@ -363,9 +365,23 @@
     return forwarder.Attempt(end, refusal.answer.status, named, refusal.reason.encode())
 
 
+def new_key(now_ms):
+    """Return a UUID of version 7 for a moment of virtual time."""
+    raw = uuid6.uuid7().int
+    return str(uuid6.UUID(int=(raw & ((1 << 80) - 1)) | (now_ms << 80)))
+
+
+async def build(world, **rules):
+    world.add_service(SERVICE, **rules)
+    world.accept_settings()
+    for entry_id in list(world.process):
+        world.start(entry_id)
+    await world.settle()
+
+
 def kind_of(attempt):
     """Return the error kind of an answer, or ``answered``."""
-    return attempt.header(request_path.ERROR_HEADER).decode() or "answered"
+    return attempt.header(exchanges.ERROR_HEADER).decode() or "answered"
 
 
 def run(scenario, monkeypatch, **arguments):
