--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -62,6 +62,9 @@
     """Run an entry until SIGTERM or SIGINT.
 
     Example: sassafraslock run examples/entry-a.toml
+    \f
+
+    :param path: the settings path, or the file.
     """
     process = _load(path)
     logs.configure(process.logging.format, process.logging.level)
@@ -79,6 +82,11 @@
     """Check settings and show every problem at once.
 
     Example: sassafraslock check examples/entry-a.toml
+    \f
+
+    :param path: the settings path, or the file.
+    :param team: the team.
+    :param system: the system team's file.
     """
     if team:
         problems = commands.check_shared(team, path, system)
@@ -100,6 +108,12 @@
     """Show which entries to use, as a caller asks.
 
     Example: sassafraslock entries kocar/logbook --client 10.1.2.0/24
+    \f
+
+    :param service: the service as TEAM/SERVICE.
+    :param address: the operators' address of any entry.
+    :param client_block: the client's address or block.
+    :param form: how to print.
     """
     query = f"/entries?service={service}&client={client_block}"
     output.finish(client.Client(address, "").call("GET", query), form)
@@ -119,6 +133,12 @@
     """Show the settings at a path.
 
     Example: sassafraslock settings get /kocar/services/logbook --format toml
+    \f
+
+    :param path: the settings path, or the file.
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     team, names = client.split_path(path)
     found = client.Client(address, token).call("GET", f"/settings/{team}")
@@ -145,6 +165,14 @@
     """Put a TOML file at a path; a change made meanwhile is a conflict.
 
     Example: sassafraslock settings put /kocar examples/kocar.toml
+    \f
+
+    :param path: the settings path, or the file.
+    :param file: the file to read.
+    :param revision: the revision that the change builds on.
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     raw = settings_check.parse_toml(file.read_text())
     if isinstance(raw, settings_check.Problem):
@@ -166,6 +194,12 @@
     """Show the accepted changes of a team.
 
     Example: sassafraslock settings history /kocar
+    \f
+
+    :param path: the settings path, or the file.
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     team, names = client.split_path(path)
     found = client.Client(address, token).call("GET", f"/history/{team}")
@@ -183,6 +217,12 @@
     """Show how a TOML file differs from the settings at a path.
 
     Example: sassafraslock settings diff /kocar examples/kocar.toml
+    \f
+
+    :param path: the settings path, or the file.
+    :param file: the file to read.
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
     """
     team, names = client.split_path(path)
     found = client.Client(address, token).call("GET", f"/settings/{team}")
@@ -220,6 +260,12 @@
     """Stop new work on a server; what it runs goes on.
 
     Example: sassafraslock drain /kocar/logbook/logbook-1
+    \f
+
+    :param path: the settings path, or the file.
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     _set_state(path, "draining", address, token, form)
 
@@ -233,6 +279,12 @@
     """Let a server take work again.
 
     Example: sassafraslock undrain /kocar/logbook/logbook-1
+    \f
+
+    :param path: the settings path, or the file.
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     _set_state(path, "active", address, token, form)
 
@@ -259,6 +311,14 @@
     """Move traffic to another split, never faster than the service's cap.
 
     Example: sassafraslock shift /kocar/logbook --from gorenjska --to gorenjska=0.5,primorska=0.5
+    \f
+
+    :param path: the settings path, or the file.
+    :param region: the region whose traffic moves.
+    :param split: the split to reach.
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     team, names = client.split_path(path)
     parsed = _parse_split(split)
@@ -292,6 +352,11 @@
     """Show a summary of one entry, with the progress of shifts.
 
     Example: sassafraslock status --entry 127.0.0.1:7200 --token example-token
+    \f
+
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     output.finish(client.Client(address, token).call("GET", "/status"), form)
 
@@ -304,6 +369,11 @@
     """Show the state of each service of one entry.
 
     Example: sassafraslock dump --format json
+    \f
+
+    :param address: the operators' address of any entry.
+    :param token: the operator token.
+    :param form: how to print.
     """
     output.finish(client.Client(address, token).call("GET", "/dump"), form)
 
@@ -320,6 +390,10 @@
     """Publish lines of 10.0.3.0/24,REGION/ZONE to the platform's object store.
 
     Example: sassafraslock blocks publish blocks.csv --settings examples/walk/entry-a.toml
+    \f
+
+    :param file: the file to read.
+    :param path: the settings path, or the file.
     """
     try:
         sites, table = client_blocks.parse_table(file.read_text().splitlines())
@@ -345,6 +419,11 @@
     """Run the platform's stand-in: table service, object store and VM list.
 
     Example: sassafraslock standin platform --shared examples/shared
+    \f
+
+    :param host: the IP number to listen on.
+    :param port: the port.
+    :param shared: the folder of shared settings.
     """
     anyio.run(commands.run_platform, host, port, shared)
 
@@ -359,6 +438,13 @@
     """Run a backend server's stand-in.
 
     Example: sassafraslock standin backend logbook-1 --port 7401
+    \f
+
+    :param server_id: the server's id.
+    :param host: the IP number to listen on.
+    :param port: the port.
+    :param slots: the slots that it reports.
+    :param work_ms: the time that a request takes.
     """
     anyio.run(commands.run_backend, server_id, host, port, slots, work_ms)
 
@@ -367,6 +453,11 @@
 @click.option("--json", "as_json", is_flag=True, help="Print the summary as one JSON line.")
 @click.option("--log", default="critical", help="The lowest log level shown.")
 def demo_command(as_json: bool, log: str) -> None:
-    """Run both firms' smallest shape in one process, with faults on the way."""
+    """Run both firms' smallest shape in one process, with faults on the way.
+    \f
+
+    :param as_json: whether the last line is JSON.
+    :param log: the lowest level shown.
+    """
     logs.configure("text", log)
     raise SystemExit(demo.main(as_json))
--- a/sassafraslock/services/peers.py
+++ b/sassafraslock/services/peers.py
@@ -46,6 +46,7 @@
     __slots__ = (
         "table",
         "rejected",
+        "late_replies",
         "sent_bytes",
         "_settings",
         "_key",
@@ -63,6 +64,7 @@
     def __init__(self, process: settings.Settings, carrier: transport.Transport) -> None:
         self.table = membership.PeerTable()
         self.rejected = 0
+        self.late_replies = 0
         self.sent_bytes = 0
         self._settings = process
         self._key = hashlib.blake2b(process.peer_token.encode()).digest()
@@ -161,6 +163,7 @@
             waiter.reply = reply
             waiter.event.set()
             return
+        self.late_replies += 1
         late = self._late_replies.get(type(reply))
         if late:
             group.start_soon(late, reply)
@@ -238,4 +241,9 @@
         """Return the peers heard and the counters."""
         now_ms = clock.monotonic_ms()
         ages = {e: now_ms - p.heard_ms for e, p in self.table.peers.items()}
-        return {"heard_ago_ms": ages, "rejected": self.rejected, "sent_bytes": self.sent_bytes}
+        return {
+            "heard_ago_ms": ages,
+            "rejected": self.rejected,
+            "late_replies": self.late_replies,
+            "sent_bytes": self.sent_bytes,
+        }
