--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import pytest
 
 from sassafraslock import platform
 from tests import load
@@ -15,10 +16,6 @@
 RULES = {"deadline_ms": 2_000, "max_deadline_ms": 3_000}
 
 
-class _Patch:
-    setattr = staticmethod(setattr)
-
-
 @dataclasses.dataclass(slots=True)
 class Line:
     """One event and the time until it was over."""
@@ -187,5 +184,6 @@
                 await virtual.build(world, **RULES)
                 lines.append(Line(firm.name, what, await event(world)))
 
-            virtual.run(scenario, _Patch)
+            with pytest.MonkeyPatch.context() as patch:
+                virtual.run(scenario, patch)
     return lines
--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import pathlib
-import typing
 
 import anyio
 import click
 
 import sassafraslock
 from sassafraslock import (
+    cli_changes,
+    cli_options,
     client,
     clock,
     commands,
@@ -19,23 +20,10 @@
     logs,
     output,
     settings,
-    settings_check,
 )
 from sassafraslock.decisions import client_blocks
 
 EXIT_SERVICE_FAILED = 11
-FORMATS = click.Choice(["table", "json", "toml"])
-
-_entry_option = click.option(
-    "--entry", "address", default="127.0.0.1:7200", show_default=True, envvar="SASSAFRASLOCK_ENTRY",
-    help="The operators' address of any entry.",
-)  # fmt: skip
-_token_option = click.option(
-    "--token", envvar="SASSAFRASLOCK_TOKEN", default="", help="The operator token."
-)
-_format_option = click.option(
-    "--format", "form", type=FORMATS, default="table", show_default=True, help="How to print."
-)
 
 
 @click.group(epilog='Shell completion: eval "$(_SASSAFRASLOCK_COMPLETE=bash_source sassafraslock)"')
@@ -53,11 +41,8 @@
     raise SystemExit(errors.ANSWERS[errors.ErrorKind.INVALID_SETTINGS].exit_code)
 
 
-_PATH = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
-
-
 @main.command()
-@click.argument("path", metavar="SETTINGS.toml", type=_PATH)
+@click.argument("path", metavar="SETTINGS.toml", type=cli_options.FILE)
 def run(path: pathlib.Path) -> None:
     """Run an entry until SIGTERM or SIGINT.
 
@@ -75,9 +60,9 @@
 
 
 @main.command()
-@click.argument("path", metavar="FILE.toml", type=_PATH)
+@click.argument("path", metavar="FILE.toml", type=cli_options.FILE)
 @click.option("--team", default="", help="Check shared settings of this team, not a process's.")
-@click.option("--system", type=_PATH, help="The system team's settings, for references.")
+@click.option("--system", type=cli_options.FILE, help="The system team's settings, for references.")
 def check(path: pathlib.Path, team: str, system: pathlib.Path | None) -> None:
     """Check settings and show every problem at once.
 
@@ -103,7 +88,7 @@
 @click.argument("service")
 @click.option("--address", default="127.0.0.1:7000", show_default=True, help="Any entry's address.")
 @click.option("--client", "client_block", default="", help="The client's address or block.")
-@_format_option
+@cli_options.FORMAT
 def entries(service: str, address: str, client_block: str, form: output.OutputFormat) -> None:
     """Show which entries to use, as a caller asks.
 
@@ -119,235 +104,10 @@
     output.finish(client.Client(address, "").call("GET", query), form)
 
 
-@main.group(name="settings")
-def settings_group() -> None:
-    """Read and change shared settings, a subtree for each team."""
-
-
-@settings_group.command(name="get")
-@click.argument("path")
-@_entry_option
-@_token_option
-@_format_option
-def settings_get(path: str, address: str, token: str, form: output.OutputFormat) -> None:
-    """Show the settings at a path.
-
-    Example: sassafraslock settings get /kocar/services/logbook --format toml
-    \f
-
-    :param path: the settings path, or the file.
-    :param address: the operators' address of any entry.
-    :param token: the operator token.
-    :param form: how to print.
-    """
-    team, names = client.split_path(path)
-    found = client.Client(address, token).call("GET", f"/settings/{team}")
-    if not isinstance(found, errors.Refusal):
-        found = client.value_at(found["document"], names)
-    output.finish(found, form)
-
-
-@settings_group.command(name="put")
-@click.argument("path")
-@click.argument("file", type=_PATH)
-@click.option("--revision", type=int, help="Fail unless the subtree is at this revision.")
-@_entry_option
-@_token_option
-@_format_option
-def settings_put(
-    path: str,
-    file: pathlib.Path,
-    revision: int | None,
-    address: str,
-    token: str,
-    form: output.OutputFormat,
-) -> None:
-    """Put a TOML file at a path; a change made meanwhile is a conflict.
-
-    Example: sassafraslock settings put /kocar examples/kocar.toml
-    \f
-
-    :param path: the settings path, or the file.
-    :param file: the file to read.
-    :param revision: the revision that the change builds on.
-    :param address: the operators' address of any entry.
-    :param token: the operator token.
-    :param form: how to print.
-    """
-    raw = settings_check.parse_toml(file.read_text())
-    if isinstance(raw, settings_check.Problem):
-        output.finish(errors.Refusal(errors.ErrorKind.INVALID_SETTINGS, str(raw)), form)
-    operator = client.Client(address, token)
-    team, names = client.split_path(path)
-    if revision is not None and not names:
-        output.finish(operator.put(team, raw, revision), form)
-        return
-    output.finish(operator.change(path, lambda old: raw), form)
-
-
-@settings_group.command(name="history")
-@click.argument("path")
-@_entry_option
-@_token_option
-@_format_option
-def settings_history(path: str, address: str, token: str, form: output.OutputFormat) -> None:
-    """Show the accepted changes of a team.
-
-    Example: sassafraslock settings history /kocar
-    \f
-
-    :param path: the settings path, or the file.
-    :param address: the operators' address of any entry.
-    :param token: the operator token.
-    :param form: how to print.
-    """
-    team, names = client.split_path(path)
-    found = client.Client(address, token).call("GET", f"/history/{team}")
-    if not isinstance(found, errors.Refusal):
-        found = [{**line, "document": client.value_at(line["document"], names)} for line in found]
-    output.finish(found, form)
-
-
-@settings_group.command(name="diff")
-@click.argument("path")
-@click.argument("file", type=_PATH)
-@_entry_option
-@_token_option
-def settings_diff(path: str, file: pathlib.Path, address: str, token: str) -> None:
-    """Show how a TOML file differs from the settings at a path.
-
-    Example: sassafraslock settings diff /kocar examples/kocar.toml
-    \f
-
-    :param path: the settings path, or the file.
-    :param file: the file to read.
-    :param address: the operators' address of any entry.
-    :param token: the operator token.
-    """
-    team, names = client.split_path(path)
-    found = client.Client(address, token).call("GET", f"/settings/{team}")
-    if not isinstance(found, errors.Refusal):
-        found = client.value_at(found["document"], names)
-    if isinstance(found, errors.Refusal):
-        output.finish(found, "table")
-    raw = settings_check.parse_toml(file.read_text())
-    click.echo("\n".join(output.difference(found, raw)) or "no difference")
-
-
-def _server_path(path: str) -> str:
-    """Return the settings path of /TEAM/SERVICE/SERVER."""
-    team, names = client.split_path(path)
-    if len(names) != 2:
-        reason = f"{path!r} is not a server; write /TEAM/SERVICE/SERVER"
-        output.finish(errors.Refusal(errors.ErrorKind.BAD_REQUEST, reason), "table")
-    return f"/{team}/services/{names[0]}/servers/{names[1]}"
-
-
-def _set_state(path: str, state: str, address: str, token: str, form: typing.Any) -> None:
-    operator = client.Client(address, token)
-    found = operator.change(f"{_server_path(path)}/state", lambda old: state)
-    if not isinstance(found, errors.Refusal):
-        found = {"server": path, "state": state, "revision": found["revision"]}
-    output.finish(found, form)
-
-
-@main.command()
-@click.argument("path")
-@_entry_option
-@_token_option
-@_format_option
-def drain(path: str, address: str, token: str, form: output.OutputFormat) -> None:
-    """Stop new work on a server; what it runs goes on.
-
-    Example: sassafraslock drain /kocar/logbook/logbook-1
-    \f
-
-    :param path: the settings path, or the file.
-    :param address: the operators' address of any entry.
-    :param token: the operator token.
-    :param form: how to print.
-    """
-    _set_state(path, "draining", address, token, form)
-
-
-@main.command()
-@click.argument("path")
-@_entry_option
-@_token_option
-@_format_option
-def undrain(path: str, address: str, token: str, form: output.OutputFormat) -> None:
-    """Let a server take work again.
-
-    Example: sassafraslock undrain /kocar/logbook/logbook-1
-    \f
-
-    :param path: the settings path, or the file.
-    :param address: the operators' address of any entry.
-    :param token: the operator token.
-    :param form: how to print.
-    """
-    _set_state(path, "active", address, token, form)
-
-
-def _parse_split(text: str) -> dict[str, float] | errors.Refusal:
-    try:
-        pairs = [part.split("=") for part in text.split(",")]
-        return {region.strip(): float(share) for region, share in pairs}
-    except ValueError:
-        reason = f"{text!r} is not a split; write gorenjska=0.5,stajerska=0.5"
-        return errors.Refusal(errors.ErrorKind.BAD_REQUEST, reason)
-
-
 @main.command()
-@click.argument("path")
-@click.option("--from", "region", required=True, help="The region whose callers' traffic moves.")
-@click.option("--to", "split", required=True, help="The split to reach, as a=0.5,b=0.5.")
-@_entry_option
-@_token_option
-@_format_option
-def shift(
-    path: str, region: str, split: str, address: str, token: str, form: output.OutputFormat
-) -> None:
-    """Move traffic to another split, never faster than the service's cap.
-
-    Example: sassafraslock shift /kocar/logbook --from gorenjska --to gorenjska=0.5,primorska=0.5
-    \f
-
-    :param path: the settings path, or the file.
-    :param region: the region whose traffic moves.
-    :param split: the split to reach.
-    :param address: the operators' address of any entry.
-    :param token: the operator token.
-    :param form: how to print.
-    """
-    team, names = client.split_path(path)
-    parsed = _parse_split(split)
-    if isinstance(parsed, errors.Refusal) or len(names) != 1:
-        reason = f"{path!r} is not a service; write /TEAM/SERVICE"
-        wrong = errors.Refusal(errors.ErrorKind.BAD_REQUEST, reason)
-        output.finish(parsed if isinstance(parsed, errors.Refusal) else wrong, form)
-        return
-    plan = {"to": parsed, "started_ms": clock.wall_ms()}
-
-    def edit(service: typing.Any) -> typing.Any:
-        return {**service, "shifts": {**service.get("shifts", {}), region: plan}}
-
-    found = client.Client(address, token).change(f"/{team}/services/{names[0]}", edit)
-    if not isinstance(found, errors.Refusal):
-        rules = found["document"]["services"][names[0]]
-        found = {
-            "service": path,
-            "revision": found["revision"],
-            "cap_ratio": rules["shift_cap_ratio"],
-            "window_ms": rules["shift_window_ms"],
-        }
-    output.finish(found, form)
-
-
-@main.command()
-@_entry_option
-@_token_option
-@_format_option
+@cli_options.ENTRY
+@cli_options.TOKEN
+@cli_options.FORMAT
 def status(address: str, token: str, form: output.OutputFormat) -> None:
     """Show a summary of one entry, with the progress of shifts.
 
@@ -362,9 +122,9 @@
 
 
 @main.command()
-@_entry_option
-@_token_option
-@_format_option
+@cli_options.ENTRY
+@cli_options.TOKEN
+@cli_options.FORMAT
 def dump(address: str, token: str, form: output.OutputFormat) -> None:
     """Show the state of each service of one entry.
 
@@ -384,8 +144,10 @@
 
 
 @blocks.command(name="publish")
-@click.argument("file", type=_PATH)
-@click.option("--settings", "path", type=_PATH, required=True, help="Settings of any entry.")
+@click.argument("file", type=cli_options.FILE)
+@click.option(
+    "--settings", "path", type=cli_options.FILE, required=True, help="Settings of any entry."
+)
 def blocks_publish(file: pathlib.Path, path: pathlib.Path) -> None:
     """Publish lines of 10.0.3.0/24,REGION/ZONE to the platform's object store.
 
@@ -461,3 +223,12 @@
     """
     logs.configure("text", log)
     raise SystemExit(demo.main(as_json))
+
+
+for _command in (
+    cli_changes.settings_group,
+    cli_changes.drain,
+    cli_changes.undrain,
+    cli_changes.shift,
+):
+    main.add_command(_command)
--- /dev/null
+++ b/tests/test_kernel.py
@@ -0,0 +1,98 @@
+"""Services by name, in order, supervised."""
+
+import anyio
+import pytest
+
+from sassafraslock import kernel
+
+
+class Recorder:
+    """Notes when it runs and stops; may fail some times first."""
+
+    def __init__(self, name, log, failures=0):
+        self.name, self.log, self.failures = name, log, failures
+
+    async def run(self, ready):
+        if self.failures:
+            self.failures -= 1
+            raise RuntimeError("broken")
+        self.log.append(f"run {self.name}")
+        ready.set()
+        await anyio.sleep_forever()
+
+    async def stop(self):
+        self.log.append(f"stop {self.name}")
+
+    def dump(self):
+        return {"name": self.name}
+
+
+async def stop_soon(core, delay_s=0.05):
+    await anyio.sleep(delay_s)
+    core.request_stop()
+
+
+def test_services_start_in_order_and_stop_in_reverse():
+    async def main():
+        core, log = kernel.Kernel(), []
+        for name in "abc":
+            core.register(name, Recorder(name, log))
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop_soon, core)
+            await core.run(1000)
+        assert log == ["run a", "run b", "run c", "stop c", "stop b", "stop a"]
+        assert core.dump()["b"] == {"failures": 0, "state": {"name": "b"}}
+
+    anyio.run(main)
+
+
+def test_a_failing_service_is_restarted_and_counted(monkeypatch):
+    monkeypatch.setattr(kernel, "RESTART_DELAY_S", 0.001)
+
+    async def main():
+        core, log = kernel.Kernel(), []
+        core.register("a", Recorder("a", log, failures=2))
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop_soon, core)
+            await core.run(1000)
+        assert log[0] == "run a"
+        assert core.dump()["a"]["failures"] == 2
+        assert core.failed_service == ""
+
+    anyio.run(main)
+
+
+def test_a_service_that_keeps_failing_stops_the_process(monkeypatch):
+    monkeypatch.setattr(kernel, "RESTART_DELAY_S", 0.001)
+
+    async def main():
+        core = kernel.Kernel()
+        core.register("a", Recorder("a", [], failures=99))
+        with anyio.fail_after(5):
+            await core.run(1000)
+        assert core.failed_service == "a"
+
+    anyio.run(main)
+
+
+def test_a_kill_says_no_goodbye():
+    async def main():
+        core, log = kernel.Kernel(), []
+        core.register("a", Recorder("a", log))
+        async with anyio.create_task_group() as group:
+            group.start_soon(core.run, 1000)
+            await anyio.sleep(0.02)
+            core.kill()
+        assert log == ["run a"]
+
+    anyio.run(main)
+
+
+def test_a_name_is_taken_once():
+    async def main():
+        core = kernel.Kernel()
+        core.register("a", Recorder("a", []))
+        with pytest.raises(ValueError, match="registered twice"):
+            core.register("a", Recorder("a", []))
+
+    anyio.run(main)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,126 @@
+"""Process and shared settings: every problem at once, with path and fix; examples and pages."""
+
+import dataclasses
+import pathlib
+
+import pytest
+
+from sassafraslock import commands, errors, events, settings, settings_check, shared_settings
+from sassafraslock.standin import platform as standin
+
+ROOT = pathlib.Path(__file__).parent.parent
+PROCESS = sorted(ROOT.glob("examples/*/entry-*.toml"))
+SHARED = sorted(ROOT.glob("examples/*/shared"))
+
+
+@pytest.mark.parametrize("path", PROCESS, ids=lambda p: p.stem)
+def test_example_process_settings_are_sound(path):
+    assert isinstance(settings.load(path.read_text()), settings.Settings)
+
+
+@pytest.mark.parametrize("folder", SHARED, ids=lambda p: p.parent.name)
+def test_example_shared_settings_are_sound(folder):
+    memory = standin.MemoryPlatform()
+    assert commands.accept_folder(memory, folder) == []
+    assert "settings/system" in memory.rows
+
+
+@pytest.mark.parametrize(
+    ("firm", "service", "servers", "slots", "connections"),
+    [
+        ("kocar-dnevniki/shared/kocar", "logbook", 24, 3, 330),
+        ("kocar-dnevniki/shared/kocar", "ledger", 12, 3, 330),
+        ("pryce-morgan/shared/pryce", "notice-desk", 34, 6, 390),
+        ("pryce-morgan/shared/pryce", "withdrawal-desk", 12, 3, 390),
+    ],
+)
+def test_examples_have_the_sizes_of_the_firms(firm, service, servers, slots, connections):
+    raw = settings_check.parse_toml((ROOT / "examples" / f"{firm}.toml").read_text())
+    listed = raw["services"][service]["servers"].values()
+    assert len(listed) == servers
+    assert {(s["slots"], s["connections"]) for s in listed} == {(slots, connections)}
+
+
+def test_all_problems_are_shown_at_once(snapshot):
+    text = """
+entry_id = "Not Good"
+region = "gorenjska"
+zonee = "a"
+peer_token = "short"
+[caller]
+host = "localhost"
+port = 70000
+[peer]
+host = "10.0.0.1"
+"""
+    assert [str(p) for p in settings.load(text)] == snapshot
+
+
+def test_values_are_checked_after_types():
+    text = PROCESS[0].read_text().replace("10.20.1.2", "entry.example").replace("-peers", "")
+    text = text.replace('peer_token = "change-me-kocar"', 'peer_token = "x"')
+    shown = "\n".join(map(str, settings.load(text)))
+    assert "caller.host: 'entry.example' is not an IP number; write it as 10.0.0.7" in shown
+    assert "peer_token: is too short" in shown
+
+
+def test_broken_toml_is_one_clear_problem():
+    (problem,) = settings.load("entry_id = ")
+    assert "not valid TOML" in problem.what
+
+
+SYSTEM = shared_settings.TeamSettings(regions={"r1": shared_settings.Region(10, 4)})
+SERVER = {"region": "r1", "zone": "a", "host": "10.0.0.1", "port": 80}
+SHARED_FAULTS = [
+    ({"servers": {"s": {**SERVER, "region": "r9"}}}, "services.x.servers.s.region"),
+    ({"servers": {"s": {**SERVER, "connections": 3}}}, "services.x.servers.s.connections"),
+    ({"servers": {"s": {**SERVER, "slots": 0}}}, "services.x.servers.s.slots"),
+    ({"servers": {"s": {**SERVER, "state": "gone"}}}, "services.x.servers.s.state"),
+    ({"servers": {}, "deadline_ms": 9, "max_deadline_ms": 3}, "services.x.deadline_ms"),
+    ({"servers": {"s": SERVER}, "split": {"r1": {"r1": 0.7}}}, "services.x.split.r1"),
+    ({"servers": {"s": SERVER}, "split": {"r1": {"r2": 1.0}}}, "services.x.split.r1.r2"),
+    ({"servers": {"s": SERVER}, "shift_cap_ratio": 0}, "services.x.shift_cap_ratio"),
+    ({}, "services.x.servers"),
+]
+
+
+@pytest.mark.parametrize(("service", "path"), SHARED_FAULTS)
+def test_shared_settings_name_path_and_fix(service, path):
+    problems = shared_settings.load_team("t", {"services": {"x": service}}, SYSTEM)
+    assert path in [p.path for p in problems]
+    assert all(p.fix for p in problems)
+
+
+def test_only_the_system_team_sets_regions():
+    (problem,) = shared_settings.load_team("t", {"regions": {"r": {"max_in_flight": 3}}}, SYSTEM)
+    assert "system team" in problem.what
+
+
+def rows_of(page):
+    text = (ROOT / "docs" / page).read_text()
+    return [line.split("|")[1:-1] for line in text.splitlines() if line.startswith("| ")]
+
+
+def test_the_settings_page_names_every_setting():
+    named = {row[0].strip() for row in rows_of("SETTINGS.md")}
+    classes = [
+        settings.Settings, settings.Address, settings.Operator, settings.Platform,
+        settings.Logging, shared_settings.TeamSettings, shared_settings.Service,
+        shared_settings.Server, shared_settings.Shift, shared_settings.Region,
+        shared_settings.Link, shared_settings.Claims,
+    ]  # fmt: skip
+    wanted = {f"`{f.name}`" for cls in classes for f in dataclasses.fields(cls)}
+    assert named - {"name", "---"} == wanted
+
+
+def test_the_events_page_and_the_code_agree():
+    listed = {(r[0].strip(), r[1].strip()) for r in rows_of("EVENTS.md") if r[0].strip().isdigit()}
+    assert listed == {(str(int(e)), e.name) for e in events.Event}
+
+
+def test_the_callers_page_has_the_table_of_kinds():
+    listed = {
+        r[0].strip(): (r[1].strip(), r[2].strip()) for r in rows_of("CALLERS.md") if len(r) == 3
+    }
+    for kind, answer in errors.ANSWERS.items():
+        assert listed[kind.value] == (str(answer.status), "yes" if answer.not_run else "no")
