--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -32,7 +32,8 @@
     p99_ms: float
     p50_ratio: float
     p99_ratio: float
-    cpu_ms_per_request: float
+    cpu_above_direct_ms: float
+    cpu_with_caller_ms: float
 
 
 def _settings() -> settings.Settings:
@@ -99,6 +100,7 @@
         ways = {
             "direct read": (f"http://{HOST}:{PORT + 4}/huts/7", False),
             "read through an entry": (f"http://{HOST}:{PORT}/{SERVICE}/huts/7", False),
+            "look-up": (f"http://{HOST}:{PORT}/entries?service={SERVICE}", False),
             "direct filing": (f"http://{HOST}:{PORT + 4}/filings", True),
             "filing through an entry": (f"http://{HOST}:{PORT}/{SERVICE}/filings", True),
         }
@@ -119,6 +121,7 @@
         p50_ms / direct_ms[len(direct_ms) // 2],
         p99_ms / direct_ms[len(direct_ms) * 99 // 100],
         (cpu_s - direct[1]) * 1000,
+        cpu_s * 1000,
     )
 
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -8,14 +8,16 @@
 import tracemalloc
 import typing
 
+import anyio
 import msgspec
 
 from sassafraslock import asgi, messages, platform, settings, shared_settings
 from sassafraslock.decisions import cells, claims, client_blocks, membership, slots, view
-from sassafraslock.services import caller_api
+from sassafraslock.services import caller_api, transport
 
 Call = typing.Callable[[], object]
 MIN_S = 0.15
+MESSAGES = 400
 
 
 @dataclasses.dataclass(slots=True)
@@ -194,6 +196,36 @@
     return points
 
 
+def peer_messages() -> list[Point]:
+    """Return the CPU of a message sent and received over its size, both ends in this process."""
+    return anyio.run(_peer_messages)
+
+
+async def _peer_messages() -> list[Point]:
+    points = []
+    for number, services in enumerate((1, 4, 16, 64)):
+        raw = messages.encode(heartbeat("entry-1", services))
+        carrier = transport.NngTransport(settings.Address("127.0.0.1", 26_500 + number))
+        got: list[bytes] = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(carrier.run, got.append, anyio.Event())
+            await anyio.sleep(0.1)
+            carrier.send(f"127.0.0.1:{26_500 + number}", raw)
+            await anyio.sleep(0.5)
+            started_s = time.process_time()
+            for _ in range(MESSAGES):
+                carrier.send(f"127.0.0.1:{26_500 + number}", raw)
+                await anyio.sleep(0)
+            while len(got) <= MESSAGES:
+                await anyio.sleep(0.001)
+            took_s = time.process_time() - started_s
+            group.cancel_scope.cancel()
+        points.append(
+            Point("peer message, send and receive", len(raw), took_s / MESSAGES * 1e6, "us")
+        )
+    return points
+
+
 def peer_state() -> list[Point]:
     """Return the memory of the peer table over the peers."""
     points = []
@@ -355,7 +387,7 @@
     """Return every point of every slope."""
     found: list[Point] = []
     for part in (
-        look_up, heartbeats, peer_state, claim_state, slot_pool, settings_cost,
+        look_up, heartbeats, peer_messages, peer_state, claim_state, slot_pool, settings_cost,
         views, cell_cost, gossip, blocks,
     ):  # fmt: skip
         found += part()
