--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -93,7 +93,7 @@
         :param ready: set after the first look at the view.
         """
         while True:
-            self._last_tick_ms = clock.monotonic_ms()
+            self._note_tick(clock.monotonic_ms())
             await self._step()
             for pool in self.pools.values():
                 pool.expire(clock.monotonic_ms())
@@ -218,8 +218,7 @@
 
         :param now_ms: the present time.
         """
-        if now_ms - self._last_tick_ms > self._settings.poll_ms + self._pause_limit_ms():
-            self._confirmed = False
+        self._note_pause(now_ms)
         if not self._confirmed or self.gone:
             return False
         return self._peers.table.may_act(
@@ -229,8 +228,15 @@
             now_ms,
         )
 
-    def _pause_limit_ms(self) -> int:
-        return 4 * self._settings.poll_ms + self._settings.platform.timeout_ms * 2
+    def _note_pause(self, now_ms: int) -> None:
+        """Distrust the view if this process stood still so long that others may have acted."""
+        limit_ms = 5 * self._settings.poll_ms + 2 * self._settings.platform.timeout_ms
+        if now_ms - self._last_tick_ms > limit_ms:
+            self._confirmed = False
+
+    def _note_tick(self, now_ms: int) -> None:
+        self._note_pause(now_ms)
+        self._last_tick_ms = now_ms
 
     def acquire(
         self, service: str, filing: bool, duration_ms: int, avoid: list[str], now_ms: int
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -140,6 +140,27 @@
     virtual.run(scenario, monkeypatch)
 
 
+def test_an_entry_that_stood_still_hands_out_nothing_before_it_reads_the_view(monkeypatch):
+    async def scenario(world):
+        await build_small(world)
+        world.faulty.faults.down = True
+        paused = world.part("r1-0", "steward")
+        await anyio.sleep(3)
+        assert paused.may_act(virtual.virtual_ms())
+        paused._last_tick_ms -= 60_000
+        await anyio.sleep(3)
+        assert not paused.may_act(virtual.virtual_ms())
+        world.faulty.faults.down = False
+        await anyio.sleep(3)
+        assert paused.may_act(virtual.virtual_ms())
+
+    virtual.run(scenario, monkeypatch)
+
+
+async def build_small(world):
+    await virtual.build(world, servers_per_region=3, **SHORT_RULES)
+
+
 async def hammer(world, entry_id):
     for _ in range(200):
         await world.request(entry_id, virtual.SERVICE, deadline_ms=1000)
