--- a/sassafraslock/standin/platform.py
+++ b/sassafraslock/standin/platform.py
@@ -13,13 +13,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Faults:
-    """What goes wrong now; ratios are the share of calls that meet the fault."""
+    """What goes wrong now; ratios are the share of calls that meet the fault.
+
+    A late call takes effect after the next one, and its answer is lost. A stale VM list stays as
+    it was when the fault began.
+    """
 
     down: bool = False
     slow_ms: int = 0
     lost_request_ratio: float = 0.0
     lost_answer_ratio: float = 0.0
     late_effect_ratio: float = 0.0
+    stale_vms: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,12 +99,14 @@
 class FaultyPlatform:
     """Puts faults between a caller and a :class:`MemoryPlatform`."""
 
-    __slots__ = ("memory", "faults", "_random")
+    __slots__ = ("memory", "faults", "_random", "_late", "_known_vms")
 
     def __init__(self, memory: MemoryPlatform, faults: Faults, seed: int) -> None:
         self.memory = memory
         self.faults = faults
         self._random = random.Random(seed)
+        self._late: list[platform.Transaction] = []
+        self._known_vms: list[platform.Vm] = []
 
     async def transact(self, transaction: platform.Transaction) -> platform.TableResult:
         """Run one transaction, unless a fault stops it or its answer.
@@ -111,7 +118,13 @@
             return UNAVAILABLE
         if self._random.random() < self.faults.lost_request_ratio:
             return NO_ANSWER
+        if self._random.random() < self.faults.late_effect_ratio:
+            self._late.append(transaction)
+            return NO_ANSWER
         outcome = self.memory.apply(transaction)
+        late, self._late = self._late, []
+        for earlier in late:
+            self.memory.apply(earlier)
         if self._random.random() < self.faults.lost_answer_ratio:
             return NO_ANSWER
         return outcome
@@ -139,4 +152,8 @@
     async def list_vms(self) -> platform.VmResult:
         """Return the VM list as it stands."""
         await anyio.sleep(self.faults.slow_ms / 1000)
-        return UNAVAILABLE if self.faults.down else list(self.memory.vms.values())
+        if self.faults.down:
+            return UNAVAILABLE
+        if not self.faults.stale_vms:
+            self._known_vms = list(self.memory.vms.values())
+        return self._known_vms
--- a/tests/test_claim_service.py
+++ b/tests/test_claim_service.py
@@ -44,6 +44,8 @@
         {"slow_ms": 700},
         {"slow_ms": 3000},
         {"lost_answer_ratio": 0.2, "slow_ms": 200},
+        {"late_effect_ratio": 0.3},
+        {"late_effect_ratio": 0.2, "lost_answer_ratio": 0.2},
     ],
 )
 @pytest.mark.parametrize("loss_ratio", [0.0, 0.1])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -114,6 +114,32 @@
     anyio.run(way, check)
 
 
+@pytest.mark.parametrize("way", WAYS)
+def test_a_late_call_takes_effect_after_a_later_one_unless_its_condition_forbids(way):
+    async def check(table, faulty):
+        faulty.faults.late_effect_ratio = 1.0
+        for transaction in (put("a", b"late", 0), put("b", b"late")):
+            assert (await table.transact(transaction)).kind is errors.ErrorKind.STORE_UNAVAILABLE
+        faulty.faults.late_effect_ratio = 0.0
+        assert (await table.transact(put("a", b"new", 0))).committed
+        found = await table.transact(platform.Transaction(reads=["a", "b"]))
+        assert [r.value for r in found.rows] == [b"new", b"late"]
+
+    anyio.run(way, check)
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_stale_list_shows_what_was(way):
+    async def check(store, faulty):
+        faulty.memory.vms["old"] = platform.Vm("old")
+        assert await store.list_vms() == [platform.Vm("old")]
+        faulty.faults.stale_vms = True
+        faulty.memory.vms["new"] = platform.Vm("new")
+        assert await store.list_vms() == [platform.Vm("old")]
+
+    anyio.run(way, check)
+
+
 def test_the_client_stops_waiting_on_a_slow_platform():
     async def check(client, faulty):
         faulty.faults.slow_ms = 5_000
--- a/tests/test_settings_sync.py
+++ b/tests/test_settings_sync.py
@@ -1,6 +1,7 @@
 """Configuration: in force everywhere, never back, and clear conflicts."""
 
 import anyio
+import pytest
 
 from sassafraslock import errors
 from tests import world as virtual
@@ -64,14 +65,15 @@
     virtual.run(scenario, monkeypatch)
 
 
-def test_a_lost_answer_does_not_lose_or_double_a_change(monkeypatch):
+@pytest.mark.parametrize("fault", ["lost_answer_ratio", "late_effect_ratio"])
+def test_a_lost_answer_does_not_lose_or_double_a_change(monkeypatch, fault):
     async def scenario(world):
         await virtual.build(world)
         for number in range(12):
-            world.faulty.faults.lost_answer_ratio = 0.4
+            setattr(world.faulty.faults, fault, 0.4)
             before = revision(world, "r1-0")
             result = await change(world, "r1-0", 4000 + number)
-            world.faulty.faults.lost_answer_ratio = 0.0
+            setattr(world.faulty.faults, fault, 0.0)
             await anyio.sleep(3)
             if not isinstance(result, errors.Refusal):
                 assert revision(world, "r1-0") == before + 1
