Tokens with other letters are refused, not a crash; unused parts removed

Cause: comparing str tokens raises where one is not ASCII, so such a request got a bare 500; found by reading. Test first: two failed before, pass now.

--- a/sassafraslock/asgi.py
+++ b/sassafraslock/asgi.py
@@ -106,14 +106,12 @@
 class HttpServer:
     """Serves one ASGI application on one address, as a kernel service."""
 
-    __slots__ = ("_app", "_host", "_port", "_server", "_socket")
+    __slots__ = ("_app", "_host", "_port")
 
     def __init__(self, app: App, host: str, port: int) -> None:
         self._app = app
         self._host = host
         self._port = port
-        self._server: uvicorn.Server | None = None
-        self._socket: socket.socket | None = None
 
     async def run(self, ready: anyio.Event) -> None:
         """Serve until cancelled.
@@ -138,7 +136,6 @@
             backlog=BACKLOG,
         )
         server = _Server(config)
-        self._server = server
         listener = self._bind()
         try:
             async with anyio.create_task_group() as group:
@@ -165,11 +162,6 @@
             await anyio.sleep(STOP_POLL_S)
         ready.set()
 
-    @property
-    def open_connections(self) -> int:
-        """The number of connections that callers hold open."""
-        return len(self._server.server_state.connections) if self._server else 0
-
 
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the process and dies when cancelled."""
--- a/sassafraslock/client.py
+++ b/sassafraslock/client.py
@@ -41,7 +41,7 @@
             "sassafraslock-author": self.author,
         }
         if self.token:
-            headers["authorization"] = f"Bearer {self.token}"
+            headers["authorization"] = f"Bearer {self.token}".encode()
         timeout = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
         try:
             response = httpcore.request(
--- a/sassafraslock/clock.py
+++ b/sassafraslock/clock.py
@@ -3,14 +3,6 @@
 from __future__ import annotations
 
 import time
-import typing
-
-
-class Clock(typing.Protocol):
-    """Gives the present time of a monotonic clock."""
-
-    def __call__(self) -> int:
-        """Return milliseconds since an arbitrary start."""
 
 
 def monotonic_ms() -> int:
--- a/sassafraslock/services/operator_api.py
+++ b/sassafraslock/services/operator_api.py
@@ -103,8 +103,8 @@
             await asgi.send_json(send, 200, result)
 
     def _authorized(self, request: asgi.Request) -> bool:
-        expected = f"Bearer {self._settings.operator.token}"
-        return hmac.compare_digest(request.header(b"authorization"), expected)
+        expected = f"Bearer {self._settings.operator.token}".encode()
+        return hmac.compare_digest(request.header(b"authorization").encode("latin-1"), expected)
 
     async def _handle(self, request: asgi.Request, body: bytes) -> object:
         name = request.path.strip("/").partition("/")[2]
--- a/sassafraslock/services/request_path.py
+++ b/sassafraslock/services/request_path.py
@@ -126,7 +126,7 @@
         if not region:
             return None
         token = exchange.request.header(exchanges.PEER_TOKEN_HEADER)
-        if not hmac.compare_digest(token, self._settings.peer_token):
+        if not hmac.compare_digest(token.encode(), self._settings.peer_token.encode()):
             reason = "only entries may set the hop header; check peer_token"
             return errors.Refusal(errors.ErrorKind.UNAUTHORIZED, reason)
         exchange.hop_region = region
@@ -270,11 +270,11 @@
             left_ms = exchange.left_ms(clock.monotonic_ms())
             again = retry.may_retry(result.end, exchange.idempotent, exchange.attempts, left_ms)
             if not again or not self.budget.take():
-                return _give_up(exchange, result)
+                return _give_up(result)
             if result.end is retry.AttemptEnd.BROKE_MID_RUN:
                 refused = await self._suspects.check(exchange)
                 if refused:
-                    return _give_up(exchange, result)
+                    return _give_up(result)
             self.counts["retries"] += 1
 
     async def _attempt(self, exchange: exchanges.Exchange, avoid: list[str]) -> PathResult:
@@ -342,7 +342,7 @@
         )
         if result.end is retry.AttemptEnd.ANSWERED and not result.header(exchanges.ERROR_HEADER):
             return typing.cast(PathResult, result)
-        return _refusal_of(exchange, result)
+        return _refusal_of(result)
 
     def _pick_peer(self, service: str, region: str) -> messages.Heartbeat | None:
         live = [
@@ -377,7 +377,7 @@
         return {"in_flight": self.in_flight, "counts": dict(self.counts)}
 
 
-def _give_up(exchange: exchanges.Exchange, result: forwarder.Attempt) -> errors.Refusal:
+def _give_up(result: forwarder.Attempt) -> errors.Refusal:
     """Return the refusal for a last attempt that was not answered."""
     if result.end in (retry.AttemptEnd.NOT_SENT, retry.AttemptEnd.REFUSED_NOT_RUN):
         reason = f"no server took the request: {result.reason or 'refused'}"
@@ -387,9 +387,11 @@
     return errors.Refusal(errors.ErrorKind.SERVER_FAILED, result.reason)
 
 
-def _refusal_of(exchange: exchanges.Exchange, result: forwarder.Attempt) -> errors.Refusal:
+def _refusal_of(result: forwarder.Attempt) -> errors.Refusal:
     """Return the refusal that an entry of another region gave, or the break on the way."""
     named = _FORWARDED_KINDS.get(result.header(exchanges.ERROR_HEADER).decode("latin-1"))
     if named:
-        return errors.Refusal(named, f"through another region: {result.body[:200].decode()}")
-    return _give_up(exchange, result)
+        return errors.Refusal(
+            named, f"through another region: {result.body[:200].decode(errors='replace')}"
+        )
+    return _give_up(result)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -106,6 +106,7 @@
         assert {"peers", "steward", "claims", "settings", "path"} <= set(dumped)
         assert all(part["failures"] == 0 for part in dumped.values())
         invoke("status", *OPERATORS[:2], "--token", "wrong", code=9)
+        invoke("status", *OPERATORS[:2], "--token", "é", code=9)
 
     def test_blocks_are_published(self, tmp_path):
         table = tmp_path / "blocks.csv"
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -188,6 +188,7 @@
     ({"method": "POST", "key": "k" * 9000}, errors.ErrorKind.KEY_MALFORMED),
     ({"method": "PUT", "body": b"x" * (2 << 20)}, errors.ErrorKind.BODY_TOO_LARGE),
     ({"hop": "r2"}, errors.ErrorKind.UNAUTHORIZED),
+    ({"hop": "r2", "peer_token": "é"}, errors.ErrorKind.UNAUTHORIZED),
 ]
 
 
