One place for waiting requests' callbacks and for who reads; settings during a write are not missed

Found by reading the whole change: - a queued request's callback stood in a map beside the queue; a peer's request that ran out of time left the queue but never the map, which grew with each.

--- a/sassafraslock/decisions/membership.py
+++ b/sassafraslock/decisions/membership.py
@@ -7,6 +7,7 @@
 from sassafraslock import messages, platform
 
 SUSPECT_AFTER_MS = 2_000
+READERS = 2
 EVICT_AFTER_MS = 10_000
 EVICT_UNLISTED_AFTER_MS = 120_000
 ISOLATED_AFTER_MS = 5_000
@@ -52,6 +53,23 @@
         """
         return [p.heartbeat for p in self.peers.values() if self._is_live(p, now_ms)]
 
+    def in_region(self, region: str, now_ms: int) -> list[messages.Heartbeat]:
+        """Return the last heartbeats of a region's peers not suspected.
+
+        :param region: the region.
+        :param now_ms: the present time.
+        """
+        return [h for h in self.live(now_ms) if h.region == region]
+
+    def is_reader(self, entry_id: str, region: str, now_ms: int) -> bool:
+        """Tell whether an entry is one of the few of its region that read the store at each poll.
+
+        :param entry_id: the entry.
+        :param region: its region.
+        :param now_ms: the present time.
+        """
+        return sum(h.sender < entry_id for h in self.in_region(region, now_ms)) < READERS
+
     def is_live(self, entry_id: str, now_ms: int) -> bool:
         """Tell whether a peer was heard lately.
 
--- a/sassafraslock/decisions/slots.py
+++ b/sassafraslock/decisions/slots.py
@@ -4,6 +4,7 @@
 
 import bisect
 import dataclasses
+import typing
 
 from sassafraslock import errors, shared_settings
 
@@ -55,15 +56,23 @@
         return max(1, self.limit * age_ms // SLOW_START_MS)
 
 
+OnGrant = typing.Callable[[Grant], None]
+
+
+def _ignore(grant: Grant) -> None:
+    """Do nothing with a grant that the caller takes from the pool's answer."""
+
+
 @dataclasses.dataclass(slots=True)
 class Waiter:
-    """A request that waits for a slot; ``ticket`` tells the asker which one it is."""
+    """A request that waits for a slot; ``on_grant`` brings the grant to the one that asked."""
 
     ticket: str
     filing: bool
     deadline_ms: int
     give_up_ms: int
     avoid: list[str] = dataclasses.field(default_factory=list)
+    on_grant: OnGrant = _ignore
 
 
 class SlotPool:
--- a/sassafraslock/services/admission.py
+++ b/sassafraslock/services/admission.py
@@ -92,8 +92,8 @@
         return self._borrower.choose(service, self._region(now_ms), False, now_ms)
 
     def _region(self, now_ms: int) -> list[messages.Heartbeat]:
-        live = self._peers.table.live(now_ms)
-        return [h for h in live if h.region == self._settings.region and h.ready]
+        near = self._peers.table.in_region(self._settings.region, now_ms)
+        return [h for h in near if h.ready]
 
     async def acquire(
         self, service: str, filing: bool, deadline_ms: int, avoid: list[str]
@@ -112,8 +112,8 @@
             return found
         wanted = _Wanted(service, filing, deadline_ms, avoid)
         queued = _Queued(self._steward.new_ticket())
-        waiter = slots.Waiter(queued.ticket, filing, deadline_ms, give_up_ms, avoid)
-        if self._steward.wait(service, waiter, queued.note):
+        waiter = slots.Waiter(queued.ticket, filing, deadline_ms, give_up_ms, avoid, queued.note)
+        if self._steward.wait(service, waiter):
             return await self._queue(wanted, queued, give_up_ms) or found
         return await self._borrow(wanted, give_up_ms, False) or found
 
--- a/sassafraslock/services/request_path.py
+++ b/sassafraslock/services/request_path.py
@@ -347,8 +347,8 @@
     def _pick_peer(self, service: str, region: str) -> messages.Heartbeat | None:
         live = [
             h
-            for h in self._peers.table.live(clock.monotonic_ms())
-            if h.region == region and h.ready and not h.leaving
+            for h in self._peers.table.in_region(region, clock.monotonic_ms())
+            if h.ready and not h.leaving
         ]
         if not live:
             return None
--- a/sassafraslock/services/settings_sync.py
+++ b/sassafraslock/services/settings_sync.py
@@ -22,7 +22,6 @@
 )
 from sassafraslock.decisions import revisions
 
-READERS = 2
 SLOW_POLL_FACTOR = 40
 MAX_ATTEMPTS = 3
 SCAN_LIMIT = 1000
@@ -102,9 +101,8 @@
         await anyio.sleep(self._settings.poll_ms / 1000)
 
     def _is_reader(self, now_ms: int) -> bool:
-        mine = self._settings.region
-        ids = [h.sender for h in self._peers.table.live(now_ms) if h.region == mine]
-        return sorted([*ids, self._settings.entry_id]).index(self._settings.entry_id) < READERS
+        mine = self._settings
+        return bool(self._peers.table.is_reader(mine.entry_id, mine.region, now_ms))
 
     async def _poll(self) -> None:
         scan = platform.Scan(revisions.SETTINGS_PREFIX, limit=SCAN_LIMIT)
--- a/sassafraslock/services/splits.py
+++ b/sassafraslock/services/splits.py
@@ -140,8 +140,8 @@
 
     def neighbours(self) -> list[messages.Heartbeat]:
         """Return the last heartbeats of the region's other ready entries."""
-        live = self._peers.table.live(clock.monotonic_ms())
-        return [h for h in live if h.region == self._settings.region and h.ready]
+        near = self._peers.table.in_region(self._settings.region, clock.monotonic_ms())
+        return [h for h in near if h.ready]
 
     def dump(self) -> dict[str, object]:
         """Return the splits in force and the share moved within the last window."""
--- a/sassafraslock/services/steward.py
+++ b/sassafraslock/services/steward.py
@@ -15,10 +15,8 @@
 from sassafraslock.services import holdings
 
 VIEW_PREFIX = "view/"
-READERS = 2
 SLOW_POLL_FACTOR = 20
 
-OnGrant = typing.Callable[[slots.Grant], None]
 SplitsSource = typing.Callable[[], dict[str, shared_settings.Split]]
 AttemptObserver = typing.Callable[[tuple[str, str], bool, int], None]
 
@@ -40,7 +38,6 @@
         "_last_tick_ms",
         "_confirmed",
         "_looked",
-        "_on_grant",
         "_wake",
         "gone",
         "attempt_observer",
@@ -77,7 +74,6 @@
         self._last_tick_ms = 0
         self._confirmed = False
         self._looked = False
-        self._on_grant: dict[str, OnGrant] = {}
         self._wake = anyio.Event()
         settings_service.on_change(self._on_settings)
         peers.handle(messages.SlotRequest, self._on_slot_request)
@@ -117,18 +113,21 @@
         if not settled or busy or not self._confirmed or now_ms >= self._next_look_ms:
             return True
         region = self._settings.region
-        near = [h for h in self._peers.table.live(now_ms) if h.region == region]
-        if any(h.view_epochs.get(region, 0) > self.view.epoch for h in near):
+        table = self._peers.table
+        if any(
+            h.view_epochs.get(region, 0) > self.view.epoch for h in table.in_region(region, now_ms)
+        ):
             return True
-        return sum(h.sender < self.me.entry_id for h in near) < READERS
+        return bool(table.is_reader(self.me.entry_id, region, now_ms))
 
     async def _step(self) -> None:
         """Read the view, change it where this entry should, and follow it."""
         key = VIEW_PREFIX + self._settings.region
+        self._changed = False  # a change that arrives from here on asks for another look
         result = await self._platform.transact(platform.Transaction(reads=[key]))
         if isinstance(result, errors.Refusal):
+            self._changed = True
             return
-        self._changed = False
         self._take(result.row(key))
         wanted = self._wanted_view(clock.monotonic_ms())
         if wanted is self.view:
@@ -143,7 +142,8 @@
             events.log(events.Event.VIEW_CHANGE_FAILED, written.reason, logging.WARNING)
             self._changed = True
             return
-        self._changed = not written.committed
+        if not written.committed:
+            self._changed = True
         self._take(written.row(key))
 
     def _take(self, row: platform.Row | None) -> None:
@@ -212,7 +212,7 @@
     @property
     def followed(self) -> bool:
         """Whether the region's view was ever read by this process."""
-        return self._version > 0 or self._looked
+        return self._looked
 
     @property
     def pools(self) -> dict[str, slots.SlotPool]:
@@ -285,24 +285,18 @@
         if not pool.waiting or not self.may_act(clock.monotonic_ms()):
             return
         for waiter, grant in pool.grant_waiting(clock.monotonic_ms()):
-            on_grant = self._on_grant.pop(waiter.ticket, None)
-            if on_grant:
-                on_grant(grant)
-            else:
-                pool.release(grant.grant_id)
+            waiter.on_grant(grant)
 
-    def wait(self, service: str, waiter: slots.Waiter, on_grant: OnGrant) -> bool:
+    def wait(self, service: str, waiter: slots.Waiter) -> bool:
         """Queue a request for one of this entry's own servers.
 
         :param service: the service.
         :param waiter: the request; its ticket becomes the grant's id.
-        :param on_grant: called with the grant.
         :returns: whether this entry has a server of the service at all.
         """
         pool = self.pools.get(service)
         if pool is None or not pool.total:
             return False
-        self._on_grant[waiter.ticket] = on_grant
         pool.wait(waiter)
         return True
 
@@ -312,7 +306,6 @@
         :param service: the service.
         :param ticket: the request's ticket.
         """
-        self._on_grant.pop(ticket, None)
         if service in self.pools:
             self.pools[service].cancel(ticket)
 
@@ -332,8 +325,9 @@
                 now_ms + request.duration_ms,
                 now_ms + request.wait_ms,
                 request.avoid,
+                lambda granted: self._reply_slot(request, granted),
             )
-            if self.wait(request.service, waiter, lambda g: self._reply_slot(request, g)):
+            if self.wait(request.service, waiter):
                 return
         self._reply_slot(request, grant if isinstance(grant, slots.Grant) else None)
 
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -157,6 +157,26 @@
     virtual.run(scenario, monkeypatch)
 
 
+def test_settings_that_change_during_a_write_of_the_view_are_followed_at_the_next_poll(monkeypatch):
+    async def scenario(world):
+        await build_small(world)
+        holder = world.part("r1-2", "steward")
+        transact = holder._platform.transact
+
+        async def change_meanwhile(transaction):
+            result = await transact(transaction)
+            if transaction.puts:
+                holder._on_settings(holder._shared)
+            return result
+
+        monkeypatch.setattr(holder._platform, "transact", change_meanwhile)
+        holder.leaving = True
+        await holder._step()
+        assert holder._changed
+
+    virtual.run(scenario, monkeypatch)
+
+
 async def build_small(world):
     await virtual.build(world, servers_per_region=3, **SHORT_RULES)
 
