--- a/benchmarks/headroom.py
+++ b/benchmarks/headroom.py
@@ -12,6 +12,9 @@
 import random
 import typing
 
+import msgspec
+
+from benchmarks import slopes
 from sassafraslock import errors, messages
 from sassafraslock.decisions import borrow, slots
 
@@ -281,21 +284,8 @@
         """
         now_ms = int(self.timeline.now_ms)
         self.heartbeats = [
-            messages.Heartbeat(
-                sender=str(entry),
-                incarnation=1,
-                sequence=sequence,
-                region="r",
-                zone="a",
-                caller_address="",
-                peer_address="",
-                leaving=False,
-                ready=True,
-                in_flight=0,
-                revisions={},
-                view_epochs={},
-                claim_epochs={},
-                services=_loads(pool, now_ms),
+            msgspec.structs.replace(
+                slopes.heartbeat(str(entry), 0), sequence=sequence, services=_loads(pool, now_ms)
             )
             for entry, pool in enumerate(self.pools)
         ]
