--- /dev/null
+++ b/sassafraslock/decisions/placement.py
@@ -0,0 +1,303 @@
+"""Choice of the server for a request: the object's home unless it would be much later there."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from sassafraslock import errors, routing_table
+from sassafraslock.decisions import (
+    cold_start,
+    hashing,
+    object_memory,
+    region_plan,
+    registry,
+    route_speed,
+    server_health,
+    windows,
+)
+
+CANDIDATES = 4
+REMOTE_CANDIDATES = 2
+LEAVE_HOME_RATIO = 0.75
+LEAVE_HOME_MS = 5.0
+SPILL_RATIO = 0.06
+MAX_KEPT_RANKS = 16_384
+PATIENCE_BY_PRIORITY = (1.0, 0.9, 0.8)
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 1_000
+
+
+@dataclasses.dataclass(slots=True)
+class Wanted:
+    """A request that needs a server; ``paid`` if the retry budget allowed its next attempt."""
+
+    route: routing_table.Route
+    service: routing_table.Service
+    key: str
+    left_ms: int
+    tried: set[str] = dataclasses.field(default_factory=set)
+    attempts: int = 0
+    paid: bool = False
+
+    @property
+    def object_name(self) -> str:
+        """The object with its service, as servers keep it."""
+        return f"{self.service.name}|{self.key}"
+
+
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """The server for a request and what spoke for it."""
+
+    server: registry.Server
+    expected_ms: float
+    warm: bool
+    load: float
+    home: bool
+    cold: bool
+
+
+class EntryView(typing.Protocol):
+    """What placement needs to know of the other entries."""
+
+    def live_ids(self) -> list[str]:
+        """Return the ids of the live entries, this one included."""
+
+
+class Placer:
+    """Chooses servers from facts that may be old: registry, plans and this entry's health notes."""
+
+    __slots__ = (
+        "registry",
+        "health",
+        "objects",
+        "plans",
+        "_region",
+        "_entries",
+        "_cold",
+        "_speeds",
+        "_ranks",
+        "_generation",
+        "_placed",
+        "_spilled",
+    )
+
+    def __init__(
+        self,
+        region: str,
+        servers: registry.Registry,
+        entries: EntryView,
+        cold: cold_start.ColdStart,
+    ) -> None:
+        self.registry = servers
+        self.health: dict[str, server_health.ServerHealth] = {}
+        self.objects = object_memory.ObjectMemory()
+        self.plans: dict[tuple[str, frozenset[str]], region_plan.RegionPlan] = {}
+        self._region = region
+        self._entries = entries
+        self._cold = cold
+        self._speeds: dict[str, route_speed.RouteSpeed] = {}
+        self._ranks: dict[tuple[str, str, str], list[registry.Server]] = {}
+        self._generation = -1
+        self._placed = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
+        self._spilled = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
+
+    def health_of(self, server: registry.Server) -> server_health.ServerHealth:
+        """Return what this entry learned of a server's present start.
+
+        :param server: the server.
+        """
+        name = start_name(server)
+        found = self.health.get(name)
+        if found is None:
+            found = self.health[name] = server_health.ServerHealth()
+        return found
+
+    def speed_of(self, route: routing_table.Route) -> route_speed.RouteSpeed:
+        """Return the measured speed of a route.
+
+        :param route: the route.
+        """
+        found = self._speeds.get(route.name)
+        if found is None:
+            found = route_speed.RouteSpeed.guess(route.target_latency_ms)
+            self._speeds[route.name] = found
+        return found
+
+    def forget_gone(self) -> None:
+        """Drop what is kept of servers that left the registry."""
+        names = {start_name(s) for s in self.registry.servers.values()}
+        self.health = {k: v for k, v in self.health.items() if k in names or v.in_flight}
+        self._cold.forget(names)
+
+    def place(self, wanted: Wanted, now_ms: int) -> Choice | errors.Refusal:
+        """Return the server for a request, or why there is none.
+
+        :param wanted: the request.
+        :param now_ms: the present time.
+        """
+        planned = self._planned_region(wanted)
+        choices = self._choices(wanted, planned, CANDIDATES, now_ms)
+        chosen = _best(choices)
+        late_ms = wanted.left_ms * _patience(wanted.route)
+        self._placed.add(now_ms)
+        if chosen is None or chosen.expected_ms > late_ms:
+            spilled = self._spill(wanted, planned, chosen, now_ms)
+            chosen = spilled or chosen
+        if chosen is None:
+            return self._no_server(wanted)
+        if chosen.expected_ms > late_ms:
+            return _too_late(chosen, wanted)
+        if not chosen.cold or self._take_cold(chosen, wanted, now_ms):
+            return chosen
+        return self._instead_of_cold(wanted, choices, now_ms)
+
+    def _planned_region(self, wanted: Wanted) -> str:
+        plan = self.plans.get((wanted.service.name, wanted.route.regions))
+        if plan is None or not plan.weights:
+            return self._region
+        key = wanted.key
+        return max(
+            plan.weights,
+            key=lambda r: hashing.rendezvous_score(f"region|{key}", r, plan.weights[r]),
+        )
+
+    def _choices(self, wanted: Wanted, region: str, count: int, now_ms: int) -> list[Choice]:
+        choices: list[Choice] = []
+        for place, server in enumerate(self._ranked(wanted, region)):
+            if server.server_id in wanted.tried:
+                continue
+            health = self.health_of(server)
+            if not health.accepts(now_ms):
+                continue
+            choices.append(self._judge(wanted, server, health, place == 0, now_ms))
+            if len(choices) >= count:
+                break
+        return choices
+
+    def _judge(
+        self,
+        wanted: Wanted,
+        server: registry.Server,
+        health: server_health.ServerHealth,
+        home: bool,
+        now_ms: int,
+    ) -> Choice:
+        speed = self.speed_of(wanted.route)
+        sticky = wanted.route.sticky and bool(wanted.key)
+        warm = not sticky or self.objects.holds(wanted.object_name, server.server_id, now_ms)
+        cold = server.is_cold(now_ms)
+        slots = max(1, server.report.slots)
+        load = health.load(now_ms)
+        mean_ms = 0.7 * speed.expected_ms(True) + 0.3 * speed.expected_ms(False)
+        queue_ms = max(0.0, load + 1 - slots) / slots * mean_ms
+        factor = health.slow_factor(now_ms) * (2.0 if cold else 1.0)
+        expected_ms = factor * (speed.expected_ms(warm) + queue_ms) + health.rtt_ms
+        return Choice(server, expected_ms, warm, load, home, cold)
+
+    def _ranked(self, wanted: Wanted, region: str) -> list[registry.Server]:
+        if self._generation != self.registry.generation or len(self._ranks) > MAX_KEPT_RANKS:
+            self._ranks.clear()
+            self._generation = self.registry.generation
+        name = (wanted.service.name, region, wanted.key)
+        found = self._ranks.get(name)
+        if found is None:
+            servers = [s for s in self.registry.usable(wanted.service.name) if s.region == region]
+            servers.sort(key=lambda s: _score(wanted.key, s), reverse=True)
+            found = self._ranks[name] = servers[: 3 * CANDIDATES]
+        return found
+
+    def _spill(
+        self, wanted: Wanted, planned: str, chosen: Choice | None, now_ms: int
+    ) -> Choice | None:
+        """Look in the other regions, within the part of requests that may leave the plan."""
+        allowed = SPILL_RATIO * self._placed.total(now_ms)
+        planned_serves = any(s.region == planned for s in self.registry.usable(wanted.service.name))
+        if planned_serves and chosen is not None and self._spilled.total(now_ms) + 1 > allowed:
+            return None
+        regions = {s.region for s in self.registry.usable(wanted.service.name)} - {planned}
+        if wanted.route.regions:
+            regions &= wanted.route.regions
+        choices: list[Choice] = []
+        for region in sorted(regions):
+            choices += self._choices(wanted, region, REMOTE_CANDIDATES, now_ms)
+        best = min((c for c in choices if not c.cold), key=lambda c: c.expected_ms, default=None)
+        if best is None or (chosen is not None and best.expected_ms >= chosen.expected_ms):
+            return None
+        self._spilled.add(now_ms)
+        return best
+
+    def _take_cold(self, chosen: Choice, wanted: Wanted, now_ms: int) -> bool:
+        name = start_name(chosen.server)
+        return self._cold.take(name, wanted.service.cold_per_s, self._entries.live_ids(), now_ms)
+
+    def _instead_of_cold(
+        self, wanted: Wanted, choices: list[Choice], now_ms: int
+    ) -> Choice | errors.Refusal:
+        ready = [c for c in choices if not c.cold]
+        if not ready:
+            ready = self._ready_anywhere(wanted, now_ms)
+        if ready:
+            return min(ready, key=lambda c: c.expected_ms)
+        for choice in choices:
+            if self._take_cold(choice, wanted, now_ms):
+                return choice
+        reason = "all servers that could run it start cold"
+        return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 300)
+
+    def _ready_anywhere(self, wanted: Wanted, now_ms: int) -> list[Choice]:
+        choices: list[Choice] = []
+        for server in self.registry.usable(wanted.service.name):
+            if wanted.route.regions and server.region not in wanted.route.regions:
+                continue
+            if server.server_id in wanted.tried or server.is_cold(now_ms):
+                continue
+            health = self.health_of(server)
+            if health.accepts(now_ms):
+                choices.append(self._judge(wanted, server, health, False, now_ms))
+        local = [c for c in choices if c.server.region == self._region]
+        return local or choices
+
+    def _no_server(self, wanted: Wanted) -> errors.Refusal:
+        known = len(self.registry.usable(wanted.service.name))
+        reason = f"none of the {known} servers of {wanted.service.name} may get the request"
+        return errors.Refusal(errors.ErrorKind.NO_SERVER, reason, 300)
+
+
+def start_name(server: registry.Server) -> str:
+    """Return a name for one start of a server.
+
+    :param server: the server.
+    """
+    return f"{server.server_id}@{server.report.born_ms}"
+
+
+def _score(key: str, server: registry.Server) -> float:
+    return hashing.rendezvous_score(key, server.server_id, max(1, server.report.slots))
+
+
+def _best(choices: list[Choice]) -> Choice | None:
+    """Return the first choice unless another one is expected to be clearly earlier."""
+    if not choices:
+        return None
+    first = choices[0]
+    best = min(choices, key=lambda c: c.expected_ms)
+    if best.expected_ms < LEAVE_HOME_RATIO * first.expected_ms - LEAVE_HOME_MS:
+        return best
+    return first
+
+
+def _patience(route: routing_table.Route) -> float:
+    place = min(route.priority, len(PATIENCE_BY_PRIORITY) - 1)
+    return PATIENCE_BY_PRIORITY[place]
+
+
+def _too_late(chosen: Choice, wanted: Wanted) -> errors.Refusal:
+    over_ms = int(chosen.expected_ms - wanted.left_ms / 2)
+    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, over_ms))
+    reason = (
+        f"the best server would answer in {chosen.expected_ms:.0f} ms,"
+        f" {wanted.left_ms} ms are left"
+    )
+    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, wait_ms)
--- /dev/null
+++ b/sassafraslock/decisions/region_plan.py
@@ -0,0 +1,90 @@
+"""How an entry's requests for a service are split between regions."""
+
+from __future__ import annotations
+
+import dataclasses
+
+LOCAL_PREFERENCE = 1.3
+MAX_STEP = 0.02
+STEP_MS = 500
+SPILL_WINDOW_MS = 2_000
+
+
+@dataclasses.dataclass(slots=True)
+class RegionFacts:
+    """A region's slots for a service, and the share of all clients' requests that it gets."""
+
+    capacity: float
+    demand_share: float
+
+
+def target_weights(own: str, facts: dict[str, RegionFacts]) -> dict[str, float]:
+    """Return the share of requests that each region should get.
+
+    The own region gets as much as keeps it little busier than the others; what is beyond goes
+    to regions in proportion to what they have to spare.
+
+    :param own: the region of this entry.
+    :param facts: the regions that may serve.
+    """
+    total = sum(f.capacity for f in facts.values())
+    if total <= 0:
+        return {}
+    local = 0.0
+    mine = facts.get(own)
+    if mine and mine.capacity > 0:
+        fair = mine.capacity / total / max(mine.demand_share, 1e-6)
+        local = 1.0 if fair >= 1.0 else min(1.0, LOCAL_PREFERENCE * fair)
+    spare = {
+        region: max(0.0, f.capacity - total * f.demand_share)
+        for region, f in facts.items()
+        if region != own
+    }
+    if sum(spare.values()) <= 0:
+        spare = {region: f.capacity for region, f in facts.items() if region != own}
+    room = sum(spare.values())
+    if room <= 0:
+        return {own: 1.0}
+    weights = {region: (1.0 - local) * value / room for region, value in spare.items() if value > 0}
+    weights[own] = local
+    return {region: weight for region, weight in weights.items() if weight > 0}
+
+
+class RegionPlan:
+    """Weights that move slowly towards their target, so that traffic never shifts at once."""
+
+    __slots__ = ("weights", "_moved_ms")
+
+    def __init__(self) -> None:
+        self.weights: dict[str, float] = {}
+        self._moved_ms = 0
+
+    def update(self, target: dict[str, float], serving: set[str], now_ms: int) -> None:
+        """Move towards a target by at most :data:`MAX_STEP` each :data:`STEP_MS`.
+
+        A region that can serve nothing is left at once.
+
+        :param target: the weights wanted.
+        :param serving: the regions that have servers.
+        :param now_ms: the present time.
+        """
+        kept = {r: w for r, w in self.weights.items() if r in serving}
+        if not kept or sum(kept.values()) < 0.05:
+            self.weights = dict(target)
+            self._moved_ms = now_ms
+            return
+        total = sum(kept.values())
+        self.weights = {r: w / total for r, w in kept.items()}
+        steps = min(4, (now_ms - self._moved_ms) // STEP_MS)
+        if steps <= 0:
+            return
+        self._moved_ms = now_ms
+        self.weights = _approach(self.weights, target, MAX_STEP * steps)
+
+
+def _approach(now: dict[str, float], target: dict[str, float], step: float) -> dict[str, float]:
+    regions = now.keys() | target.keys()
+    moved = sum(max(0.0, target.get(r, 0.0) - now.get(r, 0.0)) for r in regions)
+    part = 1.0 if moved <= step else step / moved
+    mixed = {r: now.get(r, 0.0) + part * (target.get(r, 0.0) - now.get(r, 0.0)) for r in regions}
+    return {r: w for r, w in mixed.items() if w > 1e-9}
--- /dev/null
+++ b/sassafraslock/decisions/registry.py
@@ -0,0 +1,170 @@
+"""Registry of backend servers as the platform's store tells of them."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+LAPSE_GRACE_MS = 2_300
+EVACUATION_COLD_MS = 5_000
+RESTART_COLD_MS = 4_000
+
+
+class ServerState(enum.StrEnum):
+    """What a server says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServerReport:
+    """What one server wrote of itself.
+
+    ``born_ms`` tells one start from the next under the same id; ``cold_ms`` is how much longer
+    the server stays slow, counted from the writing.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: ServerState
+    cold_ms: int = 0
+    born_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A server with what this entry worked out about it. Times are of the steady clock."""
+
+    report: ServerReport
+    region: str
+    first_seen_ms: int
+    cold_until_ms: int = 0
+    draining: bool = False
+    lapsed_ms: int | None = None
+
+    @property
+    def server_id(self) -> str:
+        """The server's id, new at most starts."""
+        return self.report.server_id
+
+    def is_cold(self, now_ms: int) -> bool:
+        """Tell whether the server still tolerates few requests only.
+
+        :param now_ms: the present time.
+        """
+        return now_ms < self.cold_until_ms
+
+
+class Registry:
+    """Servers by id and service, evacuated zones, and entries that lapsed with the store."""
+
+    __slots__ = ("servers", "evacuated", "_regions", "_by_service", "generation")
+
+    def __init__(self, regions: dict[str, str]) -> None:
+        self.servers: dict[str, Server] = {}
+        self.evacuated: set[str] = set()
+        self.generation = 0
+        self._regions = regions
+        self._by_service: dict[str, list[Server]] = {}
+
+    def note_report(self, report: ServerReport, now_ms: int, joined: bool, cold_ms: int) -> None:
+        """Take in what a server says.
+
+        :param report: its row.
+        :param now_ms: the present time.
+        :param joined: whether the row is a change, not part of the first full read.
+        :param cold_ms: the service's cold time after a start.
+        """
+        known = self.servers.get(report.server_id)
+        if known is None or known.report.born_ms != report.born_ms:
+            known = self._add(report, now_ms)
+            if joined:
+                known.cold_until_ms = now_ms + min(cold_ms, RESTART_COLD_MS)
+        elif known.report.address != report.address or known.report.service != report.service:
+            known = self._add(report, now_ms)
+        cold_until_ms = now_ms + report.cold_ms if report.cold_ms > 0 else 0
+        known.cold_until_ms = max(known.cold_until_ms, cold_until_ms)
+        known.report = report
+        known.lapsed_ms = None
+        was_draining, known.draining = known.draining, report.state is ServerState.DRAINING
+        if was_draining != known.draining:
+            self._rebuild()
+
+    def _add(self, report: ServerReport, now_ms: int) -> Server:
+        region = self._regions.get(report.zone, report.zone)
+        server = Server(report, region, now_ms)
+        self.servers[report.server_id] = server
+        self._rebuild()
+        return server
+
+    def note_removed(self, server_id: str, now_ms: int, store_gap: bool) -> bool:
+        """Take in that a server's row is gone.
+
+        :param server_id: the server.
+        :param now_ms: the present time.
+        :param store_gap: whether the store was away lately, so that the row may just have
+            lapsed and be written again.
+        :returns: whether the server is known.
+        """
+        server = self.servers.get(server_id)
+        if server is None:
+            return False
+        if store_gap and not server.draining:
+            server.lapsed_ms = now_ms
+            return True
+        del self.servers[server_id]
+        self._rebuild()
+        return True
+
+    def expire_lapsed(self, now_ms: int) -> list[str]:
+        """Drop servers whose rows lapsed and did not come back, and return their ids.
+
+        :param now_ms: the present time.
+        """
+        gone = [
+            server_id
+            for server_id, server in self.servers.items()
+            if server.lapsed_ms is not None and now_ms - server.lapsed_ms >= LAPSE_GRACE_MS
+        ]
+        for server_id in gone:
+            del self.servers[server_id]
+        if gone:
+            self._rebuild()
+        return gone
+
+    def note_evacuation(self, zone: str, evacuated: bool, now_ms: int) -> None:
+        """Take in that a zone is to be emptied, or is taken back.
+
+        Its servers may have become cold meanwhile.
+
+        :param zone: the zone.
+        :param evacuated: whether its servers are to get nothing.
+        :param now_ms: the present time.
+        """
+        if evacuated:
+            self.evacuated.add(zone)
+        else:
+            self.evacuated.discard(zone)
+            for server in self.servers.values():
+                if server.report.zone == zone:
+                    cold_until_ms = now_ms + EVACUATION_COLD_MS
+                    server.cold_until_ms = max(server.cold_until_ms, cold_until_ms)
+        self._rebuild()
+
+    def usable(self, service: str) -> list[Server]:
+        """Return the servers of a service that may get new work.
+
+        :param service: the service.
+        """
+        return self._by_service.get(service, [])
+
+    def _rebuild(self) -> None:
+        self.generation += 1
+        self._by_service = {}
+        for server in self.servers.values():
+            if not server.draining and server.report.zone not in self.evacuated:
+                self._by_service.setdefault(server.report.service, []).append(server)
--- /dev/null
+++ b/sassafraslock/edge.py
@@ -0,0 +1,308 @@
+"""An entry that decides alone from shared facts: its services and how it starts and stops."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import typing
+
+import anyio
+import msgspec
+
+from sassafraslock import (
+    clock,
+    edge_settings,
+    errors,
+    events,
+    facts,
+    header_names,
+    http_messages,
+    kernel,
+    logs,
+    routing_table,
+)
+from sassafraslock.decisions import cold_start, placement, registry, retry_budget, roster
+from sassafraslock.path import journey_log, line, send
+from sassafraslock.services import (
+    belief,
+    directory,
+    gossip,
+    http_server,
+    log_writer,
+    metrics,
+    planner,
+    replica,
+    upstream,
+)
+
+LEAVE_AFTER_MS = 3_200
+STOP_MARGIN_MS = 400
+STOP_POLL_S = 0.05
+REGISTER_RETRY_S = 0.5
+STOP_SLACK_MS = 300
+
+
+class Formats(typing.Protocol):
+    """How one platform's clients ask for entries; its adapter implements this."""
+
+    def directory_handler(self, names: directory.Directory) -> http_messages.Handler:
+        """Return the handler of the directory's address.
+
+        :param names: tells which entries a client should use.
+        """
+
+    def readiness_handler(self, ready: typing.Callable[[], bool]) -> http_messages.Handler:
+        """Return the handler of the readiness address.
+
+        :param ready: tells whether this entry takes clients.
+        """
+
+
+class Edge:
+    """Builds the services of one entry and stops them gracefully."""
+
+    def __init__(
+        self,
+        settings: edge_settings.EdgeSettings,
+        source: facts.FactSource,
+        formats: Formats,
+        names: header_names.HeaderNames,
+        log_lines: log_writer.BulkHandler,
+    ) -> None:
+        self.settings = settings
+        self.boot_ms = clock.wall_ms()
+        self.leaving = False
+        self.kernel = kernel.Kernel()
+        self.log_lines = log_lines
+        self._source = source
+        self.gossip = gossip.GossipService(
+            settings.entry_id, settings.gossip_address, list(settings.seeds), self.describe
+        )
+        servers = registry.Registry(settings.regions)
+        self.belief = belief.Belief(servers, self.gossip.roster)
+        self.replica = replica.Replica(source, self.belief)
+        self.belief.judge_gaps_by(self.replica.store_gap)
+        self.replica.relay_through(gossip.PeerCopyReader(self.gossip, lambda: self.replica.version))
+        self.metrics = metrics.Metrics()
+        self.upstream = upstream.Upstream(names.request_id)
+        self.line = self._build_line(servers, names)
+        self.planner = planner.Planner(settings, self.belief, self.line.placer, self.gossip.roster)
+        self.line.note_demand = self.planner.note_request
+        self.directory = directory.Directory(settings, self.gossip.roster)
+        self.front = _server(self.line, settings.client_address, self.line.may_overlap)
+        self._register(formats)
+        self.belief.listeners.append(self._note_table)
+
+    def _build_line(
+        self, servers: registry.Registry, names: header_names.HeaderNames
+    ) -> line.RequestLine:
+        bounds = self.settings.bounds
+        cold = cold_start.ColdStart(self.settings.entry_id, bounds.cold_overage, bounds.cold_slack)
+        placer = placement.Placer(self.settings.region, servers, self.gossip, cold)
+        budget = retry_budget.RetryBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+        )
+        log = journey_log.JourneyLog(
+            self.metrics, lambda now_ms: now_ms - self.replica.last_answer_ms
+        )
+        return line.RequestLine(
+            self.belief,
+            placer,
+            budget,
+            send.Sender(self.upstream, names),
+            names,
+            log,
+            lambda: self.gossip.roster.entry_count(clock.monotonic_ms()),
+        )
+
+    def _register(self, formats: Formats) -> None:
+        settings = self.settings
+        self.kernel.register("log", log_writer.LogWriter(self.log_lines))
+        self.kernel.register("replica", self.replica)
+        self.kernel.register("gossip", self.gossip)
+        self.kernel.register("planner", self.planner)
+        self.kernel.register("upstream", self.upstream)
+        copies = gossip.PeerApi(self.replica)
+        self.kernel.register("copies", _server(copies, settings.gossip_address))
+        self.kernel.register("registration", Registrar(settings, self._source))
+        operators = OperatorApi(self.kernel, self.metrics)
+        if settings.operator_address:
+            self.kernel.register("operators", _server(operators, settings.operator_address))
+        named = formats.directory_handler(self.directory)
+        if settings.directory_address:
+            self.kernel.register("directory", _server(named, settings.directory_address))
+        ready = formats.readiness_handler(lambda: self.serves)
+        self.kernel.register("front", self.front)
+        self.kernel.register("readiness", _server(ready, settings.readiness_address))
+        self.kernel.register("departure", Departure(self))
+
+    @property
+    def serves(self) -> bool:
+        """Whether this entry takes clients."""
+        known = self.belief.table is not None and bool(self.belief.registry.servers)
+        self.directory.own_serves = known and not self.leaving
+        return self.directory.own_serves
+
+    def describe(self, beat: int) -> roster.MemberRecord:
+        """Return what this entry says of itself.
+
+        :param beat: the record's number.
+        """
+        return roster.MemberRecord(
+            entry_id=self.settings.entry_id,
+            boot_ms=self.boot_ms,
+            beat=beat,
+            zone=self.settings.zone,
+            gossip_address=self.settings.gossip_address,
+            client_address=self.settings.client_address,
+            ready=self.serves,
+            leaving=self.leaving,
+            replica_version=self.replica.version,
+            demand=self.planner.demand(clock.monotonic_ms()),
+        )
+
+    def _note_table(self, table: routing_table.RoutingTable) -> None:
+        self.front.limits = table.limits
+        self.line.splitter.forget()
+
+    def begin_leaving(self) -> None:
+        """Stop being named and tell clients on kept connections to go elsewhere."""
+        self.leaving = True
+        self.front.begin_closing()
+
+    async def run(self, reload: typing.Callable[[], None]) -> str:
+        """Serve until SIGTERM or SIGINT.
+
+        :param reload: reads the settings again, on SIGHUP.
+        :returns: the name of the service that made the process give up, or nothing.
+        """
+        settings = self.settings
+        events.log(
+            events.Event.PROCESS_STARTED,
+            "entry started",
+            entry=settings.entry_id,
+            zone=settings.zone,
+            clients=settings.client_address,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_signals, reload)
+            await self.kernel.run(settings.bounds.grace_ms - STOP_SLACK_MS)
+            group.cancel_scope.cancel()
+        events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
+        return self.kernel.failed_service
+
+    async def _watch_signals(self, reload: typing.Callable[[], None]) -> None:
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*watched) as received:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    reload()
+                else:
+                    self.kernel.request_stop()
+
+
+class Departure:
+    """Ends an entry's service without cutting off a request."""
+
+    __slots__ = ("_edge",)
+
+    def __init__(self, edge: Edge) -> None:
+        self._edge = edge
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Exist until cancelled.
+
+        :param ready: set at once.
+        """
+        ready.set()
+        await anyio.sleep_forever()
+
+    async def stop(self) -> None:
+        """Stop being named, serve those that still have the name, and end what is in flight."""
+        started_ms = clock.monotonic_ms()
+        bounds = self._edge.settings.bounds
+        events.log(
+            events.Event.PROCESS_STOPPING,
+            "entry leaves",
+            entry=self._edge.settings.entry_id,
+            in_flight=self._edge.line.in_flight,
+        )
+        self._edge.begin_leaving()
+        named_ms = min(LEAVE_AFTER_MS, bounds.grace_ms // 2 + 200)
+        last_ms = bounds.grace_ms - STOP_MARGIN_MS
+        while True:
+            await anyio.sleep(STOP_POLL_S)
+            passed_ms = clock.monotonic_ms() - started_ms
+            if passed_ms >= last_ms or (passed_ms >= named_ms and not self._edge.line.in_flight):
+                return
+
+
+class Registrar:
+    """Writes once, after the start, where this entry is reached."""
+
+    __slots__ = ("_settings", "_source")
+
+    def __init__(self, settings: edge_settings.EdgeSettings, source: facts.FactSource) -> None:
+        self._settings = settings
+        self._source = source
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Write until the store took it, then exist until cancelled.
+
+        :param ready: set at once.
+        """
+        ready.set()
+        registration = facts.Registration(
+            self._settings.entry_id,
+            self._settings.zone,
+            self._settings.gossip_address,
+            self._settings.client_address,
+        )
+        while isinstance(await self._source.register(registration), errors.Refusal):
+            await anyio.sleep(REGISTER_RETRY_S)
+        await anyio.sleep_forever()
+
+
+class OperatorApi:
+    """Serves metrics and the dump of this process's state."""
+
+    __slots__ = ("_kernel", "_metrics")
+
+    def __init__(self, core: kernel.Kernel, counters: metrics.Metrics) -> None:
+        self._kernel = core
+        self._metrics = counters
+
+    async def __call__(self, request: http_messages.Request) -> http_messages.Response:
+        """Answer an operator.
+
+        :param request: the operator's request.
+        """
+        if request.path == "/metrics":
+            headers = [(b"content-type", b"text/plain; version=0.0.4")]
+            return http_messages.Response(200, headers, self._metrics.render())
+        if request.path == "/dump":
+            body = msgspec.json.encode(self._kernel.dump(), enc_hook=str)
+            return http_messages.Response(200, [(b"content-type", b"application/json")], body)
+        return http_messages.Response(404)
+
+
+def configure_logs(level: str = "INFO") -> log_writer.BulkHandler:
+    """Send all logs as JSON lines through a bounded buffer, and return the buffer.
+
+    :param level: the lowest level that is written.
+    """
+    handler = log_writer.BulkHandler()
+    handler.setFormatter(logs.JsonFormatter())
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
+    logging.getLogger("httpcore").setLevel(logging.WARNING)
+    return handler
+
+
+def _server(
+    handler: http_messages.Handler,
+    address: str,
+    ordering: http_messages.Ordering | None = None,
+) -> http_server.HttpServer:
+    host, _, port = address.rpartition(":")
+    return http_server.HttpServer(handler, host, int(port), ordering)
--- /dev/null
+++ b/sassafraslock/edge_settings.py
@@ -0,0 +1,39 @@
+"""Settings of an entry that follows the platform's store."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Bounds:
+    """What the operators promise their users; times in milliseconds."""
+
+    drain_ms: int = 2_500
+    grace_ms: int = 6_000
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_ms: int = 10_000
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
+    max_validity_ms: int = 5_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EdgeSettings:
+    """Where an entry stands and listens. Addresses are ``IP:PORT``.
+
+    ``regions`` gives the region of each availability zone.
+    """
+
+    entry_id: str
+    zone: str
+    region: str
+    regions: dict[str, str]
+    client_address: str
+    directory_address: str
+    readiness_address: str
+    gossip_address: str
+    operator_address: str = ""
+    seeds: tuple[str, ...] = ()
+    bounds: Bounds = dataclasses.field(default_factory=Bounds)
--- a/sassafraslock/errors.py
+++ b/sassafraslock/errors.py
@@ -34,6 +34,7 @@
     INVALID_SETTINGS = "invalid-settings"
     NOT_FOUND = "not-found"
     PEER_PROTOCOL = "peer-protocol"
+    HISTORY_LOST = "history-lost"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,6 +76,7 @@
     ErrorKind.INVALID_SETTINGS: Answer(422, True, 2),
     ErrorKind.NOT_FOUND: Answer(404, True, 3),
     ErrorKind.PEER_PROTOCOL: Answer(400, True, 2),
+    ErrorKind.HISTORY_LOST: Answer(503, True, 7, 500),
 }
 
 
--- /dev/null
+++ b/sassafraslock/header_names.py
@@ -0,0 +1,24 @@
+"""Names of the headers spoken with clients and backend servers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HeaderNames:
+    """Header names in lower case; a platform's adapter gives its own.
+
+    ``not_run`` marks a server's answer to a request that it did not run. ``signature`` vouches
+    for a server's whole answer. ``target_server`` names the only server that may run a request.
+    """
+
+    request_id: bytes = b"sassafraslock-request-id"
+    deadline_ms: bytes = b"sassafraslock-deadline-ms"
+    object_key: bytes = b"sassafraslock-object"
+    target_server: bytes = b"sassafraslock-server"
+    not_run: bytes = b"sassafraslock-not-run"
+    signature: bytes = b"sassafraslock-signature"
+    load: bytes = b"sassafraslock-load"
+    cold_ms: bytes = b"sassafraslock-cold-ms"
+    server_id: bytes = b"sassafraslock-server-id"
--- /dev/null
+++ b/sassafraslock/path/__init__.py
@@ -0,0 +1,1 @@
+"""The stages of a request's way: read, route, place, send, judge, answer."""
--- /dev/null
+++ b/sassafraslock/path/answer.py
@@ -0,0 +1,40 @@
+"""Last stage: the response that the client gets."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sassafraslock import errors, header_names, http_messages
+
+
+def pass_on(response: http_messages.Response) -> http_messages.Response:
+    """Return a server's response as the client gets it: status, body and headers unchanged.
+
+    :param response: the server's whole response.
+    """
+    return http_messages.Response(
+        response.status, http_messages.end_to_end(response.headers), response.body
+    )
+
+
+def refuse(
+    refusal: errors.Refusal, request_id: bytes, names: header_names.HeaderNames
+) -> http_messages.Response:
+    """Return the response that tells a client why it gets no server's answer.
+
+    :param refusal: the reason.
+    :param request_id: the request's id.
+    :param names: the header names in use.
+    """
+    headers: http_messages.Headers = [(b"content-type", b"application/json")]
+    if request_id:
+        headers.append((names.request_id, request_id))
+    if refusal.answer.not_run and refusal.wait_ms:
+        headers.append((b"retry-after", b"%.3f" % (refusal.wait_ms / 1000)))
+    body = {
+        "error": refusal.kind.value,
+        "reason": refusal.reason,
+        "not_run": refusal.answer.not_run,
+        "retry_after_ms": refusal.wait_ms if refusal.answer.not_run else 0,
+    }
+    return http_messages.Response(refusal.answer.status, headers, msgspec.json.encode(body))
--- /dev/null
+++ b/sassafraslock/path/line.py
@@ -0,0 +1,273 @@
+"""The line of stages that each request passes, with attempts at further servers on the way."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from sassafraslock import clock, errors, header_names, http_messages
+from sassafraslock.decisions import placement, retry_budget, server_health, split
+from sassafraslock.path import answer, judge, read, route, send
+from sassafraslock.services import belief
+
+PATIENCE_RATIO = 4.0
+PATIENCE_TARGET_RATIO = 1.2
+MIN_LEFT_MS = 20
+MAX_TRIED = 5
+
+
+@dataclasses.dataclass(slots=True)
+class Journey:
+    """One request's way, as it is logged when it ends."""
+
+    incoming: read.Incoming
+    routed: route.Routed | None = None
+    attempts: list[tuple[send.Attempt, judge.Verdict]] = dataclasses.field(default_factory=list)
+    refusal: errors.Refusal | None = None
+    response: http_messages.Response | None = None
+
+
+class JourneyLog(typing.Protocol):
+    """Writes down how a request's way ended."""
+
+    def note(self, journey: Journey, now_ms: int) -> None:
+        """Write down a request's way.
+
+        :param journey: the request with its attempts and its answer, none where its client left.
+        :param now_ms: the present time.
+        """
+
+
+class RequestLine:
+    """Passes requests from stage to stage. State changes between awaits only."""
+
+    __slots__ = (
+        "in_flight",
+        "placer",
+        "splitter",
+        "budget",
+        "draining",
+        "_belief",
+        "_sender",
+        "_names",
+        "_log",
+        "_entries",
+        "note_demand",
+    )
+
+    def __init__(
+        self,
+        beliefs: belief.Belief,
+        placer: placement.Placer,
+        budget: retry_budget.RetryBudget,
+        sender: send.Sender,
+        names: header_names.HeaderNames,
+        log: JourneyLog,
+        entries: typing.Callable[[], int],
+    ) -> None:
+        self.in_flight = 0
+        self.placer = placer
+        self.splitter = split.Splitter()
+        self.budget = budget
+        self.draining = False
+        self.note_demand: typing.Callable[[str, int], None] = lambda service, now_ms: None
+        self._belief = beliefs
+        self._sender = sender
+        self._names = names
+        self._log = log
+        self._entries = entries
+
+    async def __call__(self, request: http_messages.Request) -> http_messages.Response:
+        """Answer one request of a client.
+
+        :param request: the whole request.
+        """
+        self.in_flight += 1
+        journey = Journey(read.read(request, self._names))
+        try:
+            outcome = await self._pass(journey)
+            if isinstance(outcome, errors.Refusal):
+                journey.refusal = outcome
+                request_id = journey.incoming.request_id
+                journey.response = answer.refuse(outcome, request_id, self._names)
+            else:
+                journey.response = answer.pass_on(outcome)
+            return journey.response
+        finally:
+            self.in_flight -= 1
+            self._log.note(journey, clock.monotonic_ms())
+
+    def may_overlap(self, request: http_messages.Request) -> bool:
+        """Tell whether a request may run before earlier ones of its connection are answered.
+
+        :param request: the request.
+        """
+        table = self._belief.table
+        if table is None:
+            return False
+        host = read.read(request, self._names).host
+        found = table.match(host, request.path)
+        return found is not None and found.idempotent
+
+    async def _pass(self, journey: Journey) -> http_messages.Response | errors.Refusal:
+        routed = route.route(journey.incoming, self._belief.table, self.splitter)
+        if isinstance(routed, errors.Refusal):
+            return routed
+        journey.routed = routed
+        now_ms = clock.monotonic_ms()
+        self.budget.note_request(routed.service.name, now_ms)
+        self.note_demand(routed.service.name, now_ms)
+        key = journey.incoming.key or journey.incoming.request_id.decode("latin-1")
+        left_ms = journey.incoming.left_ms(routed.route.timeout_ms, now_ms)
+        wanted = placement.Wanted(routed.route, routed.service, key, left_ms)
+        return await self._attempt_until_answered(journey, routed, wanted)
+
+    async def _attempt_until_answered(
+        self, journey: Journey, routed: route.Routed, wanted: placement.Wanted
+    ) -> http_messages.Response | errors.Refusal:
+        while True:
+            now_ms = clock.monotonic_ms()
+            wanted.left_ms = journey.incoming.left_ms(routed.route.timeout_ms, now_ms)
+            if wanted.left_ms < MIN_LEFT_MS:
+                return _out_of_time(journey)
+            choice = self.placer.place(wanted, now_ms)
+            if isinstance(choice, errors.Refusal):
+                return _give_up(journey, choice)
+            if wanted.attempts and not wanted.paid and not self._may_send_again(wanted, now_ms):
+                return _give_up(journey, _budget_refusal())
+            wanted.paid = False
+            wanted.attempts += 1
+            wanted.tried.add(choice.server.server_id)
+            attempt, verdict = await self._attempt(routed, wanted, choice)
+            journey.attempts.append((attempt, verdict))
+            if verdict is judge.Verdict.NOT_SENT:
+                wanted.attempts -= 1
+            response = attempt.exchange.response if attempt.exchange else None
+            if verdict is judge.Verdict.ANSWERED and response is not None:
+                return response
+            if not self._may_go_on(routed, wanted, attempt, verdict):
+                if verdict is judge.Verdict.FAILED and response is not None:
+                    return response
+                return _give_up(journey, None)
+
+    def _may_send_again(self, wanted: placement.Wanted, now_ms: int) -> bool:
+        return self.budget.take(wanted.service.name, self._entries(), now_ms)
+
+    def _may_go_on(
+        self,
+        routed: route.Routed,
+        wanted: placement.Wanted,
+        attempt: send.Attempt,
+        verdict: judge.Verdict,
+    ) -> bool:
+        if wanted.attempts >= max(1, routed.route.max_attempts) or len(wanted.tried) >= MAX_TRIED:
+            return False
+        if verdict.certainly_not_run:
+            return True
+        if verdict is judge.Verdict.SILENT and not attempt.abandoned:
+            return False
+        return routed.route.idempotent
+
+    async def _attempt(
+        self, routed: route.Routed, wanted: placement.Wanted, choice: placement.Choice
+    ) -> tuple[send.Attempt, judge.Verdict]:
+        health = self.placer.health_of(choice.server)
+        patience_ms = 0
+        if routed.route.idempotent and wanted.attempts < routed.route.max_attempts:
+            target_ms = PATIENCE_TARGET_RATIO * routed.route.target_latency_ms
+            patience_ms = int(max(PATIENCE_RATIO * choice.expected_ms, target_ms))
+        attempt = await self._sender.send(
+            routed, choice, health, patience_ms, lambda: self._may_abandon(wanted)
+        )
+        verdict = judge.judge(attempt, self._names)
+        self._learn(routed, wanted, attempt, verdict, health)
+        return attempt, verdict
+
+    def _may_abandon(self, wanted: placement.Wanted) -> bool:
+        """Tell whether another server could answer now; the budget is taken when it is asked."""
+        now_ms = clock.monotonic_ms()
+        choice = self.placer.place(wanted, now_ms)
+        if isinstance(choice, errors.Refusal) or choice.expected_ms > wanted.left_ms / 2:
+            return False
+        wanted.paid = self._may_send_again(wanted, now_ms)
+        return wanted.paid
+
+    def _learn(
+        self,
+        routed: route.Routed,
+        wanted: placement.Wanted,
+        attempt: send.Attempt,
+        verdict: judge.Verdict,
+        health: server_health.ServerHealth,
+    ) -> None:
+        now_ms = attempt.sent_ms + attempt.took_ms
+        exchange = attempt.exchange
+        if verdict is judge.Verdict.NOT_SENT:
+            health.note_unreachable(now_ms)
+            return
+        if exchange is None or exchange.response is None:
+            health.note_broken(now_ms)
+            return
+        if exchange.connect_ms >= 0:
+            health.rtt_ms = float(exchange.connect_ms)
+        told = _told_load(exchange.response.header(self._names.load))
+        if told is not None:
+            health.note_load(told, now_ms)
+        if verdict is judge.Verdict.MISDIRECTED:
+            health.note_unreachable(now_ms)
+            return
+        health.note_answer(verdict in (judge.Verdict.FAILED, judge.Verdict.BROKEN), now_ms)
+        if verdict is judge.Verdict.ANSWERED:
+            self._learn_speed(routed, wanted, attempt, health)
+
+    def _learn_speed(
+        self,
+        routed: route.Routed,
+        wanted: placement.Wanted,
+        attempt: send.Attempt,
+        health: server_health.ServerHealth,
+    ) -> None:
+        choice = attempt.choice
+        now_ms = attempt.sent_ms + attempt.took_ms
+        took_ms = max(1.0, attempt.took_ms - health.rtt_ms)
+        slots = choice.server.report.slots
+        speed = self.placer.speed_of(routed.route)
+        if choice.load + 1 <= slots and not choice.cold:
+            health.note_speed(took_ms / speed.expected_ms(choice.warm), now_ms)
+            if health.slow_factor(now_ms) < 1.5:
+                speed.note(choice.warm, took_ms)
+        self.placer.objects.note(wanted.object_name, choice.server.server_id, now_ms)
+
+
+def _told_load(value: bytes) -> server_health.ReportedLoad | None:
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return server_health.ReportedLoad(*(int(part) for part in parts))
+
+
+def _budget_refusal() -> errors.Refusal:
+    reason = "no server ran it, and the budget for further attempts is used up"
+    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 200)
+
+
+def _may_have_run(journey: Journey) -> bool:
+    return any(not verdict.certainly_not_run for _, verdict in journey.attempts)
+
+
+def _out_of_time(journey: Journey) -> errors.Refusal:
+    if _may_have_run(journey):
+        return errors.Refusal(errors.ErrorKind.TIMED_OUT, "no answer within the time limit")
+    reason = "no server could be reached within the time limit"
+    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 200)
+
+
+def _give_up(journey: Journey, refusal: errors.Refusal | None) -> errors.Refusal:
+    """Return the refusal for a request that no further server is asked for."""
+    if not _may_have_run(journey):
+        return refusal or _budget_refusal()
+    attempt, verdict = journey.attempts[-1]
+    if verdict is judge.Verdict.SILENT and not attempt.abandoned:
+        return errors.Refusal(errors.ErrorKind.TIMED_OUT, "no answer within the time limit")
+    reason = attempt.exchange.reason if attempt.exchange else "the server stayed silent"
+    return errors.Refusal(errors.ErrorKind.SERVER_FAILED, reason or "the answer is not valid")
--- /dev/null
+++ b/sassafraslock/routing_table.py
@@ -0,0 +1,103 @@
+"""The operator's routing intents: routes, services and limits of one version."""
+
+from __future__ import annotations
+
+import dataclasses
+
+DEFAULT_HEADER_BYTES = 16 << 10
+DEFAULT_BODY_BYTES = 64 << 20
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Destination:
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Route:
+    """Where requests of one host and path prefix go, and under which terms.
+
+    ``priority`` 0 is served first. ``regions`` are those in which the requests may run; empty
+    means any. ``sticky`` says that servers work faster on objects which they handled before.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_ms: int
+    target_latency_ms: int
+    priority: int
+    max_attempts: int
+    destinations: tuple[Destination, ...]
+    sticky: bool = False
+    regions: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Service:
+    """What all servers of one service have in common.
+
+    ``cold_per_s`` is the rate that a cold server tolerates, ``cold_start_ms`` how long a server
+    stays cold after its start.
+    """
+
+    name: str
+    max_connections: int
+    cold_start_ms: int
+    cold_per_s: float
+    health_path: str = "/health"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Limits:
+    """What a client may send, and how slowly."""
+
+    max_header_bytes: int = DEFAULT_HEADER_BYTES
+    max_body_bytes: int = DEFAULT_BODY_BYTES
+    header_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Intents:
+    """One version of what the operator wants; versions rise."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    limits: Limits = dataclasses.field(default_factory=Limits)
+
+
+class RoutingTable:
+    """One version of the intents, indexed by host and path prefix."""
+
+    __slots__ = ("version", "services", "limits", "routes", "_prefixes")
+
+    def __init__(self, intents: Intents) -> None:
+        self.version = intents.version
+        self.routes = intents.routes
+        self.services = {service.name: service for service in intents.services}
+        self.limits = intents.limits
+        self._prefixes: dict[str, dict[str, Route]] = {}
+        for route in intents.routes:
+            self._prefixes.setdefault(route.host, {})[route.prefix] = route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, if there is one.
+
+        :param host: the request's host, without a port.
+        :param path: the request's path, without its query.
+        """
+        prefixes = self._prefixes.get(host)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- /dev/null
+++ b/sassafraslock/services/belief.py
@@ -0,0 +1,144 @@
+"""What this entry believes: routing table and registry, built from the replica's changes."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from sassafraslock import events, facts, routing_table
+from sassafraslock.decisions import registry, roster
+
+PRIOR_RATE_PER_ZONE = 2.0
+
+
+class Belief:
+    """Applies changes in order and logs each one that changes where requests may go."""
+
+    __slots__ = ("table", "registry", "_roster", "_store_gap", "listeners")
+
+    def __init__(self, servers: registry.Registry, members: roster.Roster) -> None:
+        self.table: routing_table.RoutingTable | None = None
+        self.registry = servers
+        self._roster = members
+        self._store_gap: typing.Callable[[int], bool] = lambda now_ms: False
+        self.listeners: list[typing.Callable[[routing_table.RoutingTable], None]] = []
+
+    def judge_gaps_by(self, store_gap: typing.Callable[[int], bool]) -> None:
+        """Name what tells whether the store was away lately.
+
+        :param store_gap: takes the present time.
+        """
+        self._store_gap = store_gap
+
+    def apply(self, change: facts.Change, first_read: bool, now_ms: int) -> None:
+        """Take in one change.
+
+        :param change: the newest state of a row.
+        :param first_read: whether it stems from the first full read of this process.
+        :param now_ms: the present time.
+        """
+        if change.unreadable is not None:
+            events.log(
+                events.Event.ROW_UNREADABLE,
+                change.unreadable.reason,
+                logging.WARNING,
+                topic=change.topic,
+                key=change.key,
+                version=change.version,
+            )
+        if change.topic is facts.Topic.INTENTS:
+            self._apply_intents(change, now_ms)
+        elif change.topic is facts.Topic.SERVERS:
+            self._apply_server(change, first_read, now_ms)
+        elif change.registration is not None:
+            self._note_entry(change.registration, now_ms)
+
+    def _apply_intents(self, change: facts.Change, now_ms: int) -> None:
+        if change.intents is not None:
+            self._set_table(change.intents, change.version)
+        elif change.evacuation is not None:
+            self._set_evacuation(change.evacuation.zone, True, change.version, now_ms)
+        elif change.removed and change.key in self.registry.evacuated:
+            self._set_evacuation(change.key, False, change.version, now_ms)
+
+    def _set_table(self, intents: routing_table.Intents, version: int) -> None:
+        if self.table is not None and intents.version <= self.table.version:
+            return
+        self.table = routing_table.RoutingTable(intents)
+        events.log(
+            events.Event.SETTINGS_IN_FORCE,
+            "routing intents are in force",
+            revision=intents.version,
+            routes=len(intents.routes),
+            store_version=version,
+        )
+        for listener in self.listeners:
+            listener(self.table)
+
+    def _set_evacuation(self, zone: str, evacuated: bool, version: int, now_ms: int) -> None:
+        self.registry.note_evacuation(zone, evacuated, now_ms)
+        events.log(
+            events.Event.EVACUATION_CHANGED,
+            "a zone is emptied" if evacuated else "a zone is taken back",
+            zone=zone,
+            store_version=version,
+        )
+
+    def _apply_server(self, change: facts.Change, first_read: bool, now_ms: int) -> None:
+        report = change.report
+        if report is None:
+            gap = change.unreadable is None and self._store_gap(now_ms)
+            if self.registry.note_removed(change.key, now_ms, gap):
+                events.log(
+                    events.Event.SERVER_GONE,
+                    "a server's entry is gone",
+                    server=change.key,
+                    store_version=change.version,
+                    held=gap,
+                )
+            return
+        known = self.registry.servers.get(change.key)
+        was_draining = known is not None and known.draining
+        cold_ms = self._cold_start_ms(report.service)
+        self.registry.note_report(report, now_ms, not first_read, cold_ms)
+        self._log_server(report, known is None, was_draining, change.version)
+
+    def _log_server(
+        self, report: registry.ServerReport, joined: bool, was_draining: bool, version: int
+    ) -> None:
+        draining = report.state is registry.ServerState.DRAINING
+        if not joined and draining == was_draining:
+            return
+        event = events.Event.SERVER_DRAINING if draining else events.Event.SERVER_JOINED
+        events.log(
+            event,
+            "a server drains" if draining else "a server may be used",
+            server=report.server_id,
+            service=report.service,
+            cold_ms=report.cold_ms,
+            store_version=version,
+        )
+
+    def _cold_start_ms(self, service: str) -> int:
+        if self.table is None or service not in self.table.services:
+            return 0
+        return self.table.services[service].cold_start_ms
+
+    def _note_entry(self, registration: facts.Registration, now_ms: int) -> None:
+        record = roster.MemberRecord(
+            entry_id=registration.entry_id,
+            boot_ms=0,
+            beat=0,
+            zone=registration.zone,
+            gossip_address=registration.gossip_address,
+            client_address=registration.client_address,
+        )
+        self._roster.note_address(record, now_ms)
+
+    def dump(self) -> dict[str, object]:
+        """Return the revision in force and the servers known."""
+        return {
+            "revision": self.table.version if self.table else None,
+            "servers": len(self.registry.servers),
+            "evacuated": sorted(self.registry.evacuated),
+        }
--- /dev/null
+++ b/sassafraslock/services/gossip.py
@@ -0,0 +1,210 @@
+"""Gossip between entries over UDP: who lives, who is ready, and how far each copy has come."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio
+import anyio.abc
+import httpcore
+import msgspec
+
+from sassafraslock import clock, events, http_messages
+from sassafraslock.decisions import roster
+from sassafraslock.services import replica
+
+INTERVAL_S = 0.5
+FAN_OUT = 3
+RECORDS_PER_MESSAGE = 12
+FETCH_TIMEOUT_S = 1.5
+MAX_DATAGRAM_BYTES = 8_192
+COPY_PATH = "/copy"
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Records of the sender, first, and of some other entries."""
+
+    records: list[roster.MemberRecord]
+
+
+class SelfDescription(typing.Protocol):
+    """Tells what this entry says of itself."""
+
+    def __call__(self, beat: int) -> roster.MemberRecord:
+        """Return this entry's record.
+
+        :param beat: the record's number.
+        """
+
+
+class GossipService:
+    """Owns the UDP socket and the roster."""
+
+    __slots__ = (
+        "roster",
+        "_address",
+        "_seeds",
+        "_describe",
+        "_beat",
+        "_encoder",
+        "_decoder",
+        "_live",
+    )
+
+    def __init__(
+        self, own_id: str, address: str, seeds: list[str], describe: SelfDescription
+    ) -> None:
+        self.roster = roster.Roster(own_id)
+        self._address = address
+        self._seeds = [seed for seed in seeds if seed != address]
+        self._describe = describe
+        self._beat = 0
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._live: set[str] = set()
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Send and receive until cancelled.
+
+        :param ready: set once the socket is bound.
+        """
+        host, _, port = self._address.rpartition(":")
+        async with await anyio.create_udp_socket(local_host=host, local_port=int(port)) as bound:
+            ready.set()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._receive, bound)
+                while True:
+                    await self.send_round(bound)
+                    self._note_losses(clock.monotonic_ms())
+                    await anyio.sleep(INTERVAL_S * (0.8 + 0.4 * random.random()))
+
+    async def send_round(self, bound: anyio.abc.UDPSocket) -> None:
+        """Send what is known to a few entries.
+
+        :param bound: the socket.
+        """
+        now_ms = clock.monotonic_ms()
+        payload = self._encoder.encode(Message(self._records(now_ms)))
+        for address in self._targets(now_ms):
+            host, _, port = address.rpartition(":")
+            try:
+                await bound.sendto(payload, host, int(port))
+            except OSError:
+                continue
+
+    def live_ids(self) -> list[str]:
+        """Return the ids of the live entries, this one included."""
+        live = self.roster.live(clock.monotonic_ms())
+        return [self.roster.own_id, *(m.record.entry_id for m in live)]
+
+    def _records(self, now_ms: int) -> list[roster.MemberRecord]:
+        self._beat += 1
+        members = self.roster.live(now_ms)
+        picked = random.sample(members, min(RECORDS_PER_MESSAGE, len(members)))
+        return [self._describe(self._beat), *(m.record for m in picked)]
+
+    def _targets(self, now_ms: int) -> list[str]:
+        live = [m.record.gossip_address for m in self.roster.live(now_ms)]
+        silent = [m.record.gossip_address for m in self.roster.known()]
+        silent = [a for a in {*silent, *self._seeds} if a not in live and a != self._address]
+        targets = random.sample(live, min(FAN_OUT, len(live)))
+        return targets + random.sample(silent, min(2, len(silent)))
+
+    async def _receive(self, bound: anyio.abc.UDPSocket) -> None:
+        while True:
+            try:
+                data, _ = await bound.receive()
+            except OSError:
+                await anyio.sleep(INTERVAL_S)
+                continue
+            self.take_in(data, clock.monotonic_ms())
+
+    def take_in(self, data: bytes, now_ms: int) -> None:
+        """Take in a datagram; one that cannot be read is left out.
+
+        :param data: the datagram.
+        :param now_ms: the present time.
+        """
+        try:
+            message = self._decoder.decode(data)
+        except msgspec.DecodeError as error:
+            events.log(events.Event.PEER_MESSAGE_REJECTED, str(error), size_bytes=len(data))
+            return
+        for record in message.records:
+            self.roster.note(record, now_ms)
+
+    def _note_losses(self, now_ms: int) -> None:
+        live = {m.record.entry_id for m in self.roster.live(now_ms)}
+        for entry_id in sorted(live - self._live):
+            events.log(events.Event.PEER_HEARD, "a peer is alive", entry=entry_id)
+        for entry_id in sorted(self._live - live):
+            events.log(events.Event.PEER_LOST, "a peer is silent", entry=entry_id)
+        self._live = live
+
+    def dump(self) -> dict[str, object]:
+        """Return the members with the age of what is known of them."""
+        now_ms = clock.monotonic_ms()
+        return {m.record.entry_id: now_ms - m.heard_ms for m in self.roster.known()}
+
+
+class PeerCopyReader:
+    """Fetches what peers' copies of the store hold."""
+
+    __slots__ = ("_gossip", "_own_version", "_decoder")
+
+    def __init__(self, gossip: GossipService, own_version: typing.Callable[[], int]) -> None:
+        self._gossip = gossip
+        self._own_version = own_version
+        self._decoder = msgspec.msgpack.Decoder(replica.Export)
+
+    async def fetch(self, positions: dict[str, int]) -> replica.Export | None:
+        """Return what a peer that is ahead knows beyond some versions, if there is one.
+
+        :param positions: the version reached, by topic.
+        """
+        now_ms = clock.monotonic_ms()
+        ahead = [
+            m.record.gossip_address
+            for m in self._gossip.roster.live(now_ms)
+            if m.record.replica_version > self._own_version()
+        ]
+        if not ahead:
+            return None
+        body = msgspec.msgpack.encode(positions)
+        try:
+            with anyio.fail_after(FETCH_TIMEOUT_S):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    url = f"http://{random.choice(ahead)}{COPY_PATH}"
+                    answer = await pool.request("POST", url, content=body)
+            return self._decoder.decode(answer.content)
+        except (OSError, TimeoutError, httpcore.NetworkError, httpcore.TimeoutException) as error:
+            events.log(events.Event.PEER_MESSAGE_REJECTED, f"no copy from a peer: {error!r}")
+        except (httpcore.ProtocolError, msgspec.DecodeError) as error:
+            events.log(events.Event.PEER_MESSAGE_REJECTED, f"a peer's copy: {error!r}")
+        return None
+
+
+class PeerApi:
+    """Answers peers that ask for this entry's copy."""
+
+    __slots__ = ("_replica", "_decoder")
+
+    def __init__(self, copy: replica.Replica) -> None:
+        self._replica = copy
+        self._decoder = msgspec.msgpack.Decoder(dict[str, int])
+
+    async def __call__(self, request: http_messages.Request) -> http_messages.Response:
+        """Return the copy beyond the versions that the request names.
+
+        :param request: the peer's request.
+        """
+        if request.path != COPY_PATH:
+            return http_messages.Response(404)
+        try:
+            positions = self._decoder.decode(request.body)
+        except msgspec.DecodeError:
+            return http_messages.Response(400)
+        return http_messages.Response(
+            200, body=msgspec.msgpack.encode(self._replica.export(positions))
+        )
--- /dev/null
+++ b/sassafraslock/services/replica.py
@@ -0,0 +1,209 @@
+"""This entry's copy of the store: follows the feeds, and peers' copies while the store is away."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio
+import msgspec
+
+from sassafraslock import clock, errors, events, facts
+
+FEED_WAIT_MS = 4_000
+SERVERS_PAUSE_S = 0.5
+INTENTS_PAUSE_S = 0.02
+ENTRIES_PAUSE_S = 1.0
+RETRY_PAUSE_S = 0.25
+STORE_GAP_MS = 1_000
+AFTER_GAP_MS = 2_300
+PEERS_AFTER_MS = 700
+PEERS_PAUSE_S = 0.4
+
+_PAUSES_S = {
+    facts.Topic.INTENTS: INTENTS_PAUSE_S,
+    facts.Topic.SERVERS: SERVERS_PAUSE_S,
+    facts.Topic.ENTRIES: ENTRIES_PAUSE_S,
+}
+
+
+class ChangeSink(typing.Protocol):
+    """Takes changes in as they become known."""
+
+    def apply(self, change: facts.Change, first_read: bool, now_ms: int) -> None:
+        """Take in one change.
+
+        :param change: the newest state of a row.
+        :param first_read: whether it stems from the first full read of this process.
+        :param now_ms: the present time.
+        """
+
+
+class PeerCopies(typing.Protocol):
+    """Reads other entries' copies."""
+
+    async def fetch(self, positions: dict[str, int]) -> Export | None:
+        """Return what a peer that is ahead knows beyond some versions, if there is one.
+
+        :param positions: the version reached, by topic.
+        """
+
+
+class Export(msgspec.Struct, frozen=True, array_like=True):
+    """Changes as one entry passes them to another."""
+
+    positions: dict[str, int]
+    changes: list[facts.Change]
+
+
+class Replica:
+    """Rows by topic and key with their versions; nothing in it ever goes back."""
+
+    __slots__ = (
+        "positions",
+        "regained_ms",
+        "last_answer_ms",
+        "rows",
+        "_source",
+        "_sink",
+        "_peers",
+        "_lost",
+        "_complete",
+    )
+
+    def __init__(self, source: facts.FactSource, sink: ChangeSink) -> None:
+        self.positions: dict[str, int] = {}
+        self.rows: dict[tuple[facts.Topic, str], facts.Change] = {}
+        self.regained_ms = -AFTER_GAP_MS
+        self.last_answer_ms = clock.monotonic_ms()
+        self._source = source
+        self._sink = sink
+        self._peers: PeerCopies | None = None
+        self._lost = False
+        self._complete: set[facts.Topic] = set()
+
+    def relay_through(self, peers: PeerCopies) -> None:
+        """Name who is asked while the store does not answer.
+
+        :param peers: reads other entries' copies.
+        """
+        self._peers = peers
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Follow the store until cancelled.
+
+        :param ready: set at once; the copy fills as the store answers.
+        """
+        ready.set()
+        async with anyio.create_task_group() as group:
+            for topic in facts.Topic:
+                group.start_soon(self._follow, topic)
+            group.start_soon(self._follow_peers)
+
+    def store_gap(self, now_ms: int) -> bool:
+        """Tell whether the store is away, or was until a moment ago.
+
+        :param now_ms: the present time.
+        """
+        if now_ms - self.last_answer_ms > STORE_GAP_MS + FEED_WAIT_MS:
+            return True
+        return self._lost or now_ms - self.regained_ms < AFTER_GAP_MS
+
+    @property
+    def version(self) -> int:
+        """The version up to which servers are known."""
+        return self.positions.get(facts.Topic.SERVERS, 0)
+
+    def export(self, positions: dict[str, int]) -> Export:
+        """Return what is known beyond some versions.
+
+        :param positions: the version reached, by topic.
+        """
+        changes = [c for c in self.rows.values() if c.version > positions.get(c.topic, 0)]
+        return Export(dict(self.positions), changes)
+
+    async def _follow(self, topic: facts.Topic) -> None:
+        while True:
+            if topic not in self._complete:
+                result = await self._source.read_all(topic)
+            else:
+                after = self.positions[topic]
+                result = await self._source.read_changes(topic, after, FEED_WAIT_MS)
+            now_ms = clock.monotonic_ms()
+            if isinstance(result, errors.Refusal):
+                await self._note_refusal(topic, result, now_ms)
+                continue
+            self._note_answer(now_ms)
+            self._take_in(topic, result, now_ms)
+            await anyio.sleep(_PAUSES_S[topic])
+
+    async def _note_refusal(self, topic: facts.Topic, refusal: errors.Refusal, now_ms: int) -> None:
+        if refusal.kind is errors.ErrorKind.HISTORY_LOST:
+            self._note_answer(now_ms)
+            self._complete.discard(topic)
+            events.log(events.Event.HISTORY_LOST, "the store's history is gone", topic=topic)
+            return
+        if not self._lost and now_ms - self.last_answer_ms > PEERS_AFTER_MS:
+            self._lost = True
+            events.log(
+                events.Event.STORE_DOWN,
+                "the store does not answer",
+                reason=refusal.reason,
+                silent_ms=now_ms - self.last_answer_ms,
+            )
+        await anyio.sleep(RETRY_PAUSE_S * (0.5 + random.random()))
+
+    def _note_answer(self, now_ms: int) -> None:
+        away_ms = now_ms - self.last_answer_ms
+        self.last_answer_ms = now_ms
+        if self._lost or away_ms > STORE_GAP_MS + FEED_WAIT_MS:
+            self._lost = False
+            self.regained_ms = now_ms
+            events.log(events.Event.STORE_UP, "the store answers again", away_ms=away_ms)
+
+    def _take_in(self, topic: facts.Topic, batch: facts.Batch, now_ms: int) -> None:
+        first_read = topic not in self.positions
+        if topic not in self._complete:
+            self._complete.add(topic)
+            self._remove_missing(topic, batch, now_ms)
+        for change in batch.changes:
+            self._apply(change, first_read, now_ms)
+        self.positions[topic] = max(self.positions.get(topic, 0), batch.version)
+
+    def _remove_missing(self, topic: facts.Topic, batch: facts.Batch, now_ms: int) -> None:
+        """Find the rows that left while no history tells of it."""
+        present = {change.key for change in batch.changes}
+        for (row_topic, key), row in list(self.rows.items()):
+            missing = row_topic is topic and key not in present and not row.removed
+            if missing and row.version < batch.version:
+                self._apply(facts.Change(topic, key, batch.version), False, now_ms)
+
+    def _apply(self, change: facts.Change, first_read: bool, now_ms: int) -> None:
+        known = self.rows.get((change.topic, change.key))
+        if known is not None and known.version >= change.version:
+            return
+        self.rows[(change.topic, change.key)] = change
+        self._sink.apply(change, first_read, now_ms)
+
+    async def _follow_peers(self) -> None:
+        while True:
+            await anyio.sleep(PEERS_PAUSE_S)
+            away_ms = clock.monotonic_ms() - self.last_answer_ms
+            if self._peers is None or (
+                not self._lost and self.positions and away_ms < PEERS_AFTER_MS + FEED_WAIT_MS
+            ):
+                continue
+            export = await self._peers.fetch(self.positions)
+            if export is None:
+                continue
+            now_ms = clock.monotonic_ms()
+            first_read = not self.positions
+            for change in sorted(export.changes, key=lambda c: c.version):
+                self._apply(change, first_read, now_ms)
+            for topic, version in export.positions.items():
+                if version > self.positions.get(topic, 0):
+                    self.positions[topic] = version
+
+    def dump(self) -> dict[str, object]:
+        """Return how far each topic is known."""
+        return {"positions": dict(self.positions), "rows": len(self.rows), "lost": self._lost}
