--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -24,6 +24,8 @@
 SPILL_RATIO = 0.06
 MAX_KEPT_RANKS = 16_384
 PATIENCE_BY_PRIORITY = (1.0, 0.9, 0.8)
+MIN_ZONE_PART = 0.7
+JOINED_MS = 15_000
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 1_000
 
@@ -74,6 +76,7 @@
         "objects",
         "plans",
         "_region",
+        "_zone",
         "_entries",
         "_cold",
         "_speeds",
@@ -81,11 +84,13 @@
         "_generation",
         "_placed",
         "_spilled",
+        "_joined",
     )
 
     def __init__(
         self,
         region: str,
+        zone: str,
         servers: registry.Registry,
         entries: EntryView,
         cold: cold_start.ColdStart,
@@ -95,11 +100,13 @@
         self.objects = object_memory.ObjectMemory()
         self.plans: dict[tuple[str, frozenset[str]], region_plan.RegionPlan] = {}
         self._region = region
+        self._zone = zone
         self._entries = entries
         self._cold = cold
         self._speeds: dict[str, route_speed.RouteSpeed] = {}
-        self._ranks: dict[tuple[str, str, str], list[registry.Server]] = {}
+        self._ranks: dict[tuple[str, str, str, bool], list[registry.Server]] = {}
         self._generation = -1
+        self._joined: dict[str, int] = {}
         self._placed = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
         self._spilled = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
 
@@ -139,7 +146,9 @@
         """
         planned = self._planned_region(wanted)
         choices = self._choices(wanted, planned, CANDIDATES, now_ms)
-        chosen = _best(choices)
+        chosen = self._new_home(wanted, choices) or _best(choices)
+        if chosen is not None and wanted.route.idempotent and not wanted.attempts:
+            chosen = self._untried(wanted, now_ms) or chosen
         late_ms = wanted.left_ms * _patience(wanted.route)
         self._placed.add(now_ms)
         if chosen is None or chosen.expected_ms > late_ms:
@@ -156,17 +165,56 @@
     def _planned_region(self, wanted: Wanted) -> str:
         plan = self.plans.get((wanted.service.name, wanted.route.regions))
         if plan is None or not plan.weights:
-            return self._region
+            allowed = wanted.route.regions
+            return self._region if not allowed or self._region in allowed else min(allowed)
         key = wanted.key
         return max(
             plan.weights,
             key=lambda r: hashing.rendezvous_score(f"region|{key}", r, plan.weights[r]),
         )
 
+    def _new_home(self, wanted: Wanted, choices: list[Choice]) -> Choice | None:
+        """Return the home in the own zone if this request should be the first one there."""
+        if not choices or wanted.attempts:
+            return None
+        first = choices[0]
+        idle = first.load < first.server.report.slots / 2 and not first.cold
+        near = first.server.report.zone == self._zone and not first.warm and idle
+        if near and self.objects.moves_now(wanted.object_name, wanted.route.idempotent):
+            return first
+        return None
+
+    def _untried(self, wanted: Wanted, now_ms: int) -> Choice | None:
+        """Return a server that joined and got nothing yet, so that its faults show early."""
+        for server_id, since_ms in list(self._joined.items()):
+            server = self.registry.servers.get(server_id)
+            if server is None or self.health_of(server).answers or now_ms - since_ms > JOINED_MS:
+                del self._joined[server_id]
+                continue
+            fits = server.report.service == wanted.service.name and not server.draining
+            if not fits or not _allowed(wanted.route, server) or server.region != self._region:
+                continue
+            health = self.health_of(server)
+            evacuated = server.report.zone in self.registry.evacuated
+            if server.is_cold(now_ms) or evacuated or health.in_flight:
+                continue
+            if health.accepts(now_ms):
+                return self._judge(wanted, server, health, False, now_ms)
+        return None
+
+    def note_joined(self, server_id: str, now_ms: int) -> None:
+        """Remember that a server joined, so that it gets a request soon.
+
+        :param server_id: the server.
+        :param now_ms: the present time.
+        """
+        if self._cold.own_id in cold_start.sponsors(server_id, self._entries.live_ids()):
+            self._joined[server_id] = now_ms
+
     def _choices(self, wanted: Wanted, region: str, count: int, now_ms: int) -> list[Choice]:
         choices: list[Choice] = []
         for place, server in enumerate(self._ranked(wanted, region)):
-            if server.server_id in wanted.tried:
+            if server.server_id in wanted.tried or not _allowed(wanted.route, server):
                 continue
             health = self.health_of(server)
             if not health.accepts(now_ms):
@@ -200,14 +248,23 @@
         if self._generation != self.registry.generation or len(self._ranks) > MAX_KEPT_RANKS:
             self._ranks.clear()
             self._generation = self.registry.generation
-        name = (wanted.service.name, region, wanted.key)
+        near = region == self._region and self.objects.wants_near_home(wanted.object_name)
+        name = (wanted.service.name, region, wanted.key, near)
         found = self._ranks.get(name)
         if found is None:
             servers = [s for s in self.registry.usable(wanted.service.name) if s.region == region]
             servers.sort(key=lambda s: _score(wanted.key, s), reverse=True)
+            if near and self._zone_can_serve(servers):
+                servers = _near_first(servers, self._zone)
             found = self._ranks[name] = servers[: 3 * CANDIDATES]
         return found
 
+    def _zone_can_serve(self, servers: list[registry.Server]) -> bool:
+        """Tell whether the own zone has a fair part of the region's servers."""
+        zones = {s.report.zone for s in servers}
+        own = sum(s.report.zone == self._zone for s in servers)
+        return len(zones) > 1 and own * len(zones) >= MIN_ZONE_PART * len(servers)
+
     def _spill(
         self, wanted: Wanted, planned: str, chosen: Choice | None, now_ms: int
     ) -> Choice | None:
@@ -217,8 +274,6 @@
         if planned_serves and chosen is not None and self._spilled.total(now_ms) + 1 > allowed:
             return None
         regions = {s.region for s in self.registry.usable(wanted.service.name)} - {planned}
-        if wanted.route.regions:
-            regions &= wanted.route.regions
         choices: list[Choice] = []
         for region in sorted(regions):
             choices += self._choices(wanted, region, REMOTE_CANDIDATES, now_ms)
@@ -249,7 +304,7 @@
     def _ready_anywhere(self, wanted: Wanted, now_ms: int) -> list[Choice]:
         choices: list[Choice] = []
         for server in self.registry.usable(wanted.service.name):
-            if wanted.route.regions and server.region not in wanted.route.regions:
+            if not _allowed(wanted.route, server):
                 continue
             if server.server_id in wanted.tried or server.is_cold(now_ms):
                 continue
@@ -273,6 +328,16 @@
     return f"{server.server_id}@{server.report.born_ms}"
 
 
+def _allowed(route: routing_table.Route, server: registry.Server) -> bool:
+    return not route.regions or server.region in route.regions
+
+
+def _near_first(servers: list[registry.Server], zone: str) -> list[registry.Server]:
+    """Put the best server of the zone first, then the region's best, then the others in order."""
+    near = next(s for s in servers if s.report.zone == zone)
+    return [near, *(s for s in servers if s is not near)]
+
+
 def _score(key: str, server: registry.Server) -> float:
     return hashing.rendezvous_score(key, server.server_id, max(1, server.report.slots))
 
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -39,6 +39,7 @@
     ejected_until_ms: int = 0
     probing: bool = False
     rtt_ms: float = 0.0
+    answers: int = 0
 
     def load(self, now_ms: int) -> float:
         """Return the requests that run or wait at the server, as far as known.
@@ -87,6 +88,7 @@
         :param failed: whether the answer is a failure of the server's own.
         :param now_ms: the present time.
         """
+        self.answers += 1
         self.unreachable = 0
         self.probing = False
         self.ejected_until_ms = 0
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -31,6 +31,7 @@
     log_writer,
     metrics,
     planner,
+    poison_watch,
     replica,
     upstream,
 )
@@ -75,8 +76,14 @@
         self.kernel = kernel.Kernel()
         self.log_lines = log_lines
         self._source = source
+        self.upstream = upstream.Upstream(names.request_id)
+        self.poison = poison_watch.PoisonWatch(self.upstream)
         self.gossip = gossip.GossipService(
-            settings.entry_id, settings.gossip_address, list(settings.seeds), self.describe
+            settings.entry_id,
+            settings.gossip_address,
+            list(settings.seeds),
+            self.describe,
+            self.poison,
         )
         servers = registry.Registry(settings.regions)
         self.belief = belief.Belief(servers, self.gossip.roster)
@@ -84,21 +91,23 @@
         self.belief.judge_gaps_by(self.replica.store_gap)
         self.replica.relay_through(gossip.PeerCopyReader(self.gossip, lambda: self.replica.version))
         self.metrics = metrics.Metrics()
-        self.upstream = upstream.Upstream(names.request_id)
         self.line = self._build_line(servers, names)
         self.planner = planner.Planner(settings, self.belief, self.line.placer, self.gossip.roster)
-        self.line.note_demand = self.planner.note_request
+        self.line.note_work = self.planner.note_work
         self.directory = directory.Directory(settings, self.gossip.roster)
         self.front = _server(self.line, settings.client_address, self.line.may_overlap)
         self._register(formats)
         self.belief.listeners.append(self._note_table)
+        self.belief.note_joined = self.line.placer.note_joined
 
     def _build_line(
         self, servers: registry.Registry, names: header_names.HeaderNames
     ) -> line.RequestLine:
         bounds = self.settings.bounds
         cold = cold_start.ColdStart(self.settings.entry_id, bounds.cold_overage, bounds.cold_slack)
-        placer = placement.Placer(self.settings.region, servers, self.gossip, cold)
+        placer = placement.Placer(
+            self.settings.region, self.settings.zone, servers, self.gossip, cold
+        )
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
@@ -112,6 +121,7 @@
             send.Sender(self.upstream, names),
             names,
             log,
+            self.poison,
             lambda: self.gossip.roster.entry_count(clock.monotonic_ms()),
         )
 
@@ -122,6 +132,7 @@
         self.kernel.register("gossip", self.gossip)
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
+        self.kernel.register("poison", self.poison)
         copies = gossip.PeerApi(self.replica)
         self.kernel.register("copies", _server(copies, settings.gossip_address))
         self.kernel.register("registration", Registrar(settings, self._source))
@@ -163,6 +174,7 @@
 
     def _note_table(self, table: routing_table.RoutingTable) -> None:
         self.front.limits = table.limits
+        self.planner.update(clock.monotonic_ms())
         self.line.splitter.forget()
 
     def begin_leaving(self) -> None:
--- a/sassafraslock/errors.py
+++ b/sassafraslock/errors.py
@@ -67,7 +67,7 @@
     ErrorKind.SHIFT_CAP: Answer(503, True, 6, 1000),
     ErrorKind.NO_SERVER: Answer(503, True, 6, 1000),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, True, 7, 1000),
-    ErrorKind.QUARANTINED: Answer(422, True, 8),
+    ErrorKind.QUARANTINED: Answer(503, True, 8, 1000),
     ErrorKind.NOT_READY: Answer(503, True, 7, 500),
     ErrorKind.LEAVING: Answer(503, True, 7, 100),
     ErrorKind.SERVER_FAILED: Answer(502, False, 5),
--- a/sassafraslock/path/journey_log.py
+++ b/sassafraslock/path/journey_log.py
@@ -33,9 +33,9 @@
         self._metrics.observe(service, result, took_ms / 1000)
         fields = self._fields(journey, took_ms, now_ms)
         if journey.response is None:
-            events.log(events.Event.REQUEST_ABANDONED, "the client left", **fields)
+            events.log(events.Event.REQUEST_ABANDONED, "the client left", logging.INFO, **fields)
         elif journey.refusal is None:
-            events.log(events.Event.REQUEST_ANSWERED, "answered", **fields)
+            events.log(events.Event.REQUEST_ANSWERED, "answered", logging.INFO, **fields)
         elif journey.refusal.answer.not_run:
             reason = journey.refusal.reason
             events.log(events.Event.REQUEST_REFUSED, reason, logging.WARNING, **fields)
@@ -46,6 +46,9 @@
     def _fields(self, journey: line.Journey, took_ms: int, now_ms: int) -> dict[str, object]:
         fields: dict[str, object] = {
             "request": journey.incoming.request_id.decode("latin-1"),
+            "method": journey.incoming.request.method,
+            "path": journey.incoming.request.target,
+            "client": journey.incoming.request.client,
             "object": journey.incoming.key,
             "took_ms": took_ms,
             "facts_age_ms": self._replica_age_ms(now_ms),
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -6,9 +6,9 @@
 import typing
 
 from sassafraslock import clock, errors, header_names, http_messages
-from sassafraslock.decisions import placement, retry_budget, server_health, split
+from sassafraslock.decisions import placement, quarantine, retry_budget, server_health, split
 from sassafraslock.path import answer, judge, read, route, send
-from sassafraslock.services import belief
+from sassafraslock.services import belief, poison_watch, upstream
 
 PATIENCE_RATIO = 4.0
 PATIENCE_TARGET_RATIO = 1.2
@@ -51,8 +51,9 @@
         "_sender",
         "_names",
         "_log",
+        "_poison",
         "_entries",
-        "note_demand",
+        "note_work",
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         sender: send.Sender,
         names: header_names.HeaderNames,
         log: JourneyLog,
+        poison: poison_watch.PoisonWatch,
         entries: typing.Callable[[], int],
     ) -> None:
         self.in_flight = 0
@@ -70,11 +72,12 @@
         self.splitter = split.Splitter()
         self.budget = budget
         self.draining = False
-        self.note_demand: typing.Callable[[str, int], None] = lambda service, now_ms: None
+        self.note_work: typing.Callable[[str, int, int], None] = lambda name, busy_ms, now_ms: None
         self._belief = beliefs
         self._sender = sender
         self._names = names
         self._log = log
+        self._poison = poison
         self._entries = entries
 
     async def __call__(self, request: http_messages.Request) -> http_messages.Response:
@@ -115,8 +118,10 @@
             return routed
         journey.routed = routed
         now_ms = clock.monotonic_ms()
+        if self._is_poison(routed, now_ms):
+            reason = "servers crashed while they ran this request"
+            return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
         self.budget.note_request(routed.service.name, now_ms)
-        self.note_demand(routed.service.name, now_ms)
         key = journey.incoming.key or journey.incoming.request_id.decode("latin-1")
         left_ms = journey.incoming.left_ms(routed.route.timeout_ms, now_ms)
         wanted = placement.Wanted(routed.route, routed.service, key, left_ms)
@@ -150,6 +155,10 @@
                     return response
                 return _give_up(journey, None)
 
+    def _is_poison(self, routed: route.Routed, now_ms: int) -> bool:
+        known = self._poison.quarantine
+        return known.size > 0 and known.is_quarantined(_mark(routed), now_ms)
+
     def _may_send_again(self, wanted: placement.Wanted, now_ms: int) -> bool:
         return self.budget.take(wanted.service.name, self._entries(), now_ms)
 
@@ -207,6 +216,10 @@
             return
         if exchange is None or exchange.response is None:
             health.note_broken(now_ms)
+            if exchange is not None and exchange.end is upstream.End.BROKEN:
+                report = attempt.choice.server.report
+                found = poison_watch.Break(_mark(routed), report.server_id, report.address)
+                self._poison.note_broken(found)
             return
         if exchange.connect_ms >= 0:
             health.rtt_ms = float(exchange.connect_ms)
@@ -229,7 +242,9 @@
     ) -> None:
         choice = attempt.choice
         now_ms = attempt.sent_ms + attempt.took_ms
-        took_ms = max(1.0, attempt.took_ms - health.rtt_ms)
+        connect_ms = max(0, attempt.exchange.connect_ms) if attempt.exchange else 0
+        took_ms = max(1.0, attempt.took_ms - health.rtt_ms - connect_ms)
+        self.note_work(routed.service.name, int(took_ms), now_ms)
         slots = choice.server.report.slots
         speed = self.placer.speed_of(routed.route)
         if choice.load + 1 <= slots and not choice.cold:
@@ -239,6 +254,12 @@
         self.placer.objects.note(wanted.object_name, choice.server.server_id, now_ms)
 
 
+def _mark(routed: route.Routed) -> str:
+    request = routed.incoming.request
+    caller = f"{routed.service.name}|{request.client}"
+    return quarantine.fingerprint(caller, request.method, request.target, request.body)
+
+
 def _told_load(value: bytes) -> server_health.ReportedLoad | None:
     parts = value.split(b",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -61,7 +61,6 @@
                 choice.server.report.address,
                 data,
                 routed.incoming.request_id,
-                routed.route.idempotent,
                 routed.incoming.request.method == "HEAD",
             )
         )
--- a/sassafraslock/services/belief.py
+++ b/sassafraslock/services/belief.py
@@ -14,7 +14,7 @@
 class Belief:
     """Applies changes in order and logs each one that changes where requests may go."""
 
-    __slots__ = ("table", "registry", "_roster", "_store_gap", "listeners")
+    __slots__ = ("table", "registry", "_roster", "_store_gap", "listeners", "note_joined")
 
     def __init__(self, servers: registry.Registry, members: roster.Roster) -> None:
         self.table: routing_table.RoutingTable | None = None
@@ -22,6 +22,7 @@
         self._roster = members
         self._store_gap: typing.Callable[[int], bool] = lambda now_ms: False
         self.listeners: list[typing.Callable[[routing_table.RoutingTable], None]] = []
+        self.note_joined: typing.Callable[[str, int], None] = lambda server_id, now_ms: None
 
     def judge_gaps_by(self, store_gap: typing.Callable[[int], bool]) -> None:
         """Name what tells whether the store was away lately.
@@ -101,6 +102,8 @@
         was_draining = known is not None and known.draining
         cold_ms = self._cold_start_ms(report.service)
         self.registry.note_report(report, now_ms, not first_read, cold_ms)
+        if known is None and not first_read:
+            self.note_joined(report.server_id, now_ms)
         self._log_server(report, known is None, was_draining, change.version)
 
     def _log_server(
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -12,7 +12,7 @@
 
 from sassafraslock import clock, events, http_messages
 from sassafraslock.decisions import roster
-from sassafraslock.services import replica
+from sassafraslock.services import poison_watch, replica
 
 INTERVAL_S = 0.5
 FAN_OUT = 3
@@ -23,9 +23,10 @@
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Records of the sender, first, and of some other entries."""
+    """Records of the sender, first, and of some other entries, and what crashes servers."""
 
     records: list[roster.MemberRecord]
+    suspects: list[poison_watch.Suspect] = []
 
 
 class SelfDescription(typing.Protocol):
@@ -50,15 +51,22 @@
         "_encoder",
         "_decoder",
         "_live",
+        "_poison",
     )
 
     def __init__(
-        self, own_id: str, address: str, seeds: list[str], describe: SelfDescription
+        self,
+        own_id: str,
+        address: str,
+        seeds: list[str],
+        describe: SelfDescription,
+        poison: poison_watch.PoisonWatch,
     ) -> None:
         self.roster = roster.Roster(own_id)
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
         self._describe = describe
+        self._poison = poison
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -85,7 +93,7 @@
         :param bound: the socket.
         """
         now_ms = clock.monotonic_ms()
-        payload = self._encoder.encode(Message(self._records(now_ms)))
+        payload = self._encoder.encode(Message(self._records(now_ms), self._poison.told(now_ms)))
         for address in self._targets(now_ms):
             host, _, port = address.rpartition(":")
             try:
@@ -133,6 +141,7 @@
             return
         for record in message.records:
             self.roster.note(record, now_ms)
+        self._poison.merge(message.suspects, now_ms)
 
     def _note_losses(self, now_ms: int) -> None:
         live = {m.record.entry_id for m in self.roster.live(now_ms)}
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -10,7 +10,7 @@
 
 INTERVAL_S = 0.5
 RATE_WINDOW_MS = 10_000
-PRIOR_RATE_PER_ZONE = 4.0
+PRIOR_SLOTS_PER_REGION = 1.0
 COLD_CAPACITY_RATIO = 0.3
 
 
@@ -45,24 +45,24 @@
             self.update(now_ms)
             await anyio.sleep(INTERVAL_S)
 
-    def note_request(self, service: str, now_ms: int) -> None:
-        """Count a client's request.
+    def note_work(self, service: str, busy_ms: int, now_ms: int) -> None:
+        """Count the time that a client's request kept a server busy.
 
-        :param service: the service that it asks for.
+        :param service: the service that it asked for.
+        :param busy_ms: the time.
         :param now_ms: the present time.
         """
         count = self._counts.get(service)
         if count is None:
             count = self._counts[service] = windows.SlidingCount(RATE_WINDOW_MS)
-        count.add(now_ms)
+        count.add(now_ms, busy_ms)
 
     def demand(self, now_ms: int) -> dict[str, float]:
-        """Return the requests a second that clients ask of this entry, by service.
+        """Return the slots that requests of this entry's clients keep busy, by service.
 
         :param now_ms: the present time.
         """
-        seconds = RATE_WINDOW_MS / 1000
-        return {s: round(c.total(now_ms) / seconds, 1) for s, c in self._counts.items()}
+        return {s: round(c.total(now_ms) / RATE_WINDOW_MS, 2) for s, c in self._counts.items()}
 
     def update(self, now_ms: int) -> None:
         """Bring each service's plan nearer to its target.
@@ -81,16 +81,18 @@
             plan = self._placer.plans.setdefault(name, region_plan.RegionPlan())
             found = self._facts(name[0], name[1], now_ms)
             serving = {r for r, f in found.items() if f.capacity > 0}
-            target = region_plan.target_weights(self._settings.region, found)
+            busy_slots = sum(self._demand_by_region(name[0], now_ms).values())
+            target = region_plan.target_weights(self._settings.region, found, busy_slots)
             plan.update(target, serving, now_ms)
 
     def _facts(
         self, service: str, allowed: frozenset[str], now_ms: int
     ) -> dict[str, region_plan.RegionFacts]:
         regions = set(self._settings.regions.values())
-        shares = self._demand_shares(service, now_ms)
+        demand = self._demand_by_region(service, now_ms)
+        total = sum(demand.values())
         found = {
-            region: region_plan.RegionFacts(0.0, shares.get(region, 0.0))
+            region: region_plan.RegionFacts(0.0, demand.get(region, 0.0) / total)
             for region in regions
             if not allowed or region in allowed
         }
@@ -100,17 +102,15 @@
                 found[server.region].capacity += server.report.slots * part
         return found
 
-    def _demand_shares(self, service: str, now_ms: int) -> dict[str, float]:
-        rates = {region: 0.0 for region in self._settings.regions.values()}
-        for region in self._settings.regions.values():
-            rates[region] += PRIOR_RATE_PER_ZONE
-        rates[self._settings.region] += self.demand(now_ms).get(service, 0.0)
+    def _demand_by_region(self, service: str, now_ms: int) -> dict[str, float]:
+        regions = self._settings.regions
+        busy = {region: PRIOR_SLOTS_PER_REGION for region in regions.values()}
+        busy[self._settings.region] += self.demand(now_ms).get(service, 0.0)
         for member in self._roster.live(now_ms):
-            region = self._settings.regions.get(member.record.zone)
+            region = regions.get(member.record.zone)
             if region is not None:
-                rates[region] += member.record.demand.get(service, 0.0)
-        total = sum(rates.values())
-        return {region: rate / total for region, rate in rates.items()}
+                busy[region] += member.record.demand.get(service, 0.0)
+        return busy
 
     def dump(self) -> dict[str, object]:
         """Return the present plans."""
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -19,11 +19,12 @@
 
 CONNECT_TIMEOUT_MS = 600
 UNACKNOWLEDGED_MS = 2_000
-MAX_IDLE_MS = 4_000
-MAX_IDLE_UNREPEATABLE_MS = 1_500
+MAX_IDLE_MS = 8_000
+MIN_IDLE_MS = 300
 IDLE_MARGIN_MS = 1_000
 MAX_BODY_BYTES = 64 << 20
 SWEEP_S = 1.0
+IDLE_GROWTH_RATIO = 1.05
 
 
 class End(enum.Enum):
@@ -208,10 +209,11 @@
 class Upstream:
     """Owns the connections to all servers, a bounded number to each."""
 
-    __slots__ = ("_id_header", "_idle", "_open")
+    __slots__ = ("_id_header", "_idle", "_open", "_idle_limit_ms")
 
     def __init__(self, id_header: bytes) -> None:
         self._id_header = id_header
+        self._idle_limit_ms = float(MAX_IDLE_MS)
         self._idle: dict[str, list[Connection]] = {}
         self._open: dict[str, int] = {}
 
@@ -235,6 +237,7 @@
 
         :param now_ms: the present time.
         """
+        self._idle_limit_ms = min(MAX_IDLE_MS, self._idle_limit_ms * IDLE_GROWTH_RATIO)
         for address, connections in list(self._idle.items()):
             kept = [c for c in connections if _is_fresh(c, c.max_idle_ms, now_ms)]
             for connection in connections:
@@ -253,27 +256,32 @@
         return self._open.get(address, 0)
 
     async def exchange(
-        self, address: str, data: bytes, request_id: bytes, repeatable: bool, head_only: bool
+        self, address: str, data: bytes, request_id: bytes, head_only: bool
     ) -> Exchange:
         """Send a request to a server and wait for its answer; cancellation closes the connection.
 
         :param address: the server's IP number and port.
         :param data: the request's bytes.
         :param request_id: the id that its answer must bear.
-        :param repeatable: whether a connection idle for long may be used.
         :param head_only: whether the answer has no body.
         """
         self._open[address] = self._open.get(address, 0) + 1
         connection: Connection | None = None
         try:
-            connection = self._take_idle(address, repeatable)
+            connection = self._take_idle(address)
             connect_ms = -1
+            idle_ms = 0
             if connection is None:
                 started_ms = clock.monotonic_ms()
                 connection = await self._connect(address)
                 connect_ms = clock.monotonic_ms() - started_ms
+            else:
+                idle_ms = clock.monotonic_ms() - connection.idle_since_ms
             outcome = await connection.send(data, request_id, head_only)
             outcome.connect_ms = connect_ms
+            if outcome.end is End.BROKEN and idle_ms > MIN_IDLE_MS:
+                # Servers or their network may forget idle connections sooner than they say.
+                self._idle_limit_ms = max(MIN_IDLE_MS, min(self._idle_limit_ms, idle_ms) / 2)
             if connection.release(clock.monotonic_ms()):
                 self._idle.setdefault(address, []).append(connection)
                 connection = None
@@ -287,14 +295,25 @@
             if not self._open[address]:
                 del self._open[address]
 
-    def _take_idle(self, address: str, repeatable: bool) -> Connection | None:
+    async def reachable(self, address: str) -> bool:
+        """Tell whether a server accepts connections.
+
+        :param address: the server's IP number and port.
+        """
+        try:
+            connection = await self._connect(address)
+        except (OSError, TimeoutError):
+            return False
+        connection.idle_since_ms = clock.monotonic_ms()
+        self._idle.setdefault(address, []).append(connection)
+        return True
+
+    def _take_idle(self, address: str) -> Connection | None:
         now_ms = clock.monotonic_ms()
         connections = self._idle.get(address)
         while connections:
             connection = connections.pop()
-            limit_ms = connection.max_idle_ms
-            if not repeatable:
-                limit_ms = min(limit_ms, MAX_IDLE_UNREPEATABLE_MS)
+            limit_ms = int(min(connection.max_idle_ms, self._idle_limit_ms))
             if _is_fresh(connection, limit_ms, now_ms):
                 return connection
             connection.close()
