--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -23,8 +23,8 @@
 LEAVE_HOME_MS = 5.0
 SPILL_RATIO = 0.06
 MAX_KEPT_RANKS = 16_384
-PATIENCE_BY_PRIORITY = (1.0, 0.9, 0.8)
-MIN_ZONE_PART = 0.7
+FREE_RATIO = 0.67
+QUEUE_LIMIT_BY_PRIORITY = (2.5, 2.0, 1.4)
 JOINED_MS = 15_000
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 1_000
@@ -32,7 +32,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Wanted:
-    """A request that needs a server; ``paid`` if the retry budget allowed its next attempt."""
+    """A request that needs a server.
+
+    ``paid`` says that the retry budget allowed its next attempt, ``shed`` that a server was full.
+    """
 
     route: routing_table.Route
     service: routing_table.Service
@@ -41,6 +44,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     paid: bool = False
+    shed: bool = False
 
     @property
     def object_name(self) -> str:
@@ -76,7 +80,6 @@
         "objects",
         "plans",
         "_region",
-        "_zone",
         "_entries",
         "_cold",
         "_speeds",
@@ -90,7 +93,6 @@
     def __init__(
         self,
         region: str,
-        zone: str,
         servers: registry.Registry,
         entries: EntryView,
         cold: cold_start.ColdStart,
@@ -100,11 +102,10 @@
         self.objects = object_memory.ObjectMemory()
         self.plans: dict[tuple[str, frozenset[str]], region_plan.RegionPlan] = {}
         self._region = region
-        self._zone = zone
         self._entries = entries
         self._cold = cold
         self._speeds: dict[str, route_speed.RouteSpeed] = {}
-        self._ranks: dict[tuple[str, str, str, bool], list[registry.Server]] = {}
+        self._ranks: dict[tuple[str, str, str], list[registry.Server]] = {}
         self._generation = -1
         self._joined: dict[str, int] = {}
         self._placed = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
@@ -146,17 +147,15 @@
         """
         planned = self._planned_region(wanted)
         choices = self._choices(wanted, planned, CANDIDATES, now_ms)
-        chosen = self._new_home(wanted, choices) or _best(choices)
+        chosen = _best(choices, wanted.shed)
         if chosen is not None and wanted.route.idempotent and not wanted.attempts:
             chosen = self._untried(wanted, now_ms) or chosen
-        late_ms = wanted.left_ms * _patience(wanted.route)
         self._placed.add(now_ms)
-        if chosen is None or chosen.expected_ms > late_ms:
-            spilled = self._spill(wanted, planned, chosen, now_ms)
-            chosen = spilled or chosen
+        if chosen is None or _is_too_late(chosen, wanted):
+            chosen = self._spill(wanted, planned, chosen, now_ms) or chosen
         if chosen is None:
             return self._no_server(wanted)
-        if chosen.expected_ms > late_ms:
+        if _is_too_late(chosen, wanted):
             return _too_late(chosen, wanted)
         if not chosen.cold or self._take_cold(chosen, wanted, now_ms):
             return chosen
@@ -173,17 +172,6 @@
             key=lambda r: hashing.rendezvous_score(f"region|{key}", r, plan.weights[r]),
         )
 
-    def _new_home(self, wanted: Wanted, choices: list[Choice]) -> Choice | None:
-        """Return the home in the own zone if this request should be the first one there."""
-        if not choices or wanted.attempts:
-            return None
-        first = choices[0]
-        idle = first.load < first.server.report.slots / 2 and not first.cold
-        near = first.server.report.zone == self._zone and not first.warm and idle
-        if near and self.objects.moves_now(wanted.object_name, wanted.route.idempotent):
-            return first
-        return None
-
     def _untried(self, wanted: Wanted, now_ms: int) -> Choice | None:
         """Return a server that joined and got nothing yet, so that its faults show early."""
         for server_id, since_ms in list(self._joined.items()):
@@ -248,23 +236,14 @@
         if self._generation != self.registry.generation or len(self._ranks) > MAX_KEPT_RANKS:
             self._ranks.clear()
             self._generation = self.registry.generation
-        near = region == self._region and self.objects.wants_near_home(wanted.object_name)
-        name = (wanted.service.name, region, wanted.key, near)
+        name = (wanted.service.name, region, wanted.key)
         found = self._ranks.get(name)
         if found is None:
             servers = [s for s in self.registry.usable(wanted.service.name) if s.region == region]
             servers.sort(key=lambda s: _score(wanted.key, s), reverse=True)
-            if near and self._zone_can_serve(servers):
-                servers = _near_first(servers, self._zone)
             found = self._ranks[name] = servers[: 3 * CANDIDATES]
         return found
 
-    def _zone_can_serve(self, servers: list[registry.Server]) -> bool:
-        """Tell whether the own zone has a fair part of the region's servers."""
-        zones = {s.report.zone for s in servers}
-        own = sum(s.report.zone == self._zone for s in servers)
-        return len(zones) > 1 and own * len(zones) >= MIN_ZONE_PART * len(servers)
-
     def _spill(
         self, wanted: Wanted, planned: str, chosen: Choice | None, now_ms: int
     ) -> Choice | None:
@@ -277,7 +256,8 @@
         choices: list[Choice] = []
         for region in sorted(regions):
             choices += self._choices(wanted, region, REMOTE_CANDIDATES, now_ms)
-        best = min((c for c in choices if not c.cold), key=lambda c: c.expected_ms, default=None)
+        fitting = (c for c in choices if not c.cold and (chosen is None or _has_room(c)))
+        best = min(fitting, key=lambda c: c.expected_ms, default=None)
         if best is None or (chosen is not None and best.expected_ms >= chosen.expected_ms):
             return None
         self._spilled.add(now_ms)
@@ -332,30 +312,41 @@
     return not route.regions or server.region in route.regions
 
 
-def _near_first(servers: list[registry.Server], zone: str) -> list[registry.Server]:
-    """Put the best server of the zone first, then the region's best, then the others in order."""
-    near = next(s for s in servers if s.report.zone == zone)
-    return [near, *(s for s in servers if s is not near)]
-
-
 def _score(key: str, server: registry.Server) -> float:
     return hashing.rendezvous_score(key, server.server_id, max(1, server.report.slots))
 
 
-def _best(choices: list[Choice]) -> Choice | None:
-    """Return the first choice unless another one is expected to be clearly earlier."""
+def _best(choices: list[Choice], shed: bool) -> Choice | None:
+    """Return the object's home, or a server with room that is expected to be clearly earlier.
+
+    Work at another server than the home takes several times as long. Where no server has room
+    to spare, leaving the home would cost the others more than it saves here, and a busy system
+    would tip into one in which nothing is at home.
+    """
     if not choices:
         return None
+    roomy = [c for c in choices if _has_room(c)]
+    if shed:
+        return min(roomy, key=lambda c: c.expected_ms, default=None)
     first = choices[0]
-    best = min(choices, key=lambda c: c.expected_ms)
+    best = min(roomy, key=lambda c: c.expected_ms, default=first)
     if best.expected_ms < LEAVE_HOME_RATIO * first.expected_ms - LEAVE_HOME_MS:
         return best
     return first
 
 
-def _patience(route: routing_table.Route) -> float:
-    place = min(route.priority, len(PATIENCE_BY_PRIORITY) - 1)
-    return PATIENCE_BY_PRIORITY[place]
+def _has_room(choice: Choice) -> bool:
+    return choice.load + 1 <= FREE_RATIO * max(1, choice.server.report.slots)
+
+
+def _is_too_late(choice: Choice, wanted: Wanted) -> bool:
+    """Tell whether a request would wait for its answer too long to be worth a place in a queue."""
+    if choice.expected_ms > wanted.left_ms:
+        return True
+    waits = choice.load >= choice.server.report.slots
+    place = min(wanted.route.priority, len(QUEUE_LIMIT_BY_PRIORITY) - 1)
+    limit_ms = QUEUE_LIMIT_BY_PRIORITY[place] * wanted.route.target_latency_ms
+    return waits and choice.expected_ms > limit_ms
 
 
 def _too_late(chosen: Choice, wanted: Wanted) -> errors.Refusal:
--- a/sassafraslock/decisions/region_plan.py
+++ b/sassafraslock/decisions/region_plan.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 LOCAL_PREFERENCE = 1.3
-LOCAL_USE_RATIO = 0.55
 MAX_STEP = 0.02
 STEP_MS = 500
 SPILL_WINDOW_MS = 2_000
@@ -19,15 +18,14 @@
     demand_share: float
 
 
-def target_weights(own: str, facts: dict[str, RegionFacts], busy_slots: float) -> dict[str, float]:
+def target_weights(own: str, facts: dict[str, RegionFacts]) -> dict[str, float]:
     """Return the share of requests that each region should get.
 
-    The own region gets as much as leaves it lightly used, or little busier than the others;
-    what is beyond goes to regions in proportion to what they have to spare.
+    The own region gets as much as keeps it little busier than the others; what is beyond goes
+    to regions in proportion to what they have to spare.
 
     :param own: the region of this entry.
     :param facts: the regions that may serve.
-    :param busy_slots: the slots that all clients' requests keep busy.
     """
     total = sum(f.capacity for f in facts.values())
     if total <= 0:
@@ -36,8 +34,7 @@
     mine = facts.get(own)
     if mine and mine.capacity > 0:
         fair = mine.capacity / total / max(mine.demand_share, 1e-6)
-        preference = max(LOCAL_PREFERENCE, LOCAL_USE_RATIO * total / max(busy_slots, 1e-6))
-        local = 1.0 if fair >= 1.0 else min(1.0, preference * fair)
+        local = 1.0 if fair >= 1.0 else min(1.0, LOCAL_PREFERENCE * fair)
     spare = {
         region: max(0.0, f.capacity - total * f.demand_share)
         for region, f in facts.items()
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -105,9 +105,7 @@
     ) -> line.RequestLine:
         bounds = self.settings.bounds
         cold = cold_start.ColdStart(self.settings.entry_id, bounds.cold_overage, bounds.cold_slack)
-        placer = placement.Placer(
-            self.settings.region, self.settings.zone, servers, self.gossip, cold
-        )
+        placer = placement.Placer(self.settings.region, servers, self.gossip, cold)
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -147,6 +147,7 @@
             journey.attempts.append((attempt, verdict))
             if verdict is judge.Verdict.NOT_SENT:
                 wanted.attempts -= 1
+            wanted.shed = verdict is judge.Verdict.NOT_RUN
             response = attempt.exchange.response if attempt.exchange else None
             if verdict is judge.Verdict.ANSWERED and response is not None:
                 return response
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -81,8 +81,7 @@
             plan = self._placer.plans.setdefault(name, region_plan.RegionPlan())
             found = self._facts(name[0], name[1], now_ms)
             serving = {r for r, f in found.items() if f.capacity > 0}
-            busy_slots = sum(self._demand_by_region(name[0], now_ms).values())
-            target = region_plan.target_weights(self._settings.region, found, busy_slots)
+            target = region_plan.target_weights(self._settings.region, found)
             plan.update(target, serving, now_ms)
 
     def _facts(
