--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -41,6 +41,7 @@
     service: routing_table.Service
     key: str
     left_ms: int
+    idempotent: bool
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     paid: bool = False
@@ -148,7 +149,7 @@
         planned = self._planned_region(wanted)
         choices = self._choices(wanted, planned, CANDIDATES, now_ms)
         chosen = _best(choices, wanted.shed)
-        if chosen is not None and wanted.route.idempotent and not wanted.attempts:
+        if chosen is not None and wanted.idempotent and not wanted.attempts:
             chosen = self._untried(wanted, now_ms) or chosen
         self._placed.add(now_ms)
         if chosen is None or _is_too_late(chosen, wanted):
--- a/sassafraslock/decisions/region_plan.py
+++ b/sassafraslock/decisions/region_plan.py
@@ -5,8 +5,8 @@
 import dataclasses
 
 LOCAL_PREFERENCE = 1.3
-MAX_STEP = 0.02
 STEP_MS = 500
+CAP_MARGIN = 0.55
 SPILL_WINDOW_MS = 2_000
 
 
@@ -50,17 +50,33 @@
     return {region: weight for region, weight in weights.items() if weight > 0}
 
 
+def wanted_weights(split: dict[str, float], facts: dict[str, RegionFacts]) -> dict[str, float]:
+    """Return an operator's split without the regions that can serve nothing.
+
+    :param split: the share of each region as the operator wants it.
+    :param facts: the regions that may serve.
+    """
+    serving = {r: w for r, w in split.items() if w > 0 and r in facts and facts[r].capacity > 0}
+    total = sum(serving.values())
+    return {r: w / total for r, w in serving.items()}
+
+
 class RegionPlan:
-    """Weights that move slowly towards their target, so that traffic never shifts at once."""
+    """Weights that move slowly towards their target, so that traffic never shifts at once.
+
+    ``cap_ratio`` bounds what may move within ``window_ms``; a margin is left for the chance in
+    which objects are asked for.
+    """
 
-    __slots__ = ("weights", "_moved_ms")
+    __slots__ = ("weights", "step", "_moved_ms")
 
-    def __init__(self) -> None:
+    def __init__(self, cap_ratio: float = 0.15, window_ms: int = 2_000) -> None:
         self.weights: dict[str, float] = {}
+        self.step = CAP_MARGIN * cap_ratio * min(1.0, STEP_MS / window_ms)
         self._moved_ms = 0
 
     def update(self, target: dict[str, float], serving: set[str], now_ms: int) -> None:
-        """Move towards a target by at most :data:`MAX_STEP` each :data:`STEP_MS`.
+        """Move towards a target by at most a step each :data:`STEP_MS`.
 
         A region that can serve nothing is left at once.
 
@@ -79,7 +95,7 @@
         if steps <= 0:
             return
         self._moved_ms = now_ms
-        self.weights = _approach(self.weights, target, MAX_STEP * steps)
+        self.weights = _approach(self.weights, target, self.step * steps)
 
 
 def _approach(now: dict[str, float], target: dict[str, float], step: float) -> dict[str, float]:
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -28,6 +28,7 @@
     server_id: str
     service: str
     address: str
+    region: str
     zone: str
     slots: int
     state: ServerState
@@ -40,7 +41,6 @@
     """A server with what this entry worked out about it. Times are of the steady clock."""
 
     report: ServerReport
-    region: str
     first_seen_ms: int
     cold_until_ms: int = 0
     draining: bool = False
@@ -51,6 +51,11 @@
         """The server's id, new at most starts."""
         return self.report.server_id
 
+    @property
+    def region(self) -> str:
+        """The region that the server stands in."""
+        return self.report.region
+
     def is_cold(self, now_ms: int) -> bool:
         """Tell whether the server still tolerates few requests only.
 
@@ -66,13 +71,12 @@
 class Registry:
     """Servers by id and service, evacuated zones, and entries that lapsed with the store."""
 
-    __slots__ = ("servers", "evacuated", "_regions", "_by_service", "generation")
+    __slots__ = ("servers", "evacuated", "_by_service", "generation")
 
-    def __init__(self, regions: dict[str, str]) -> None:
+    def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
         self.evacuated: set[str] = set()
         self.generation = 0
-        self._regions = regions
         self._by_service: dict[str, list[Server]] = {}
 
     def note_report(self, report: ServerReport, now_ms: int, joined: bool, cold_ms: int) -> None:
@@ -99,8 +103,7 @@
             self._rebuild()
 
     def _add(self, report: ServerReport, now_ms: int) -> Server:
-        region = self._regions.get(report.zone, report.zone)
-        server = Server(report, region, now_ms)
+        server = Server(report, now_ms)
         self.servers[report.server_id] = server
         self._rebuild()
         return server
--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -21,6 +21,7 @@
     entry_id: str
     boot_ms: int
     beat: int
+    region: str
     zone: str
     gossip_address: str
     client_address: str
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -76,7 +76,7 @@
         self.kernel = kernel.Kernel()
         self.log_lines = log_lines
         self._source = source
-        self.upstream = upstream.Upstream(names.request_id)
+        self.upstream = upstream.Upstream(names.request_id if names.echoed else b"")
         self.poison = poison_watch.PoisonWatch(self.upstream)
         self.gossip = gossip.GossipService(
             settings.entry_id,
@@ -85,7 +85,7 @@
             self.describe,
             self.poison,
         )
-        servers = registry.Registry(settings.regions)
+        servers = registry.Registry()
         self.belief = belief.Belief(servers, self.gossip.roster)
         self.replica = replica.Replica(source, self.belief)
         self.belief.judge_gaps_by(self.replica.store_gap)
@@ -161,6 +161,7 @@
             entry_id=self.settings.entry_id,
             boot_ms=self.boot_ms,
             beat=beat,
+            region=self.settings.region,
             zone=self.settings.zone,
             gossip_address=self.settings.gossip_address,
             client_address=self.settings.client_address,
@@ -264,6 +265,7 @@
         ready.set()
         registration = facts.Registration(
             self._settings.entry_id,
+            self._settings.region,
             self._settings.zone,
             self._settings.gossip_address,
             self._settings.client_address,
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -23,17 +23,17 @@
 class EdgeSettings:
     """Where an entry stands and listens. Addresses are ``IP:PORT``.
 
-    ``regions`` gives the region of each availability zone.
+    ``peer_token`` proves that gossip comes from an entry; without one it is taken from anybody.
     """
 
     entry_id: str
     zone: str
     region: str
-    regions: dict[str, str]
     client_address: str
     directory_address: str
     readiness_address: str
     gossip_address: str
     operator_address: str = ""
     seeds: tuple[str, ...] = ()
+    peer_token: str = ""
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
--- a/sassafraslock/facts.py
+++ b/sassafraslock/facts.py
@@ -30,6 +30,7 @@
     """An entry wrote where its peers reach it."""
 
     entry_id: str
+    region: str
     zone: str
     gossip_address: str
     client_address: str
--- a/sassafraslock/header_names.py
+++ b/sassafraslock/header_names.py
@@ -9,8 +9,11 @@
 class HeaderNames:
     """Header names in lower case; a platform's adapter gives its own.
 
-    ``not_run`` marks a server's answer to a request that it did not run. ``signature`` vouches
-    for a server's whole answer. ``target_server`` names the only server that may run a request.
+    ``not_run`` marks a server's answer to a request that it did not run. ``target_server``
+    names the only server that may run a request. ``signature`` vouches for a server's whole
+    answer; where servers sign nothing, it is empty. ``echoed`` says that servers repeat the
+    request's id. ``error`` and ``refused_not_run`` mark an entry's own refusals, and ``key`` the
+    requests whose repeats are told apart; empty where clients do not speak of them.
     """
 
     request_id: bytes = b"sassafraslock-request-id"
@@ -18,7 +21,11 @@
     object_key: bytes = b"sassafraslock-object"
     target_server: bytes = b"sassafraslock-server"
     not_run: bytes = b"sassafraslock-not-run"
-    signature: bytes = b"sassafraslock-signature"
+    signature: bytes = b""
+    echoed: bool = False
+    error: bytes = b"sassafraslock-error"
+    refused_not_run: bytes = b"sassafraslock-not-run"
+    key: bytes = b"sassafraslock-key"
     load: bytes = b"sassafraslock-load"
     cold_ms: bytes = b"sassafraslock-cold-ms"
     server_id: bytes = b"sassafraslock-server-id"
--- a/sassafraslock/path/answer.py
+++ b/sassafraslock/path/answer.py
@@ -7,6 +7,15 @@
 from sassafraslock import errors, header_names, http_messages
 
 
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The body of every refusal."""
+
+    error: str
+    reason: str
+    not_run: bool
+    retry_after_ms: int
+
+
 def pass_on(response: http_messages.Response) -> http_messages.Response:
     """Return a server's response as the client gets it: status, body and headers unchanged.
 
@@ -29,12 +38,10 @@
     headers: http_messages.Headers = [(b"content-type", b"application/json")]
     if request_id:
         headers.append((names.request_id, request_id))
+    if names.error:
+        headers.append((names.error, refusal.kind.value.encode()))
+        headers.append((names.refused_not_run, b"true" if refusal.answer.not_run else b"false"))
     if refusal.answer.not_run and refusal.wait_ms:
         headers.append((b"retry-after", b"%.3f" % (refusal.wait_ms / 1000)))
-    body = {
-        "error": refusal.kind.value,
-        "reason": refusal.reason,
-        "not_run": refusal.answer.not_run,
-        "retry_after_ms": refusal.wait_ms if refusal.answer.not_run else 0,
-    }
+    body = ErrorBody(refusal.kind.value, refusal.reason, refusal.answer.not_run, refusal.wait_ms)
     return http_messages.Response(refusal.answer.status, headers, msgspec.json.encode(body))
--- a/sassafraslock/path/judge.py
+++ b/sassafraslock/path/judge.py
@@ -53,7 +53,7 @@
         return Verdict.MISDIRECTED
     if response.header(names.not_run):
         return Verdict.NOT_RUN
-    if not response.header(names.signature):
+    if names.signature and not response.header(names.signature):
         return Verdict.BROKEN
     if response.status >= SERVER_ERROR:
         return Verdict.FAILED
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -110,7 +110,9 @@
             return False
         host = read.read(request, self._names).host
         found = table.match(host, request.path)
-        return found is not None and found.idempotent
+        if found is None:
+            return False
+        return found.may_repeat(request.method, found.target(request.path))
 
     async def _pass(self, journey: Journey) -> http_messages.Response | errors.Refusal:
         routed = route.route(journey.incoming, self._belief.table, self.splitter)
@@ -123,8 +125,8 @@
             return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
         self.budget.note_request(routed.service.name, now_ms)
         key = journey.incoming.key or journey.incoming.request_id.decode("latin-1")
-        left_ms = journey.incoming.left_ms(routed.route.timeout_ms, now_ms)
-        wanted = placement.Wanted(routed.route, routed.service, key, left_ms)
+        left_ms = routed.left_ms(now_ms)
+        wanted = placement.Wanted(routed.route, routed.service, key, left_ms, routed.idempotent)
         return await self._attempt_until_answered(journey, routed, wanted)
 
     async def _attempt_until_answered(
@@ -132,7 +134,7 @@
     ) -> http_messages.Response | errors.Refusal:
         while True:
             now_ms = clock.monotonic_ms()
-            wanted.left_ms = journey.incoming.left_ms(routed.route.timeout_ms, now_ms)
+            wanted.left_ms = routed.left_ms(now_ms)
             if wanted.left_ms < MIN_LEFT_MS:
                 return _out_of_time(journey)
             choice = self.placer.place(wanted, now_ms)
@@ -176,14 +178,14 @@
             return True
         if verdict is judge.Verdict.SILENT and not attempt.abandoned:
             return False
-        return routed.route.idempotent
+        return routed.idempotent
 
     async def _attempt(
         self, routed: route.Routed, wanted: placement.Wanted, choice: placement.Choice
     ) -> tuple[send.Attempt, judge.Verdict]:
         health = self.placer.health_of(choice.server)
         patience_ms = 0
-        if routed.route.idempotent and wanted.attempts < routed.route.max_attempts:
+        if routed.idempotent and wanted.attempts < routed.route.max_attempts:
             target_ms = PATIENCE_TARGET_RATIO * routed.route.target_latency_ms
             patience_ms = int(max(PATIENCE_RATIO * choice.expected_ms, target_ms))
         attempt = await self._sender.send(
@@ -258,7 +260,7 @@
 def _mark(routed: route.Routed) -> str:
     request = routed.incoming.request
     caller = f"{routed.service.name}|{request.client}"
-    return quarantine.fingerprint(caller, request.method, request.target, request.body)
+    return quarantine.fingerprint(caller, request.method, routed.target, request.body)
 
 
 def _told_load(value: bytes) -> server_health.ReportedLoad | None:
--- a/sassafraslock/path/read.py
+++ b/sassafraslock/path/read.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import uuid
 
 from sassafraslock import header_names, http_messages
 
@@ -17,15 +18,6 @@
     host: str
     limit_ms: int
 
-    def left_ms(self, timeout_ms: int, now_ms: int) -> int:
-        """Return the time left for the answer.
-
-        :param timeout_ms: the longest time that the route allows.
-        :param now_ms: the present time.
-        """
-        limit_ms = min(self.limit_ms, timeout_ms) if self.limit_ms else timeout_ms
-        return self.request.received_ms + limit_ms - now_ms
-
 
 def read(request: http_messages.Request, names: header_names.HeaderNames) -> Incoming:
     """Return a request with what its headers say.
@@ -36,7 +28,7 @@
     found = dict(request.headers)
     return Incoming(
         request=request,
-        request_id=found.get(names.request_id, b""),
+        request_id=found.get(names.request_id) or uuid.uuid4().hex.encode(),
         key=found.get(names.object_key, b"").decode("latin-1"),
         host=found.get(b"host", b"").decode("latin-1").partition(":")[0],
         limit_ms=_limit(found.get(names.deadline_ms, b"")),
--- a/sassafraslock/path/route.py
+++ b/sassafraslock/path/route.py
@@ -15,12 +15,26 @@
 
 @dataclasses.dataclass(slots=True)
 class Routed:
-    """A request with its route and service, and the revision that says so."""
+    """A request with its route and service, and the revision that says so.
+
+    ``idempotent`` tells whether it may run more than once, ``target`` what the server gets.
+    """
 
     incoming: read.Incoming
     route: routing_table.Route
     service: routing_table.Service
     revision: int
+    idempotent: bool
+    target: str
+
+    def left_ms(self, now_ms: int) -> int:
+        """Return the time left for the answer.
+
+        :param now_ms: the present time.
+        """
+        route, limit_ms = self.route, self.incoming.limit_ms
+        limit_ms = limit_ms or route.default_timeout_ms or route.timeout_ms
+        return self.incoming.request.received_ms + min(limit_ms, route.timeout_ms) - now_ms
 
 
 def route(
@@ -34,12 +48,18 @@
     """
     if table is None:
         return _NO_INTENTS
-    found = table.match(incoming.host, incoming.request.path)
+    request = incoming.request
+    found = table.match(incoming.host, request.path)
     if found is None:
-        reason = f"no route for host {incoming.host} and path {incoming.request.path}"
-        return errors.Refusal(errors.ErrorKind.NOT_FOUND, reason)
+        reason = f"no route for host {incoming.host} and path {request.path}"
+        return errors.Refusal(errors.ErrorKind.UNKNOWN_SERVICE, reason)
     name = splitter.choose(found, incoming.key or incoming.request_id.decode("latin-1"))
     service = table.services.get(name)
     if service is None:
         service = routing_table.Service(name, 1, 0, 1.0)
-    return Routed(incoming, found, service, table.version)
+    if service.max_body_bytes and len(request.body) > service.max_body_bytes:
+        reason = f"the body is larger than {service.max_body_bytes} bytes"
+        return errors.Refusal(errors.ErrorKind.BODY_TOO_LARGE, reason)
+    target = found.target(request.target)
+    idempotent = found.may_repeat(request.method, target.partition("?")[0])
+    return Routed(incoming, found, service, table.version, idempotent, target)
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -52,7 +52,7 @@
         :param may_abandon: tells, once that time is over, whether it may.
         """
         sent_ms = clock.monotonic_ms()
-        left_ms = routed.incoming.left_ms(routed.route.timeout_ms, sent_ms)
+        left_ms = routed.left_ms(sent_ms)
         data = self._encode(routed, choice.server, left_ms)
         health.in_flight += 1
         health.probing = health.unreachable > 0
@@ -70,7 +70,7 @@
                 await asyncio.wait((exchange,), timeout=patience_ms / 1000)
                 abandoned = not exchange.done() and may_abandon()
             if not exchange.done() and not abandoned:
-                left_ms = routed.incoming.left_ms(routed.route.timeout_ms, clock.monotonic_ms())
+                left_ms = routed.left_ms(clock.monotonic_ms())
                 await asyncio.wait((exchange,), timeout=max(0, left_ms) / 1000)
         finally:
             health.in_flight -= 1
@@ -82,8 +82,9 @@
 
     def _encode(self, routed: route.Routed, server: registry.Server, left_ms: int) -> bytes:
         names, request = self._names, routed.incoming.request
-        own = (names.deadline_ms, names.target_server)
+        own = (names.deadline_ms, names.target_server, names.request_id)
         headers = [(n, v) for n, v in http_messages.end_to_end(request.headers) if n not in own]
+        headers.append((names.request_id, routed.incoming.request_id))
         headers.append((names.deadline_ms, str(max(1, left_ms)).encode()))
         headers.append((names.target_server, server.server_id.encode("latin-1")))
-        return http_messages.encode_request(request.method, request.target, headers, request.body)
+        return http_messages.encode_request(request.method, routed.target, headers, request.body)
--- a/sassafraslock/routing_table.py
+++ b/sassafraslock/routing_table.py
@@ -20,8 +20,12 @@
 class Route:
     """Where requests of one host and path prefix go, and under which terms.
 
-    ``priority`` 0 is served first. ``regions`` are those in which the requests may run; empty
-    means any. ``sticky`` says that servers work faster on objects which they handled before.
+    An empty ``host`` stands for any. ``idempotent`` holds for all requests of the route;
+    ``idempotent_requests`` names some by ``METHOD /path*``. ``priority`` 0 is served first.
+    ``regions`` are those in which the requests may run; empty means any. ``sticky`` says that
+    servers work faster on objects which they handled before. ``strip_prefix`` leaves the prefix
+    out of what servers get, but for its last slash. ``default_timeout_ms`` holds for requests
+    that name no time limit, 0 for ``timeout_ms``.
     """
 
     name: str
@@ -35,6 +39,33 @@
     destinations: tuple[Destination, ...]
     sticky: bool = False
     regions: frozenset[str] = frozenset()
+    idempotent_requests: tuple[str, ...] = ()
+    strip_prefix: bool = False
+    default_timeout_ms: int = 0
+
+    def may_repeat(self, method: str, path: str) -> bool:
+        """Tell whether a request may run more than once.
+
+        :param method: the HTTP method.
+        :param path: the path without its query.
+        """
+        if self.idempotent or not self.idempotent_requests:
+            return self.idempotent
+        return any(_matches(p, method, path) for p in self.idempotent_requests)
+
+    def target(self, target: str) -> str:
+        """Return the path and query that servers get.
+
+        :param target: the path and query as the client sent them.
+        """
+        return target[len(self.prefix) - 1 :] if self.strip_prefix else target
+
+
+def _matches(pattern: str, method: str, path: str) -> bool:
+    wanted, _, start = pattern.partition(" ")
+    if wanted != method:
+        return False
+    return path.startswith(start[:-1]) if start.endswith("*") else path == start
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -42,7 +73,9 @@
     """What all servers of one service have in common.
 
     ``cold_per_s`` is the rate that a cold server tolerates, ``cold_start_ms`` how long a server
-    stays cold after its start.
+    stays cold after its start. ``splits`` gives, by the region of an entry, the share of each
+    region that the operator wants; ``shift_cap_ratio`` bounds what moves within
+    ``shift_window_ms``. ``max_body_bytes`` 0 leaves the bound to the limits.
     """
 
     name: str
@@ -50,6 +83,10 @@
     cold_start_ms: int
     cold_per_s: float
     health_path: str = "/health"
+    splits: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
+    shift_cap_ratio: float = 0.15
+    shift_window_ms: int = 2_000
+    max_body_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -92,7 +129,7 @@
         :param host: the request's host, without a port.
         :param path: the request's path, without its query.
         """
-        prefixes = self._prefixes.get(host)
+        prefixes = self._prefixes.get(host) or self._prefixes.get("")
         if prefixes is None:
             return None
         end = len(path)
--- a/sassafraslock/services/belief.py
+++ b/sassafraslock/services/belief.py
@@ -8,8 +8,6 @@
 from sassafraslock import events, facts, routing_table
 from sassafraslock.decisions import registry, roster
 
-PRIOR_RATE_PER_ZONE = 2.0
-
 
 class Belief:
     """Applies changes in order and logs each one that changes where requests may go."""
@@ -132,6 +130,7 @@
             entry_id=registration.entry_id,
             boot_ms=0,
             beat=0,
+            region=registration.region,
             zone=registration.zone,
             gossip_address=registration.gossip_address,
             client_address=registration.client_address,
--- a/sassafraslock/services/directory.py
+++ b/sassafraslock/services/directory.py
@@ -65,7 +65,7 @@
             Candidate(
                 m.record.client_address,
                 m.record.zone,
-                settings.regions.get(m.record.zone, m.record.zone),
+                m.record.region,
             )
             for m in self._roster.live(clock.monotonic_ms())
             if m.record.ready and not m.record.leaving
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from sassafraslock import clock, edge_settings
+from sassafraslock import clock, edge_settings, routing_table
 from sassafraslock.decisions import placement, region_plan, roster, windows
 from sassafraslock.services import belief
 
@@ -78,21 +78,34 @@
             for destination in route.destinations
         }
         for name in wanted:
-            plan = self._placer.plans.setdefault(name, region_plan.RegionPlan())
+            service = table.services.get(name[0])
+            plan = self._plan(name, service)
             found = self._facts(name[0], name[1], now_ms)
             serving = {r for r, f in found.items() if f.capacity > 0}
-            target = region_plan.target_weights(self._settings.region, found)
+            split = service.splits.get(self._settings.region) if service else None
+            target = region_plan.wanted_weights(split, found) if split else {}
+            target = target or region_plan.target_weights(self._settings.region, found)
             plan.update(target, serving, now_ms)
 
+    def _plan(
+        self, name: tuple[str, frozenset[str]], service: routing_table.Service | None
+    ) -> region_plan.RegionPlan:
+        plan = self._placer.plans.get(name)
+        if plan is None:
+            plan = region_plan.RegionPlan()
+            if service is not None:
+                plan = region_plan.RegionPlan(service.shift_cap_ratio, service.shift_window_ms)
+            self._placer.plans[name] = plan
+        return plan
+
     def _facts(
         self, service: str, allowed: frozenset[str], now_ms: int
     ) -> dict[str, region_plan.RegionFacts]:
-        regions = set(self._settings.regions.values())
         demand = self._demand_by_region(service, now_ms)
         total = sum(demand.values())
         found = {
-            region: region_plan.RegionFacts(0.0, demand.get(region, 0.0) / total)
-            for region in regions
+            region: region_plan.RegionFacts(0.0, busy / total)
+            for region, busy in demand.items()
             if not allowed or region in allowed
         }
         for server in self._placer.registry.usable(service):
@@ -102,13 +115,13 @@
         return found
 
     def _demand_by_region(self, service: str, now_ms: int) -> dict[str, float]:
-        regions = self._settings.regions
-        busy = {region: PRIOR_SLOTS_PER_REGION for region in regions.values()}
+        members = self._roster.live(now_ms)
+        regions = {self._settings.region, *(m.record.region for m in members)}
+        regions |= {s.region for s in self._placer.registry.servers.values()}
+        busy = dict.fromkeys(sorted(regions), PRIOR_SLOTS_PER_REGION)
         busy[self._settings.region] += self.demand(now_ms).get(service, 0.0)
-        for member in self._roster.live(now_ms):
-            region = regions.get(member.record.zone)
-            if region is not None:
-                busy[region] += member.record.demand.get(service, 0.0)
+        for member in members:
+            busy[member.record.region] += member.record.demand.get(service, 0.0)
         return busy
 
     def dump(self) -> dict[str, object]:
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -170,7 +170,9 @@
             return
         status = self._parser.get_status_code()
         response = http_messages.Response(status, self._headers, b"".join(self._body))
-        if status < 200 or response.header(self._id_header) != self._request_id:
+        if status < 200:
+            return
+        if self._id_header and response.header(self._id_header) != self._request_id:
             return
         # Once the message is over, the parser no longer knows whether the connection is kept.
         if not self._parser.should_keep_alive() or not self._is_framed():
--- a/tests/fact_source.py
+++ b/tests/fact_source.py
@@ -70,7 +70,7 @@
 
 def report(server_id, address="127.0.0.1:1", state="ready", zone="a-1", slots=3, **more):
     return registry.ServerReport(
-        server_id, "s", address, zone, slots, registry.ServerState(state), **more
+        server_id, "s", address, zone[0], zone, slots, registry.ServerState(state), **more
     )
 
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -28,7 +28,7 @@
 
 
 def test_entries_that_leave_are_silent_or_not_ready_are_not_named(monkeypatch):
-    settings = edge_settings.EdgeSettings("me", "a-1", "a", {"a-1": "a"}, "me:2", "", "", "me:1")
+    settings = edge_settings.EdgeSettings("me", "a-1", "a", "me:2", "", "", "me:1")
     members = roster.Roster("me")
     for name, more in {
         "x": {"ready": True},
@@ -36,7 +36,7 @@
         "starter": {},
         "dead": {"ready": True},
     }.items():
-        record = roster.MemberRecord(name, 1, 1, "a-1", f"{name}:1", f"{name}:2", **more)
+        record = roster.MemberRecord(name, 1, 1, "a", "a-1", f"{name}:1", f"{name}:2", **more)
         members.note(record, 0 if name == "dead" else 50_000)
     monkeypatch.setattr(directory.clock, "monotonic_ms", lambda: 50_100)
     names = directory.Directory(settings, members)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -19,7 +19,7 @@
 from tests import fact_source
 
 HOST, FIRST_PORT = "127.0.0.1", 24_400
-NAMES = header_names.HeaderNames()
+NAMES = header_names.HeaderNames(signature=b"x-signature", echoed=True)
 assert platform
 
 
@@ -82,7 +82,7 @@
         client, named, ready, peers, operators = (f"{HOST}:{p}" for p in ports[10:15])
         bounds = edge_settings.Bounds(grace_ms=1_500, retry_slack=100.0)
         self.settings = edge_settings.EdgeSettings(
-            "e-1", "a-1", "a", {"a-1": "a"}, client, named, ready, peers, operators, bounds=bounds
+            "e-1", "a-1", "a", client, named, ready, peers, operators, bounds=bounds
         )
         self.log = log_writer.BulkHandler()
         self.edge = edge.Edge(self.settings, self.source, Formats(), NAMES, self.log)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,8 +12,8 @@
 
 
 def record(entry_id, beat=1, boot_ms=1, **more):
-    return roster.MemberRecord(entry_id, boot_ms, beat, "a-1", f"{entry_id}:1", f"{entry_id}:2",
-                               **more)  # fmt: skip
+    addresses = (f"{entry_id}:1", f"{entry_id}:2")
+    return roster.MemberRecord(entry_id, boot_ms, beat, "a", "a-1", *addresses, **more)
 
 
 def service(own_id="me"):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -27,17 +27,17 @@
 
 
 def build(servers, region="a", own_id="e-0", entries=None):
-    found = registry.Registry({"a-1": "a", "a-2": "a", "b-1": "b"})
+    found = registry.Registry()
     for server_id, zone in servers.items():
         ready = registry.ServerState.READY
-        row = registry.ServerReport(server_id, "s", "h:1", zone, 3, ready, 0, 1)
+        row = registry.ServerReport(server_id, "s", "h:1", zone[0], zone, 3, ready, 0, 1)
         found.note_report(row, 0, False, 3000)
     cold = cold_start.ColdStart(own_id, 1.5, 5.0)
     return placement.Placer(region, found, entries or Entries(), cold)
 
 
 def wanted(key="k", left_ms=2000, **more):
-    return placement.Wanted(route(**more), SERVICE, key, left_ms)
+    return placement.Wanted(route(**more), SERVICE, key, left_ms, True)
 
 
 SERVERS = {f"i-{n}": "a-1" if n % 2 else "a-2" for n in range(6)}
@@ -150,7 +150,7 @@
 def test_a_server_that_joined_gets_a_request_once_it_is_warm():
     placer = build(SERVERS)
     ready = registry.ServerState.READY
-    row = registry.ServerReport("new", "s", "h:2", "a-1", 3, ready, 0, 5)
+    row = registry.ServerReport("new", "s", "h:2", "a", "a-1", 3, ready, 0, 5)
     placer.registry.note_report(row, 100, True, 3000)
     placer.note_joined("new", 100)
     chosen = placer.place(wanted(), 3200)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,6 +18,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 PORT = 24_310
+REGIONS = {"a-1": "a"}
 SERVERS, INTENTS, ENTRIES = facts.Topic.SERVERS, facts.Topic.INTENTS, facts.Topic.ENTRIES
 
 
@@ -28,7 +29,7 @@
             ready = anyio.Event()
             group.start_soon(standin.run, ready)
             await ready.wait()
-            await scenario(standin, store.Store(standin.address))
+            await scenario(standin, store.Store(standin.address, REGIONS))
             group.cancel_scope.cancel()
 
     anyio.run(main)
@@ -63,7 +64,7 @@
     async def scenario(standin, source):
         standin.faults.status = status
         assert (await source.read_all(SERVERS)).kind is errors.ErrorKind.STORE_UNAVAILABLE
-        registration = facts.Registration("e", "a-1", "h:1", "h:2")
+        registration = facts.Registration("e", "a", "a-1", "h:1", "h:2")
         assert isinstance(await source.register(registration), errors.Refusal)
 
     with_store(scenario)
@@ -87,7 +88,7 @@
 
     async def scenario(standin, source):
         standin.faults.lost_ratio = 1.0
-        registration = facts.Registration("e-1", "a-1", "10.0.0.1:7", "10.0.0.1:8")
+        registration = facts.Registration("e-1", "a", "a-1", "10.0.0.1:7", "10.0.0.1:8")
         assert isinstance(await source.register(registration), errors.Refusal)
         batch = await source.read_all(ENTRIES)
         assert [c.registration for c in batch.changes] == [registration]
@@ -113,10 +114,12 @@
 
 def test_a_servers_row_becomes_a_report():
     found = rows.decode(
-        row("servers", "i-1", platform_standin.server_row(coldRemainingS=1.25, born=77)), SERVERS
+        row("servers", "i-1", platform_standin.server_row(coldRemainingS=1.25, born=77)),
+        SERVERS,
+        REGIONS,
     )
     assert found.report == registry.ServerReport(
-        "i-1", "logbook", "10.0.0.1:80", "a-1", 3, registry.ServerState.READY, 1250, 77
+        "i-1", "logbook", "10.0.0.1:80", "a", "a-1", 3, registry.ServerState.READY, 1250, 77
     )
 
 
@@ -133,21 +136,21 @@
 
 @pytest.mark.parametrize("name", list(UNREADABLE))
 def test_an_unreadable_row_names_no_server(name):
-    found = rows.decode(row("servers", "i-1", UNREADABLE[name]), SERVERS)
+    found = rows.decode(row("servers", "i-1", UNREADABLE[name]), SERVERS, REGIONS)
     assert (
         found.report is None and found.unreadable is not None and "i-1" in found.unreadable.reason
     )
 
 
 def test_a_value_that_is_no_base64_is_unreadable():
-    assert rows.decode(rows.Row("servers", "i", 1, value="%%"), SERVERS).unreadable
+    assert rows.decode(rows.Row("servers", "i", 1, value="%%"), SERVERS, REGIONS).unreadable
 
 
 def test_intents_are_decoded_once_with_units():
     split = [{"service": "logbook", "weight": 90}, {"service": "ledger", "weight": 10}]
     divided = {"trafficSplit": split, "routeType": "unsafe", "allowedRegions": ["a"], "service": ""}
     value = platform_standin.intents_row(12, [{}, divided])
-    intents = rows.decode(row("op", "config", value), INTENTS).intents
+    intents = rows.decode(row("op", "config", value), INTENTS, REGIONS).intents
     assert intents.version == 12 and intents.limits.max_body_bytes == 1024
     first, second = intents.routes
     assert (first.idempotent, first.timeout_ms, first.target_latency_ms) == (True, 2000, 400)
@@ -157,11 +160,11 @@
 
 
 def test_evacuations_come_and_go():
-    begun = rows.decode(row("op", "evacuate/a-1", {}), INTENTS)
+    begun = rows.decode(row("op", "evacuate/a-1", {}), INTENTS, REGIONS)
     assert begun.evacuation == facts.Evacuation("a-1")
-    ended = rows.decode(rows.Row("op", "evacuate/a-1", 10, tombstone=True), INTENTS)
+    ended = rows.decode(rows.Row("op", "evacuate/a-1", 10, tombstone=True), INTENTS, REGIONS)
     assert ended.key == "a-1" and ended.removed
-    assert rows.decode(row("op", "something", {}), INTENTS) is None
+    assert rows.decode(row("op", "something", {}), INTENTS, REGIONS) is None
 
 
 SETTINGS = """
--- a/tests/test_region_plan.py
+++ b/tests/test_region_plan.py
@@ -35,7 +35,7 @@
         now_ms += region_plan.STEP_MS
         plan.update({"b": 1.0}, {"a", "b"}, now_ms)
         moved = plan.weights.get("b", 0.0) - before.get("b", 0.0)
-        assert 0.0 <= moved <= region_plan.MAX_STEP + 1e-9
+        assert 0.0 <= moved <= plan.step + 1e-9
         before = plan.weights
     assert plan.weights == {"b": 1.0}
     plan.update({"a": 1.0}, {"a"}, now_ms + 1)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -11,7 +11,7 @@
 
 
 def report(server_id="i-1", state=READY, zone="a-1", born_ms=1, cold_ms=0, address="h:1"):
-    return registry.ServerReport(server_id, "s", address, zone, 3, state, cold_ms, born_ms)
+    return registry.ServerReport(server_id, "s", address, zone[0], zone, 3, state, cold_ms, born_ms)
 
 
 def usable(servers):
@@ -19,7 +19,7 @@
 
 
 def test_a_server_that_joins_is_cold_and_one_of_the_first_read_is_not():
-    servers = registry.Registry(REGIONS)
+    servers = registry.Registry()
     servers.note_report(report("old"), 0, False, 3000)
     servers.note_report(report("new"), 0, True, 3000)
     assert not servers.servers["old"].is_cold(0)
@@ -27,20 +27,20 @@
 
 
 def test_a_new_start_under_the_same_id_is_cold_again():
-    servers = registry.Registry(REGIONS)
+    servers = registry.Registry()
     servers.note_report(report(born_ms=1), 0, False, 3000)
     servers.note_report(report(born_ms=2), 9000, True, 3000)
     assert servers.servers["i-1"].is_cold(9001)
 
 
 def test_what_the_server_says_of_its_cold_time_holds_from_the_reading():
-    servers = registry.Registry(REGIONS)
+    servers = registry.Registry()
     servers.note_report(report(cold_ms=1500), 100, False, 0)
     assert servers.servers["i-1"].is_cold(1599) and not servers.servers["i-1"].is_cold(1600)
 
 
 def test_a_zone_taken_back_is_cold():
-    servers = registry.Registry(REGIONS)
+    servers = registry.Registry()
     servers.note_report(report("x", zone="a-1"), 0, False, 0)
     servers.note_report(report("y", zone="a-2"), 0, False, 0)
     servers.note_evacuation("a-1", True, 0)
@@ -51,7 +51,7 @@
 
 
 def test_an_entry_lapsed_with_the_store_is_held_for_two_seconds_only():
-    servers = registry.Registry(REGIONS)
+    servers = registry.Registry()
     servers.note_report(report(), 0, False, 0)
     servers.note_removed("i-1", 100, store_gap=True)
     assert servers.expire_lapsed(2000) == [] and usable(servers) == {"i-1"}
@@ -59,7 +59,7 @@
 
 
 def test_an_entry_that_comes_back_stays():
-    servers = registry.Registry(REGIONS)
+    servers = registry.Registry()
     servers.note_report(report(), 0, False, 0)
     servers.note_removed("i-1", 100, store_gap=True)
     servers.note_report(report(), 1500, True, 3000)
@@ -71,7 +71,7 @@
 
     def __init__(self):
         super().__init__()
-        self.servers, self.rows, self.zones, self.now_ms = registry.Registry(REGIONS), {}, set(), 0
+        self.servers, self.rows, self.zones, self.now_ms = registry.Registry(), {}, set(), 0
 
     @stateful.rule(
         server_id=st.sampled_from("xyz"),
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -33,7 +33,7 @@
 def following(scenario, peers=None):
     async def main():
         source = fact_source.FakeSource()
-        believed = belief.Belief(registry.Registry({"a-1": "a"}), roster.Roster("e"))
+        believed = belief.Belief(registry.Registry(), roster.Roster("e"))
         copy = replica.Replica(source, believed)
         believed.judge_gaps_by(copy.store_gap)
         if peers:
