--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -15,6 +15,7 @@
     clock,
     commands,
     demo,
+    edge,
     entry,
     errors,
     logs,
@@ -52,8 +53,9 @@
     :param path: the settings path, or the file.
     """
     process = _load(path)
-    logs.configure(process.logging.format, process.logging.level)
-    failed = anyio.run(entry.run_process, process)
+    lines = edge.configure_logs(process.logging.format, process.logging.level)
+    failed = anyio.run(entry.run_process, process, lines)
+    click.echo(lines.take(), nl=False)
     if failed:
         click.echo(f"service {failed} kept failing; see its events in the log", err=True)
         raise SystemExit(EXIT_SERVICE_FAILED)
--- a/sassafraslock/client.py
+++ b/sassafraslock/client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sassafraslock import errors
-from sassafraslock.services import caller_api
+from sassafraslock.path import answer
 
 TIMEOUT_S = 15.0
 _TIMEOUT = httpcore.TimeoutException
@@ -85,7 +85,7 @@
 def _read(response: httpcore.Response) -> JsonResult:
     headers = {n.lower(): v for n, v in response.headers}
     if b"sassafraslock-error" in headers:
-        body = msgspec.json.decode(response.content, type=caller_api.ErrorBody)
+        body = msgspec.json.decode(response.content, type=answer.ErrorBody)
         return errors.Refusal(errors.ErrorKind(body.error), body.reason, body.retry_after_ms)
     if b"json" in headers.get(b"content-type", b""):
         return msgspec.json.decode(response.content)
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -26,6 +26,7 @@
 FREE_RATIO = 0.67
 QUEUE_LIMIT_BY_PRIORITY = (2.5, 2.0, 1.4)
 JOINED_MS = 15_000
+GOLDEN_RATIO = 0.618033988749895  # its multiples spread evenly between 0 and 1
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 1_000
 
@@ -34,7 +35,8 @@
 class Wanted:
     """A request that needs a server.
 
-    ``paid`` says that the retry budget allowed its next attempt, ``shed`` that a server was full.
+    ``paid`` says that the retry budget allowed its next attempt, ``shed`` that a server was full,
+    ``own_region_only`` that the links carry no more.
     """
 
     route: routing_table.Route
@@ -46,6 +48,7 @@
     attempts: int = 0
     paid: bool = False
     shed: bool = False
+    own_region_only: bool = False
 
     @property
     def object_name(self) -> str:
@@ -80,7 +83,7 @@
         "health",
         "objects",
         "plans",
-        "_region",
+        "region",
         "_entries",
         "_cold",
         "_speeds",
@@ -89,6 +92,7 @@
         "_placed",
         "_spilled",
         "_joined",
+        "_turns",
     )
 
     def __init__(
@@ -102,12 +106,13 @@
         self.health: dict[str, server_health.ServerHealth] = {}
         self.objects = object_memory.ObjectMemory()
         self.plans: dict[tuple[str, frozenset[str]], region_plan.RegionPlan] = {}
-        self._region = region
+        self.region = region
         self._entries = entries
         self._cold = cold
         self._speeds: dict[str, route_speed.RouteSpeed] = {}
         self._ranks: dict[tuple[str, str, str], list[registry.Server]] = {}
         self._generation = -1
+        self._turns: dict[str, int] = {}
         self._joined: dict[str, int] = {}
         self._placed = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
         self._spilled = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
@@ -163,16 +168,31 @@
         return self._instead_of_cold(wanted, choices, now_ms)
 
     def _planned_region(self, wanted: Wanted) -> str:
+        if wanted.own_region_only:
+            return self.region
         plan = self.plans.get((wanted.service.name, wanted.route.regions))
         if plan is None or not plan.weights:
             allowed = wanted.route.regions
-            return self._region if not allowed or self._region in allowed else min(allowed)
+            return self.region if not allowed or self.region in allowed else min(allowed)
+        if not wanted.route.sticky:
+            return self._next_in_turn(wanted.service.name, plan.weights)
         key = wanted.key
         return max(
             plan.weights,
             key=lambda r: hashing.rendezvous_score(f"region|{key}", r, plan.weights[r]),
         )
 
+    def _next_in_turn(self, service: str, weights: dict[str, float]) -> str:
+        """Return regions in turn, so that any few requests keep to the weights."""
+        number = self._turns.get(service, 0) + 1
+        self._turns[service] = number
+        point = number * GOLDEN_RATIO % 1.0
+        for region in sorted(weights, key=lambda r: (r != self.region, r)):
+            point -= weights[region]
+            if point < 0:
+                return region
+        return max(weights, key=lambda r: weights[r])
+
     def _untried(self, wanted: Wanted, now_ms: int) -> Choice | None:
         """Return a server that joined and got nothing yet, so that its faults show early."""
         for server_id, since_ms in list(self._joined.items()):
@@ -181,7 +201,7 @@
                 del self._joined[server_id]
                 continue
             fits = server.report.service == wanted.service.name and not server.draining
-            if not fits or not _allowed(wanted.route, server) or server.region != self._region:
+            if not fits or not _allowed(wanted.route, server) or server.region != self.region:
                 continue
             health = self.health_of(server)
             evacuated = server.report.zone in self.registry.evacuated
@@ -249,6 +269,8 @@
         self, wanted: Wanted, planned: str, chosen: Choice | None, now_ms: int
     ) -> Choice | None:
         """Look in the other regions, within the part of requests that may leave the plan."""
+        if wanted.own_region_only:
+            return None
         allowed = SPILL_RATIO * self._placed.total(now_ms)
         planned_serves = any(s.region == planned for s in self.registry.usable(wanted.service.name))
         if planned_serves and chosen is not None and self._spilled.total(now_ms) + 1 > allowed:
@@ -292,7 +314,7 @@
             health = self.health_of(server)
             if health.accepts(now_ms):
                 choices.append(self._judge(wanted, server, health, False, now_ms))
-        local = [c for c in choices if c.server.region == self._region]
+        local = [c for c in choices if c.server.region == self.region]
         return local or choices
 
     def _no_server(self, wanted: Wanted) -> errors.Refusal:
--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -16,6 +16,7 @@
     asgi,
     clock,
     entry,
+    errors,
     judgement,
     kernel,
     platform,
@@ -23,6 +24,7 @@
     shared_settings,
 )
 from sassafraslock.decisions import revisions
+from sassafraslock.services import log_writer, platform_client, settings_store
 from sassafraslock.standin import backend, caller, platform_api
 from sassafraslock.standin import platform as standin_platform
 
@@ -35,6 +37,8 @@
 SHIFT_WINDOW_MS = 3_000
 LINK_BYTES_PER_S = 2_000_000
 RUN_S = 13.0
+READY_WITHIN_S = 20
+STOP_BOUND_MS = 6_000
 TOKEN = "demo-token"
 REGIONS = ("gorenjska", "stajerska")
 ENTRIES = (("gorenjska", "a"), ("gorenjska", "b"), ("stajerska", "a"))
@@ -57,6 +61,7 @@
     regions: dict[str, backend.Usage]
     journal: caller.Journal
     teams: dict[str, shared_settings.TeamSettings]
+    lines: log_writer.BulkHandler
     drained_at_ms: int = 0
 
 
@@ -68,7 +73,7 @@
     memory = standin_platform.MemoryPlatform()
     faulty = standin_platform.FaultyPlatform(memory, standin_platform.Faults(), seed=1)
     regions = {region: backend.Usage() for region in REGIONS}
-    stage = Stage(faulty, [], {}, {}, regions, caller.Journal(), {})
+    stage = Stage(faulty, [], {}, {}, regions, caller.Journal(), {}, log_writer.BulkHandler())
     for region in REGIONS:
         for service, slots in SERVICES.items():
             _add_servers(stage, region, service, slots, ports)
@@ -76,7 +81,7 @@
     stage.teams[shared_settings.SYSTEM_TEAM] = shared_settings.TeamSettings(
         regions={r: shared_settings.Region(total) for r in REGIONS},
         links=[shared_settings.Link(list(REGIONS), LINK_BYTES_PER_S)],
-        claims=shared_settings.Claims(partitions=1),
+        claims=shared_settings.Claims(),
     )
     return stage
 
@@ -115,11 +120,11 @@
             platform=settings.Platform(HOST, platform_port, REGIONS[0], timeout_ms=500),
             peer_token=TOKEN,
             peers=peers,
-            heartbeat_ms=200,
             poll_ms=200,
+            stop_bound_ms=STOP_BOUND_MS,
         )
-        stage.entries.append(entry.Entry(process))
-        stage.faulty.memory.vms[process.entry_id] = platform.Vm(process.entry_id)
+        table = platform_client.PlatformClient(process.platform)
+        stage.entries.append(entry.Entry(process, table, stage.lines))
 
 
 def _accept_settings(stage: Stage) -> None:
@@ -148,12 +153,13 @@
 
 
 async def _change(stage: Stage, team: str, edit: typing.Callable[[typing.Any], None]) -> None:
-    """Change a team's settings through the first entry, as an operator would."""
-    config = stage.entries[0].kernel.find("settings")
-    document = config.document(team)
+    """Change a team's settings as an operator would."""
+    store = settings_store.SettingsStore(stage.faulty)
+    row = await store.get(team)
+    assert not isinstance(row, errors.Refusal)
+    document = msgspec.json.decode(row.document)
     edit(document)
-    revision = config.revisions.in_force[team]
-    await config.put(team, document, revision, "demo", clock.wall_ms())
+    await store.put(team, document, row.revision, "demo", clock.wall_ms())
 
 
 async def _story(stage: Stage, say: Progress) -> None:
@@ -170,7 +176,7 @@
     say("killing entry gorenjska-b")
     killed = stage.entries[1]
     stage.journal.killed.add(killed.settings.entry_id)
-    killed.kernel.kill()
+    killed.edge.kernel.kill()
     await anyio.sleep(2.0)
     say("taking the platform's store down")
     stage.faulty.faults = standin_platform.Faults(down=True)
@@ -220,28 +226,25 @@
         group.start_soon(core.run, 1_000)
         for one in stage.entries:
             group.start_soon(one.run)
-        await _wait_ready(stage)
+        await _wait_ready(stage, core)
         await _run_callers(stage, say, run_s)
         for one in stage.entries:
-            one.kernel.request_stop()
+            one.edge.kernel.request_stop()
         await anyio.sleep(0.1)
         core.request_stop()
         group.cancel_scope.cancel()
     return judge(stage)
 
 
-async def _wait_ready(stage: Stage) -> None:
-    with anyio.fail_after(10):
+async def _wait_ready(stage: Stage, core: kernel.Kernel) -> None:
+    with anyio.fail_after(READY_WITHIN_S):
+        while not core.all_ready:
+            await anyio.sleep(0.05)
         for one in stage.entries:
-            while not _holds_slots(one):
+            while not one.edge.serves or len(one.edge.gossip.live_ids()) < len(ENTRIES):
                 await anyio.sleep(0.05)
 
 
-def _holds_slots(one: entry.Entry) -> bool:
-    loads = one.kernel.find("steward").loads(clock.monotonic_ms())
-    return len(loads) == len(SERVICES) and one.kernel.find("settings").current
-
-
 async def _run_callers(stage: Stage, say: Progress, run_s: float) -> None:
     with anyio.move_on_after(run_s):
         async with anyio.create_task_group() as group:
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import logging
 import signal
 import typing
 
 import anyio
-import msgspec
 
+import sassafraslock
 from sassafraslock import (
     clock,
     edge_settings,
@@ -25,11 +24,13 @@
 from sassafraslock.path import journey_log, line, send
 from sassafraslock.services import (
     belief,
+    claims,
     directory,
     gossip,
     http_server,
     log_writer,
     metrics,
+    operator_api,
     planner,
     poison_watch,
     replica,
@@ -43,19 +44,31 @@
 STOP_SLACK_MS = 300
 
 
-class Formats(typing.Protocol):
-    """How one platform's clients ask for entries; its adapter implements this."""
+class Interfaces(typing.Protocol):
+    """What is spoken on an entry's addresses."""
 
-    def directory_handler(self, names: directory.Directory) -> http_messages.Handler:
+    def client_handler(self, entry: Edge) -> http_messages.Handler:
+        """Return the handler of the clients' address.
+
+        :param entry: the entry.
+        """
+
+    def directory_handler(self, entry: Edge) -> http_messages.Handler:
         """Return the handler of the directory's address.
 
-        :param names: tells which entries a client should use.
+        :param entry: the entry.
         """
 
-    def readiness_handler(self, ready: typing.Callable[[], bool]) -> http_messages.Handler:
+    def readiness_handler(self, entry: Edge) -> http_messages.Handler:
         """Return the handler of the readiness address.
 
-        :param ready: tells whether this entry takes clients.
+        :param entry: the entry.
+        """
+
+    def operator_handler(self, entry: Edge) -> http_messages.Handler:
+        """Return the handler of the operators' address.
+
+        :param entry: the entry.
         """
 
 
@@ -66,9 +79,10 @@
         self,
         settings: edge_settings.EdgeSettings,
         source: facts.FactSource,
-        formats: Formats,
+        interfaces: Interfaces,
         names: header_names.HeaderNames,
         log_lines: log_writer.BulkHandler,
+        keys: claims.Claims | None = None,
     ) -> None:
         self.settings = settings
         self.boot_ms = clock.wall_ms()
@@ -84,6 +98,7 @@
             list(settings.seeds),
             self.describe,
             self.poison,
+            settings.peer_token,
         )
         servers = registry.Registry()
         self.belief = belief.Belief(servers, self.gossip.roster)
@@ -91,17 +106,25 @@
         self.belief.judge_gaps_by(self.replica.store_gap)
         self.replica.relay_through(gossip.PeerCopyReader(self.gossip, lambda: self.replica.version))
         self.metrics = metrics.Metrics()
-        self.line = self._build_line(servers, names)
+        self.line = self._build_line(servers, names, keys)
         self.planner = planner.Planner(settings, self.belief, self.line.placer, self.gossip.roster)
         self.line.note_work = self.planner.note_work
         self.directory = directory.Directory(settings, self.gossip.roster)
-        self.front = _server(self.line, settings.client_address, self.line.may_overlap)
-        self._register(formats)
+        self.front = _server(
+            interfaces.client_handler(self), settings.client_address, self.line.may_overlap
+        )
+        self._register(interfaces)
+        if keys is not None:
+            keys.purges = self._is_first
+            self.kernel.register("claims", keys)
         self.belief.listeners.append(self._note_table)
         self.belief.note_joined = self.line.placer.note_joined
 
     def _build_line(
-        self, servers: registry.Registry, names: header_names.HeaderNames
+        self,
+        servers: registry.Registry,
+        names: header_names.HeaderNames,
+        keys: claims.Claims | None,
     ) -> line.RequestLine:
         bounds = self.settings.bounds
         cold = cold_start.ColdStart(self.settings.entry_id, bounds.cold_overage, bounds.cold_slack)
@@ -121,30 +144,80 @@
             log,
             self.poison,
             lambda: self.gossip.roster.entry_count(clock.monotonic_ms()),
+            self._region_entries,
+            keys,
         )
 
-    def _register(self, formats: Formats) -> None:
+    def _register(self, interfaces: Interfaces) -> None:
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self.log_lines))
+        self.kernel.register("beliefs", Still(self.belief))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
         self.kernel.register("poison", self.poison)
-        copies = gossip.PeerApi(self.replica)
+        copies = gossip.PeerApi(self.replica, settings.peer_token)
         self.kernel.register("copies", _server(copies, settings.gossip_address))
         self.kernel.register("registration", Registrar(settings, self._source))
-        operators = OperatorApi(self.kernel, self.metrics)
-        if settings.operator_address:
-            self.kernel.register("operators", _server(operators, settings.operator_address))
-        named = formats.directory_handler(self.directory)
-        if settings.directory_address:
-            self.kernel.register("directory", _server(named, settings.directory_address))
-        ready = formats.readiness_handler(lambda: self.serves)
+        addresses = {
+            "operators": (settings.operator_address, interfaces.operator_handler),
+            "directory": (settings.directory_address, interfaces.directory_handler),
+            "readiness": (settings.readiness_address, interfaces.readiness_handler),
+        }
+        for name, (address, handler_for) in addresses.items():
+            if address:
+                self.kernel.register(name, _server(handler_for(self), address))
         self.kernel.register("front", self.front)
-        self.kernel.register("readiness", _server(ready, settings.readiness_address))
         self.kernel.register("departure", Departure(self))
 
+    def _region_entries(self) -> int:
+        """Return the number of live entries of the own region, this one included."""
+        live = self.gossip.roster.live(clock.monotonic_ms())
+        return 1 + sum(m.record.region == self.settings.region for m in live)
+
+    def _is_first(self) -> bool:
+        """Tell whether this entry does what one entry does for all."""
+        return min(self.gossip.live_ids()) == self.settings.entry_id
+
+    def status(self, now_ms: int) -> operator_api.Status:
+        """Return a summary of this entry.
+
+        :param now_ms: the present time.
+        """
+        table = self.belief.table
+        return operator_api.Status(
+            entry_id=self.settings.entry_id,
+            version=sassafraslock.VERSION,
+            region=self.settings.region,
+            zone=self.settings.zone,
+            ready=self.serves,
+            leaving=self.leaving,
+            revision=table.version if table else 0,
+            facts_age_ms=now_ms - self.replica.last_answer_ms,
+            members=sorted(self.gossip.live_ids()),
+            servers=len(self.belief.registry.servers),
+            evacuated=sorted(self.belief.registry.evacuated),
+            in_flight=self.line.in_flight,
+            splits=self.planner.splits(),
+        )
+
+    def dump(self) -> dict[str, object]:
+        """Return every service's state and failure count."""
+        return self.kernel.dump()
+
+    def render_metrics(self) -> bytes:
+        """Return every metric as text."""
+        status = self.status(clock.monotonic_ms())
+        labels = {"entry": self.settings.entry_id}
+        self.metrics.gauge("ready", "1 if the entry takes clients.", labels, status.ready)
+        self.metrics.gauge(
+            "facts_age_ms", "Time since the store answered.", labels, status.facts_age_ms
+        )
+        self.metrics.gauge("servers", "Servers known.", labels, status.servers)
+        self.metrics.gauge("in_flight", "Requests being answered.", labels, status.in_flight)
+        return self.metrics.render()
+
     @property
     def serves(self) -> bool:
         """Whether this entry takes clients."""
@@ -275,39 +348,36 @@
         await anyio.sleep_forever()
 
 
-class OperatorApi:
-    """Serves metrics and the dump of this process's state."""
+class Still:
+    """Shows the state of a part that has no task of its own."""
 
-    __slots__ = ("_kernel", "_metrics")
+    __slots__ = ("_part",)
 
-    def __init__(self, core: kernel.Kernel, counters: metrics.Metrics) -> None:
-        self._kernel = core
-        self._metrics = counters
+    def __init__(self, part: kernel.Dumpable) -> None:
+        self._part = part
 
-    async def __call__(self, request: http_messages.Request) -> http_messages.Response:
-        """Answer an operator.
+    async def run(self, ready: anyio.Event) -> None:
+        """Exist until cancelled.
 
-        :param request: the operator's request.
+        :param ready: set at once.
         """
-        if request.path == "/metrics":
-            headers = [(b"content-type", b"text/plain; version=0.0.4")]
-            return http_messages.Response(200, headers, self._metrics.render())
-        if request.path == "/dump":
-            body = msgspec.json.encode(self._kernel.dump(), enc_hook=str)
-            return http_messages.Response(200, [(b"content-type", b"application/json")], body)
-        return http_messages.Response(404)
+        ready.set()
+        await anyio.sleep_forever()
+
+    def dump(self) -> object:
+        """Return the part's state as plain data."""
+        return self._part.dump()
 
 
-def configure_logs(level: str = "INFO") -> log_writer.BulkHandler:
-    """Send all logs as JSON lines through a bounded buffer, and return the buffer.
+def configure_logs(log_format: logs.LogFormat, level: str) -> log_writer.BulkHandler:
+    """Send all logs through a bounded buffer to standard output, and return the buffer.
 
+    :param log_format: ``text`` or ``json``.
     :param level: the lowest level that is written.
     """
     handler = log_writer.BulkHandler()
-    handler.setFormatter(logs.JsonFormatter())
-    logging.basicConfig(level=level, handlers=[handler], force=True)
-    logging.getLogger("asyncio").setLevel(logging.WARNING)
-    logging.getLogger("httpcore").setLevel(logging.WARNING)
+    handler.setFormatter(logs.formatter(log_format))
+    logs.install(handler, level)
     return handler
 
 
--- a/sassafraslock/kernel.py
+++ b/sassafraslock/kernel.py
@@ -93,6 +93,11 @@
         """The name of the service that made the process give up, or nothing."""
         return self._failed
 
+    @property
+    def all_ready(self) -> bool:
+        """Whether every service serves."""
+        return all(entry.ready.is_set() for entry in self._entries.values())
+
     def dump(self) -> dict[str, object]:
         """Return every service's state and failure count, by name."""
         shown: dict[str, object] = {}
--- a/sassafraslock/logs.py
+++ b/sassafraslock/logs.py
@@ -56,7 +56,24 @@
     :param level: the lowest level that is written.
     """
     handler = logging.StreamHandler()
-    handler.setFormatter(JsonFormatter() if log_format == "json" else TextFormatter())
+    handler.setFormatter(formatter(log_format))
+    install(handler, level)
+
+
+def formatter(log_format: LogFormat) -> logging.Formatter:
+    """Return the formatter of a format.
+
+    :param log_format: ``text`` or ``json``.
+    """
+    return JsonFormatter() if log_format == "json" else TextFormatter()
+
+
+def install(handler: logging.Handler, level: str) -> None:
+    """Send all logs to one handler; libraries only tell of what goes wrong.
+
+    :param handler: where the logs go.
+    :param level: the lowest level that is written.
+    """
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     for noisy in ("uvicorn", "uvicorn.error", "httpcore", "asyncio"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -6,14 +6,24 @@
 import typing
 
 from sassafraslock import clock, errors, header_names, http_messages
-from sassafraslock.decisions import placement, quarantine, retry_budget, server_health, split
+from sassafraslock.decisions import (
+    link_share,
+    placement,
+    quarantine,
+    retry_budget,
+    server_health,
+    split,
+)
 from sassafraslock.path import answer, judge, read, route, send
-from sassafraslock.services import belief, poison_watch, upstream
+from sassafraslock.services import belief, claims, poison_watch, upstream
 
 PATIENCE_RATIO = 4.0
 PATIENCE_TARGET_RATIO = 1.2
 MIN_LEFT_MS = 20
 MAX_TRIED = 5
+HEAD_BYTES = 400
+EXPECTED_ANSWER_BYTES = 16 << 10
+ANSWER_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +63,10 @@
         "_log",
         "_poison",
         "_entries",
+        "_neighbours",
+        "links",
+        "_answer_bytes",
+        "_claims",
         "note_work",
     )
 
@@ -66,6 +80,8 @@
         log: JourneyLog,
         poison: poison_watch.PoisonWatch,
         entries: typing.Callable[[], int],
+        neighbours: typing.Callable[[], int],
+        keys: claims.Claims | None = None,
     ) -> None:
         self.in_flight = 0
         self.placer = placer
@@ -79,6 +95,10 @@
         self._log = log
         self._poison = poison
         self._entries = entries
+        self._neighbours = neighbours
+        self.links = link_share.LinkShares()
+        self._answer_bytes: dict[str, float] = {}
+        self._claims = keys
 
     async def __call__(self, request: http_messages.Request) -> http_messages.Response:
         """Answer one request of a client.
@@ -119,6 +139,18 @@
         if isinstance(routed, errors.Refusal):
             return routed
         journey.routed = routed
+        if self._claims is None or routed.idempotent:
+            return await self._serve(journey, routed)
+        held = await self._claims.acquire(routed)
+        if not isinstance(held, claims.Held):
+            return held
+        outcome = await self._serve(journey, routed)
+        self._claims.settle(held, outcome)
+        return outcome
+
+    async def _serve(
+        self, journey: Journey, routed: route.Routed
+    ) -> http_messages.Response | errors.Refusal:
         now_ms = clock.monotonic_ms()
         if self._is_poison(routed, now_ms):
             reason = "servers crashed while they ran this request"
@@ -140,6 +172,11 @@
             choice = self.placer.place(wanted, now_ms)
             if isinstance(choice, errors.Refusal):
                 return _give_up(journey, choice)
+            if not self._link_carries(routed, choice, now_ms):
+                if wanted.own_region_only:
+                    return _give_up(journey, _link_refusal(choice))
+                wanted.own_region_only = True
+                continue
             if wanted.attempts and not wanted.paid and not self._may_send_again(wanted, now_ms):
                 return _give_up(journey, _budget_refusal())
             wanted.paid = False
@@ -162,6 +199,15 @@
         known = self._poison.quarantine
         return known.size > 0 and known.is_quarantined(_mark(routed), now_ms)
 
+    def _link_carries(self, routed: route.Routed, choice: placement.Choice, now_ms: int) -> bool:
+        """Take this request's part of the link to its server's region."""
+        region = choice.server.region
+        if region == self.placer.region or not self.links.limits:
+            return True
+        expected = int(self._answer_bytes.get(routed.route.name, EXPECTED_ANSWER_BYTES))
+        request_bytes = len(routed.incoming.request.body) + HEAD_BYTES
+        return self.links.take(region, request_bytes, expected, self._neighbours(), now_ms)
+
     def _may_send_again(self, wanted: placement.Wanted, now_ms: int) -> bool:
         return self.budget.take(wanted.service.name, self._entries(), now_ms)
 
@@ -226,6 +272,9 @@
             return
         if exchange.connect_ms >= 0:
             health.rtt_ms = float(exchange.connect_ms)
+        known = self._answer_bytes.get(routed.route.name, EXPECTED_ANSWER_BYTES)
+        size_bytes = len(exchange.response.body) + HEAD_BYTES
+        self._answer_bytes[routed.route.name] = known + ANSWER_WEIGHT * (size_bytes - known)
         told = _told_load(exchange.response.header(self._names.load))
         if told is not None:
             health.note_load(told, now_ms)
@@ -275,6 +324,11 @@
     return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 200)
 
 
+def _link_refusal(choice: placement.Choice) -> errors.Refusal:
+    reason = f"the link to {choice.server.region} carries no more now"
+    return errors.Refusal(errors.ErrorKind.LINK_FULL, reason)
+
+
 def _may_have_run(journey: Journey) -> bool:
     return any(not verdict.certainly_not_run for _, verdict in journey.attempts)
 
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -74,6 +74,7 @@
                 await asyncio.wait((exchange,), timeout=max(0, left_ms) / 1000)
         finally:
             health.in_flight -= 1
+            health.probing = False
             if not exchange.done():
                 exchange.cancel()
         took_ms = clock.monotonic_ms() - sent_ms
--- a/sassafraslock/platform.py
+++ b/sassafraslock/platform.py
@@ -1,4 +1,4 @@
-"""Interfaces of the platform: table service, object store and VM list."""
+"""Interfaces of the platform: table service and object store."""
 
 from __future__ import annotations
 
@@ -79,17 +79,8 @@
         return row.version if row else 0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Vm:
-    """One line of the platform's VM list, which lags behind the truth."""
-
-    vm_id: str
-    leaving: bool = False
-
-
 TableResult = Outcome | errors.Refusal
 ObjectResult = bytes | None | errors.Refusal
-VmResult = list[Vm] | errors.Refusal
 
 
 class Table(typing.Protocol):
@@ -119,10 +110,3 @@
         :param name: the object's name.
         :param value: its bytes.
         """
-
-
-class VmList(typing.Protocol):
-    """The list of live and leaving VMs."""
-
-    async def list_vms(self) -> VmResult:
-        """Return the VMs as the platform believes them to be."""
--- /dev/null
+++ b/sassafraslock/services/claims.py
@@ -0,0 +1,178 @@
+"""Request keys: a row a key in the table service, so that repeats run at most once.
+
+Clients that give each sending an id of its own need none of this; it serves callers who send a
+request again under the same key to learn what became of it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+import uuid
+
+import anyio
+import anyio.streams.memory
+import msgspec
+
+from sassafraslock import clock, errors, header_names, http_messages, platform
+from sassafraslock.decisions import claim, quarantine
+from sassafraslock.path import route
+
+QUEUE = 4_096
+TRIES = 3
+SETTLE_TRIES = 5
+SETTLE_PAUSE_S = 0.3
+PURGE_INTERVAL_S = 5.0
+PURGE_ROWS = 100
+DEFAULT_RETENTION_MS = 600_000
+DEADLINE_SLACK_MS = 1_000
+
+
+@dataclasses.dataclass(slots=True)
+class Held:
+    """A key that this entry claimed for one attempt, and the version of its row."""
+
+    key: str
+    version: int
+    row: claim.ClaimRow
+
+
+@dataclasses.dataclass(slots=True)
+class _Settlement:
+    held: Held
+    answer: claim.RecordedAnswer | None
+
+
+class Claims:
+    """Claims keys before requests are sent, and keeps their answers afterwards."""
+
+    __slots__ = ("retention_ms", "purges", "_table", "_names", "_send", "_receive")
+
+    def __init__(self, table: platform.Table, names: header_names.HeaderNames) -> None:
+        self.retention_ms = DEFAULT_RETENTION_MS
+        self.purges: typing.Callable[[], bool] = lambda: True
+        self._table = table
+        self._names = names
+        self._send, self._receive = anyio.create_memory_object_stream[_Settlement](QUEUE)
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Settle claims and purge old ones until cancelled.
+
+        :param ready: set at once.
+        """
+        ready.set()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._purge_forever)
+            async for settlement in self._receive:
+                group.start_soon(self._settle, settlement)
+
+    async def acquire(self, routed: route.Routed) -> Held | http_messages.Response | errors.Refusal:
+        """Claim a request's key, or return what its repeat gets.
+
+        :param routed: a request that must not run twice.
+        """
+        name = self._names.key
+        key = routed.incoming.request.header(name)
+        if not key:
+            reason = f"this request must carry {name.decode()} with a UUID of version 7"
+            return errors.Refusal(errors.ErrorKind.KEY_MISSING, reason)
+        wall_ms = clock.wall_ms()
+        refused = claim.check_key(key, self.retention_ms, wall_ms)
+        if refused:
+            return refused
+        until_ms = wall_ms + routed.left_ms(clock.monotonic_ms()) + DEADLINE_SLACK_MS
+        row = claim.ClaimRow(uuid.uuid4().hex, _fingerprint(routed), wall_ms, until_ms)
+        found = await self._insert(claim.row_key(routed.service.name, key), row)
+        if isinstance(found, (Held, errors.Refusal)):
+            return found
+        verdict = claim.judge_repeat(found, row.fingerprint, wall_ms)
+        if isinstance(verdict, errors.Refusal):
+            return verdict
+        return http_messages.Response(verdict.status, verdict.headers, verdict.body)
+
+    async def _insert(
+        self, key: str, row: claim.ClaimRow
+    ) -> Held | claim.ClaimRow | errors.Refusal:
+        """Insert a row unless there is one; a lost answer is read back by the row's nonce."""
+        value = msgspec.msgpack.encode(row)
+        result: platform.TableResult = errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, "")
+        for _ in range(TRIES):
+            absent = platform.Condition(key, 0)
+            transaction = platform.Transaction([absent], [platform.Put(key, value)], reads=[key])
+            result = await self._table.transact(transaction)
+            if isinstance(result, errors.Refusal):
+                continue
+            stored = result.row(key)
+            if stored is None:
+                continue
+            found = msgspec.msgpack.decode(stored.value, type=claim.ClaimRow)
+            return Held(key, stored.version, row) if found.nonce == row.nonce else found
+        if isinstance(result, errors.Refusal):
+            return result
+        return errors.Refusal(errors.ErrorKind.STORE_UNAVAILABLE, "the claim was not confirmed")
+
+    def settle(self, held: Held, outcome: http_messages.Response | errors.Refusal) -> None:
+        """Keep an attempt's answer, or free the key of one that did not run.
+
+        :param held: the claimed key.
+        :param outcome: what the client gets.
+        """
+        if isinstance(outcome, errors.Refusal):
+            if not outcome.answer.not_run:
+                return
+            answer = None
+        else:
+            body = outcome.body if len(outcome.body) <= claim.MAX_KEPT_BODY_BYTES else b""
+            headers = http_messages.end_to_end(outcome.headers)
+            answer = claim.RecordedAnswer(outcome.status, headers, body)
+        try:
+            self._send.send_nowait(_Settlement(held, answer))
+        except anyio.WouldBlock:
+            return
+
+    async def _settle(self, settlement: _Settlement) -> None:
+        held = settlement.held
+        condition = platform.Condition(held.key, held.version)
+        transaction = platform.Transaction([condition], deletes=[held.key])
+        if settlement.answer is not None:
+            row = msgspec.structs.replace(held.row, answer=settlement.answer)
+            value = msgspec.msgpack.encode(row)
+            transaction = platform.Transaction([condition], [platform.Put(held.key, value)])
+        for _ in range(SETTLE_TRIES):
+            if not isinstance(await self._table.transact(transaction), errors.Refusal):
+                return
+            await anyio.sleep(SETTLE_PAUSE_S)
+
+    async def _purge_forever(self) -> None:
+        while True:
+            await anyio.sleep(PURGE_INTERVAL_S)
+            if self.purges():
+                await self.purge(clock.wall_ms())
+
+    async def purge(self, wall_ms: int) -> int:
+        """Delete rows of keys that are no longer remembered, and return how many there were.
+
+        :param wall_ms: the present time since 1970.
+        """
+        scan = platform.Scan(claim.PREFIX, limit=PURGE_ROWS)
+        result = await self._table.transact(platform.Transaction(scan=scan))
+        if isinstance(result, errors.Refusal):
+            return 0
+        old = [r.key for r in result.rows if wall_ms - _row_time_ms(r.key) > self.retention_ms]
+        if old:
+            await self._table.transact(platform.Transaction(deletes=old))
+        return len(old)
+
+    def dump(self) -> dict[str, object]:
+        """Return the settlements that wait."""
+        return {"waiting": self._send.statistics().current_buffer_used}
+
+
+def _row_time_ms(key: str) -> int:
+    return claim.key_time_ms(key.removeprefix(claim.PREFIX).partition("|")[0])
+
+
+def _fingerprint(routed: route.Routed) -> str:
+    request = routed.incoming.request
+    name = routed.service.name
+    return quarantine.fingerprint(name, request.method, routed.target, request.body)
--- a/sassafraslock/services/directory.py
+++ b/sassafraslock/services/directory.py
@@ -24,6 +24,7 @@
 class Candidate:
     """An entry that takes clients."""
 
+    entry_id: str
     address: str
     zone: str
     region: str
@@ -54,23 +55,28 @@
         self._roster = members
         self.own_serves = False
 
-    def resolve(self, zone: str, region: str) -> Named:
-        """Return the entries for a client.
+    @property
+    def validity_ms(self) -> int:
+        """How long a client may keep what it is told."""
+        return min(VALIDITY_MS, self._settings.bounds.max_validity_ms)
 
-        :param zone: the client's availability zone.
-        :param region: the client's region.
-        """
+    def candidates(self) -> list[Candidate]:
+        """Return the entries that take clients now."""
         settings = self._settings
-        candidates = [
-            Candidate(
-                m.record.client_address,
-                m.record.zone,
-                m.record.region,
-            )
+        found = [
+            Candidate(m.record.entry_id, m.record.client_address, m.record.zone, m.record.region)
             for m in self._roster.live(clock.monotonic_ms())
             if m.record.ready and not m.record.leaving
         ]
         if self.own_serves:
-            candidates.append(Candidate(settings.client_address, settings.zone, settings.region))
-        validity_ms = min(VALIDITY_MS, settings.bounds.max_validity_ms)
-        return Named(choose(candidates, zone, region), validity_ms)
+            address = settings.client_address
+            found.append(Candidate(settings.entry_id, address, settings.zone, settings.region))
+        return found
+
+    def resolve(self, zone: str, region: str) -> Named:
+        """Return the entries for a client.
+
+        :param zone: the client's availability zone.
+        :param region: the client's region.
+        """
+        return Named(choose(self.candidates(), zone, region), self.validity_ms)
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from sassafraslock import clock, events, http_messages
-from sassafraslock.decisions import roster
+from sassafraslock.decisions import roster, seal
 from sassafraslock.services import poison_watch, replica
 
 INTERVAL_S = 0.5
@@ -53,6 +53,7 @@
         "_decoder",
         "_live",
         "_poison",
+        "token",
     )
 
     def __init__(
@@ -62,12 +63,14 @@
         seeds: list[str],
         describe: SelfDescription,
         poison: poison_watch.PoisonWatch,
+        token: str = "",
     ) -> None:
         self.roster = roster.Roster(own_id)
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
         self._describe = describe
         self._poison = poison
+        self.token = token
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -94,7 +97,7 @@
         :param bound: the socket.
         """
         now_ms = clock.monotonic_ms()
-        payload = self._encoder.encode(self.message(now_ms))
+        payload = seal.seal(self.token, self._encoder.encode(self.message(now_ms)))
         for address in self._targets(now_ms):
             host, _, port = address.rpartition(":")
             try:
@@ -142,8 +145,13 @@
         :param data: the datagram.
         :param now_ms: the present time.
         """
+        opened = seal.unseal(self.token, data)
+        if opened is None:
+            reason = "a datagram does not bear the peers' token; compare peer_token"
+            events.log(events.Event.PEER_MESSAGE_REJECTED, reason, size_bytes=len(data))
+            return
         try:
-            message = self._decoder.decode(data)
+            message = self._decoder.decode(opened)
         except msgspec.DecodeError as error:
             events.log(events.Event.PEER_MESSAGE_REJECTED, str(error), size_bytes=len(data))
             return
@@ -190,13 +198,15 @@
         ]
         if not ahead:
             return None
-        body = msgspec.msgpack.encode(positions)
+        token = self._gossip.token
+        body = seal.seal(token, msgspec.msgpack.encode(positions))
         try:
             with anyio.fail_after(FETCH_TIMEOUT_S):
                 async with httpcore.AsyncConnectionPool() as pool:
                     url = f"http://{random.choice(ahead)}{COPY_PATH}"
                     answer = await pool.request("POST", url, content=body)
-            return self._decoder.decode(answer.content)
+            opened = seal.unseal(token, answer.content)
+            return self._decoder.decode(opened) if opened is not None else None
         except (OSError, TimeoutError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             events.log(events.Event.PEER_MESSAGE_REJECTED, f"no copy from a peer: {error!r}")
         except (httpcore.ProtocolError, msgspec.DecodeError) as error:
@@ -207,10 +217,11 @@
 class PeerApi:
     """Answers peers that ask for this entry's copy."""
 
-    __slots__ = ("_replica", "_decoder")
+    __slots__ = ("_replica", "_decoder", "_token")
 
-    def __init__(self, copy: replica.Replica) -> None:
+    def __init__(self, copy: replica.Replica, token: str) -> None:
         self._replica = copy
+        self._token = token
         self._decoder = msgspec.msgpack.Decoder(dict[str, int])
 
     async def __call__(self, request: http_messages.Request) -> http_messages.Response:
@@ -220,10 +231,12 @@
         """
         if request.path != COPY_PATH:
             return http_messages.Response(404)
+        opened = seal.unseal(self._token, request.body)
+        if opened is None:
+            return http_messages.Response(401)
         try:
-            positions = self._decoder.decode(request.body)
+            positions = self._decoder.decode(opened)
         except msgspec.DecodeError:
             return http_messages.Response(400)
-        return http_messages.Response(
-            200, body=msgspec.msgpack.encode(self._replica.export(positions))
-        )
+        export = msgspec.msgpack.encode(self._replica.export(positions))
+        return http_messages.Response(200, body=seal.seal(self._token, export))
--- a/sassafraslock/services/operator_api.py
+++ b/sassafraslock/services/operator_api.py
@@ -7,22 +7,14 @@
 
 import msgspec
 
-import sassafraslock
-from sassafraslock import (
-    asgi,
-    clock,
-    errors,
-    kernel,
-    platform,
-    settings,
-    settings_check,
-)
-from sassafraslock.decisions import revisions, view
-from sassafraslock.services import caller_api, metrics
-
-MAX_BODY_BYTES = 4 << 20
-HISTORY_LIMIT = 1000
+from sassafraslock import clock, errors, header_names, http_messages, settings_check
+from sassafraslock.decisions import revisions
+from sassafraslock.path import answer
+from sassafraslock.services import settings_store
+
 OPEN_PATHS = ("/healthz", "/readyz")
+JSON = (b"content-type", b"application/json")
+TEXT = (b"content-type", b"text/plain; version=0.0.4")
 
 
 class SettingsAnswer(msgspec.Struct, frozen=True):
@@ -44,7 +36,7 @@
 
 
 class Status(msgspec.Struct, frozen=True):
-    """A summary of one entry."""
+    """A summary of one entry; ages in milliseconds."""
 
     entry_id: str
     version: str
@@ -52,61 +44,70 @@
     zone: str
     ready: bool
     leaving: bool
-    store_available: bool
-    revisions: dict[str, int]
-    view_epoch: int
+    revision: int
+    facts_age_ms: int
     members: list[str]
-    free_slots: dict[str, int]
+    servers: int
+    evacuated: list[str]
+    in_flight: int
     splits: dict[str, dict[str, float]]
-    shift_progress: dict[str, float]
+
+
+class EntryState(typing.Protocol):
+    """What the operators' interface shows of an entry."""
+
+    def status(self, now_ms: int) -> Status:
+        """Return a summary.
+
+        :param now_ms: the present time.
+        """
+
+    def dump(self) -> dict[str, object]:
+        """Return every service's state."""
+
+    def render_metrics(self) -> bytes:
+        """Return every metric as text."""
 
 
 class OperatorApi:
-    """Answers operators on an address of its own; a bearer token guards it."""
+    """Answers operators on an address of its own.
+
+    A bearer token guards it where one is set. Settings are served where the entry keeps them.
+    """
 
-    __slots__ = ("_settings", "_kernel", "_metrics")
+    __slots__ = ("_state", "_store", "_token")
 
     def __init__(
-        self, process: settings.Settings, core: kernel.Kernel, counters: metrics.Metrics
+        self, state: EntryState, store: settings_store.SettingsStore | None, token: str
     ) -> None:
-        self._settings = process
-        self._kernel = core
-        self._metrics = counters
+        self._state = state
+        self._store = store
+        self._token = token
 
-    async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+    async def __call__(self, request: http_messages.Request) -> http_messages.Response:
         """Answer one request.
 
-        :param scope: the ASGI scope.
-        :param receive: the ASGI receive callable.
-        :param send: the ASGI send callable.
+        :param request: the operator's request.
         """
-        request = asgi.request_of(scope)
         if request.path not in OPEN_PATHS and not self._authorized(request):
             refusal = errors.Refusal(
                 errors.ErrorKind.UNAUTHORIZED, "send the operator token as a bearer token"
             )
-            await caller_api.send_refusal(send, refusal)
-            return
-        body = await asgi.read_body(receive, MAX_BODY_BYTES)
-        if body is None:
-            reason = f"the body is larger than {MAX_BODY_BYTES} bytes"
-            await caller_api.send_refusal(
-                send, errors.Refusal(errors.ErrorKind.BODY_TOO_LARGE, reason)
-            )
-            return
-        result = await self._handle(request, body)
+            return _refuse(refusal)
+        result = await self._handle(request)
         if isinstance(result, errors.Refusal):
-            await caller_api.send_refusal(send, result)
-        elif isinstance(result, bytes):
-            await asgi.send_answer(send, 200, [(b"content-type", b"text/plain")], result)
-        else:
-            await asgi.send_json(send, 200, result)
-
-    def _authorized(self, request: asgi.Request) -> bool:
-        expected = f"Bearer {self._settings.operator.token}".encode()
-        return hmac.compare_digest(request.header(b"authorization").encode("latin-1"), expected)
-
-    async def _handle(self, request: asgi.Request, body: bytes) -> object:
+            return _refuse(result)
+        if isinstance(result, bytes):
+            return http_messages.Response(200, [TEXT], result)
+        body = msgspec.json.encode(result, enc_hook=str)
+        return http_messages.Response(200, [JSON], body)
+
+    def _authorized(self, request: http_messages.Request) -> bool:
+        expected = f"Bearer {self._token}".encode()
+        given = request.header(b"authorization").encode("latin-1")
+        return not self._token or hmac.compare_digest(given, expected)
+
+    async def _handle(self, request: http_messages.Request) -> object:
         name = request.path.strip("/").partition("/")[2]
         match request.method, "/" + request.path.split("/")[1]:
             case "GET", "/healthz":
@@ -114,15 +115,15 @@
             case "GET", "/readyz":
                 return self._readiness()
             case "GET", "/metrics":
-                return self._render_metrics()
+                return self._state.render_metrics()
             case "GET", "/status":
-                return self.status(clock.monotonic_ms())
+                return self._state.status(clock.monotonic_ms())
             case "GET", "/dump":
-                return self._kernel.dump()
+                return self._state.dump()
             case "GET", "/settings":
-                return self._get_settings(name)
+                return await self._get_settings(name)
             case "PUT", "/settings":
-                return await self._put_settings(name, request, body)
+                return await self._put_settings(name, request)
             case "GET", "/history":
                 return await self._history(name)
         return errors.Refusal(
@@ -130,57 +131,21 @@
         )
 
     def _readiness(self) -> object:
-        if self._kernel.find("path").ready:
+        if self._state.status(clock.monotonic_ms()).ready:
             return {"ready": True}
         return errors.Refusal(errors.ErrorKind.NOT_READY, "the settings are not current yet")
 
-    def _render_metrics(self) -> bytes:
-        status = self.status(clock.monotonic_ms())
-        for service, free in status.free_slots.items():
-            self._metrics.gauge("free_slots", "Free own slots.", {"service": service}, free)
-        up = {"entry": self._settings.entry_id}
-        self._metrics.gauge(
-            "store_available", "1 if the store answers.", up, status.store_available
-        )
-        self._metrics.gauge("ready", "1 if the entry takes work.", up, status.ready)
-        for service, table in self._kernel.find("splits").tables.items():
-            ratio = table.used_ratio(clock.monotonic_ms())
-            self._metrics.gauge(
-                "moved_ratio", "Moved share of the window.", {"service": service}, ratio
-            )
-        return self._metrics.render()
-
-    def status(self, now_ms: int) -> Status:
-        """Return a summary of this entry.
-
-        :param now_ms: the present time.
-        """
-        find = self._kernel.find
-        steward = find("steward")
-        current: view.View = steward.view
-        loads = steward.loads(now_ms)
-        return Status(
-            self._settings.entry_id,
-            sassafraslock.VERSION,
-            self._settings.region,
-            self._settings.zone,
-            find("path").ready,
-            steward.leaving,
-            find("platform").available,
-            find("settings").revisions.in_force,
-            current.epoch,
-            sorted(current.members),
-            {service: load.free_slots for service, load in loads.items()},
-            find("splits").splits(),
-            find("splits").shift_progress(clock.wall_ms()),
-        )
-
-    def _get_settings(self, team: str) -> object:
-        service = self._kernel.find("settings")
-        revision = service.revisions.in_force.get(team, 0)
-        return SettingsAnswer(team, revision, service.document(team))
-
-    async def _put_settings(self, team: str, request: asgi.Request, body: bytes) -> object:
+    async def _get_settings(self, team: str) -> object:
+        if self._store is None:
+            return _no_settings()
+        row = await self._store.get(team)
+        if isinstance(row, errors.Refusal):
+            return row
+        return SettingsAnswer(team, row.revision, msgspec.json.decode(row.document))
+
+    async def _put_settings(self, team: str, request: http_messages.Request) -> object:
+        if self._store is None:
+            return _no_settings()
         if not team or "/" in team:
             reason = "name one team, as in PUT /settings/TEAM?revision=3"
             return errors.Refusal(errors.ErrorKind.BAD_REQUEST, reason)
@@ -188,13 +153,11 @@
         if not revision.isascii() or not revision.isdigit():
             reason = "add ?revision=N with the revision that the change builds on, 0 for a new team"
             return errors.Refusal(errors.ErrorKind.BAD_REQUEST, reason)
-        raw = _parse(request, body)
+        raw = _parse(request)
         if isinstance(raw, settings_check.Problem):
             return _invalid([raw])
         author = request.header(b"sassafraslock-author") or "operator"
-        result = await self._kernel.find("settings").put(
-            team, raw, int(revision), author, clock.wall_ms()
-        )
+        result = await self._store.put(team, raw, int(revision), author, clock.wall_ms())
         if isinstance(result, list):
             return _invalid(result)
         if isinstance(result, revisions.SubtreeRow):
@@ -202,11 +165,11 @@
         return result
 
     async def _history(self, team: str) -> object:
-        scan = platform.Scan(f"history/{team}/", limit=HISTORY_LIMIT)
-        result = await self._kernel.find("platform").transact(platform.Transaction(scan=scan))
-        if isinstance(result, errors.Refusal):
-            return result
-        rows = [msgspec.msgpack.decode(r.value, type=revisions.HistoryRow) for r in result.rows]
+        if self._store is None:
+            return _no_settings()
+        rows = await self._store.history(team)
+        if isinstance(rows, errors.Refusal):
+            return rows
         return [
             HistoryLine(
                 r.revision, r.change_id, r.wall_ms, r.author, msgspec.json.decode(r.document)
@@ -215,15 +178,24 @@
         ]
 
 
-def _parse(request: asgi.Request, body: bytes) -> typing.Any:
+def _parse(request: http_messages.Request) -> typing.Any:
     if "json" in request.header(b"content-type"):
         try:
-            return msgspec.json.decode(body)
+            return msgspec.json.decode(request.body)
         except msgspec.DecodeError as error:
             return settings_check.Problem("", f"not valid JSON: {error}", "mend the syntax")
-    return settings_check.parse_toml(body.decode(errors="replace"))
+    return settings_check.parse_toml(request.body.decode(errors="replace"))
 
 
 def _invalid(problems: list[settings_check.Problem]) -> errors.Refusal:
     reason = "; ".join(str(p) for p in problems)
     return errors.Refusal(errors.ErrorKind.INVALID_SETTINGS, reason)
+
+
+def _no_settings() -> errors.Refusal:
+    reason = "this entry's settings are kept by its platform; change them there"
+    return errors.Refusal(errors.ErrorKind.NOT_FOUND, reason)
+
+
+def _refuse(refusal: errors.Refusal) -> http_messages.Response:
+    return answer.refuse(refusal, b"", header_names.HeaderNames())
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -124,9 +124,13 @@
             busy[member.record.region] += member.record.demand.get(service, 0.0)
         return busy
 
-    def dump(self) -> dict[str, object]:
-        """Return the present plans."""
+    def splits(self) -> dict[str, dict[str, float]]:
+        """Return the present share of each region, by service and allowed regions."""
         return {
-            f"{service} {sorted(allowed)}": dict(plan.weights)
+            " ".join([service, *sorted(allowed)]): dict(plan.weights)
             for (service, allowed), plan in self._placer.plans.items()
         }
+
+    def dump(self) -> dict[str, object]:
+        """Return the present plans and what clients ask for."""
+        return {"splits": self.splits(), "busy_slots": self.demand(clock.monotonic_ms())}
--- a/sassafraslock/services/platform_client.py
+++ b/sassafraslock/services/platform_client.py
@@ -17,7 +17,7 @@
 
 
 class PlatformClient:
-    """Calls table service, object store and VM list with a bound on each call.
+    """Calls table service and object store with a bound on each call.
 
     After failures in a row, calls are refused at once except for a probe now and then.
     """
@@ -77,10 +77,6 @@
         """
         return await self._call("PUT", f"/objects/{name}", value, bytes | None)
 
-    async def list_vms(self) -> platform.VmResult:
-        """Return the VM list."""
-        return await self._call("GET", "/vms", b"", list[platform.Vm])
-
     async def _call(self, method: str, path: str, body: bytes, answer: typing.Any) -> typing.Any:
         if not self._breaker.allows(clock.monotonic_ms()):
             return _refusal("the platform did not answer lately")
--- /dev/null
+++ b/sassafraslock/services/settings_source.py
@@ -0,0 +1,224 @@
+"""The product's own table service as a source of facts: teams' settings and entries' addresses."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import anyio
+import msgspec
+
+from sassafraslock import clock, errors, facts, platform, routing_table, shared_settings
+from sassafraslock.decisions import registry, revisions
+
+ENTRIES_PREFIX = "entries/"
+SCAN_LIMIT = 1_000
+COLD_PER_S = 1_000.0
+FILING_PRIORITY = 0
+PREFIXES = {
+    facts.Topic.INTENTS: revisions.SETTINGS_PREFIX,
+    facts.Topic.SERVERS: revisions.SETTINGS_PREFIX,
+    facts.Topic.ENTRIES: ENTRIES_PREFIX,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class _Seen:
+    """Changes by key as last worked out from a topic's rows."""
+
+    changes: dict[str, facts.Change] = dataclasses.field(default_factory=dict)
+    version: int = 0
+
+
+class SettingsSource:
+    """Polls the table and tells what differs from the poll before.
+
+    Each change bears the version of the row that it stems from, so that entries which read at
+    different moments agree on what is newer.
+    """
+
+    __slots__ = ("teams", "row_versions", "_table", "_poll_ms", "_seen")
+
+    def __init__(self, table: platform.Table, poll_ms: int) -> None:
+        self.teams: dict[str, shared_settings.TeamSettings] = {}
+        self.row_versions: dict[str, int] = {}
+        self._table = table
+        self._poll_ms = poll_ms
+        self._seen = {topic: _Seen() for topic in facts.Topic}
+
+    async def read_all(self, topic: facts.Topic) -> facts.BatchResult:
+        """Return all rows of a topic as of one version.
+
+        :param topic: the topic.
+        """
+        refused = await self._read(topic)
+        if refused is not None:
+            return refused
+        seen = self._seen[topic]
+        present = tuple(c for c in seen.changes.values() if not c.removed)
+        return facts.Batch(present, seen.version)
+
+    async def read_changes(self, topic: facts.Topic, after: int, wait_ms: int) -> facts.BatchResult:
+        """Return what changed after a version, waiting for the first change.
+
+        :param topic: the topic.
+        :param after: the version reached.
+        :param wait_ms: the longest time to wait for a change.
+        """
+        until_ms = clock.monotonic_ms() + wait_ms
+        while True:
+            refused = await self._read(topic)
+            if refused is not None:
+                return refused
+            newer = tuple(c for c in self._seen[topic].changes.values() if c.version > after)
+            if newer or clock.monotonic_ms() >= until_ms:
+                return facts.Batch(newer, max(after, self._seen[topic].version))
+            await anyio.sleep(self._poll_ms / 1000)
+
+    async def register(self, registration: facts.Registration) -> int | errors.Refusal:
+        """Write where this entry is reached, and return the row's version.
+
+        :param registration: this entry's addresses.
+        """
+        key = ENTRIES_PREFIX + registration.entry_id
+        put = platform.Put(key, msgspec.msgpack.encode(registration))
+        result = await self._table.transact(platform.Transaction(puts=[put], reads=[key]))
+        return result if isinstance(result, errors.Refusal) else result.version(key)
+
+    async def _read(self, topic: facts.Topic) -> errors.Refusal | None:
+        scan = platform.Scan(PREFIXES[topic], limit=SCAN_LIMIT)
+        result = await self._table.transact(platform.Transaction(scan=scan))
+        if isinstance(result, errors.Refusal):
+            return result
+        newest = max((row.version for row in result.rows), default=0)
+        seen = self._seen[topic]
+        if topic is facts.Topic.ENTRIES:
+            self._note(seen, [_entry_change(row) for row in result.rows], newest)
+        elif newest > seen.version or not seen.changes:
+            self._decode_teams(result.rows)
+            self._note(seen, self._work_out(topic, newest), newest)
+        return None
+
+    def _decode_teams(self, rows: list[platform.Row]) -> None:
+        for row in rows:
+            team = row.key.removeprefix(revisions.SETTINGS_PREFIX)
+            if self.row_versions.get(team) != row.version:
+                subtree = msgspec.msgpack.decode(row.value, type=revisions.SubtreeRow)
+                self.teams[team] = msgspec.json.decode(
+                    subtree.document, type=shared_settings.TeamSettings
+                )
+                self.row_versions[team] = row.version
+
+    def _work_out(self, topic: facts.Topic, newest: int) -> list[facts.Change]:
+        shared = shared_settings.merge(self.teams)
+        if topic is facts.Topic.INTENTS:
+            intents = intents_of(shared, newest)
+            return [facts.Change(topic, "intents", newest, intents=intents)]
+        return [
+            facts.Change(topic, report.server_id, self._version_of(report), report=report)
+            for report in reports_of(shared)
+        ]
+
+    def _version_of(self, report: registry.ServerReport) -> int:
+        return self.row_versions[report.service.partition("/")[0]]
+
+    def _note(self, seen: _Seen, found: list[facts.Change], newest: int) -> None:
+        by_key = {change.key: change for change in found}
+        for key, change in by_key.items():
+            known = seen.changes.get(key)
+            if known is None or dataclasses.replace(change, version=known.version) != known:
+                seen.changes[key] = change
+        for key, known in list(seen.changes.items()):
+            if key not in by_key and not known.removed:
+                seen.changes[key] = facts.Change(known.topic, key, newest)
+        seen.version = max(seen.version, newest)
+
+
+def intents_of(shared: shared_settings.SharedSettings, version: int) -> routing_table.Intents:
+    """Return the routing intents that the teams' settings amount to.
+
+    :param shared: all teams' settings.
+    :param version: the version of the newest row.
+    """
+    routes = tuple(_route(name, rules) for name, rules in shared.services.items())
+    services = tuple(_service(name, rules) for name, rules in shared.services.items())
+    largest = max((rules.max_body_bytes for rules in shared.services.values()), default=0)
+    limits = routing_table.Limits(max_body_bytes=largest or routing_table.DEFAULT_BODY_BYTES)
+    return routing_table.Intents(version, routes, services, limits)
+
+
+def reports_of(shared: shared_settings.SharedSettings) -> list[registry.ServerReport]:
+    """Return the servers that the teams' settings name, scaled down to their regions' limits.
+
+    :param shared: all teams' settings.
+    """
+    slots: dict[str, int] = dict.fromkeys(shared.regions, 0)
+    for rules in shared.services.values():
+        for server in rules.servers.values():
+            slots[server.region] = slots.get(server.region, 0) + server.slots
+    found: list[registry.ServerReport] = []
+    for name, rules in shared.services.items():
+        for server_id, server in rules.servers.items():
+            limit = shared.regions.get(server.region)
+            scale = min(1.0, limit.max_in_flight / slots[server.region]) if limit else 1.0
+            found.append(_report(name, server_id, server, scale))
+    return found
+
+
+def _report(
+    service: str, server_id: str, server: shared_settings.Server, scale: float
+) -> registry.ServerReport:
+    draining = server.state == "draining"
+    state = registry.ServerState.DRAINING if draining else registry.ServerState.READY
+    return registry.ServerReport(
+        server_id=f"{service}/{server_id}",
+        service=service,
+        address=f"{server.host}:{server.port}",
+        region=server.region,
+        zone=f"{server.region}/{server.zone}",
+        slots=max(1, int(server.slots * scale)),
+        state=state,
+    )
+
+
+def _route(name: str, rules: shared_settings.Service) -> routing_table.Route:
+    by_method = [f"{method} *" for method in rules.idempotent_methods]
+    return routing_table.Route(
+        name=name,
+        host="",
+        prefix=f"/{name}/",
+        idempotent=False,
+        timeout_ms=rules.max_deadline_ms,
+        target_latency_ms=rules.target_latency_ms,
+        priority=FILING_PRIORITY,
+        max_attempts=rules.max_attempts,
+        destinations=(routing_table.Destination(name, 1.0),),
+        idempotent_requests=(*by_method, *rules.idempotent_paths),
+        strip_prefix=True,
+        default_timeout_ms=rules.deadline_ms,
+    )
+
+
+def _service(name: str, rules: shared_settings.Service) -> routing_table.Service:
+    connections = min((s.connections for s in rules.servers.values()), default=1)
+    splits = {**rules.split, **{region: shift.to for region, shift in rules.shifts.items()}}
+    return routing_table.Service(
+        name=name,
+        max_connections=connections,
+        cold_start_ms=0,
+        cold_per_s=COLD_PER_S,
+        splits=splits,
+        shift_cap_ratio=rules.shift_cap_ratio,
+        shift_window_ms=rules.shift_window_ms,
+        max_body_bytes=rules.max_body_bytes,
+    )
+
+
+def _entry_change(row: platform.Row) -> facts.Change:
+    key = row.key.removeprefix(ENTRIES_PREFIX)
+    try:
+        registration: typing.Any = msgspec.msgpack.decode(row.value, type=facts.Registration)
+    except msgspec.MsgspecError as error:
+        unreadable = facts.Unreadable(f"row {row.key}: {error}")
+        return facts.Change(facts.Topic.ENTRIES, key, row.version, unreadable=unreadable)
+    return facts.Change(facts.Topic.ENTRIES, key, row.version, registration=registration)
--- a/sassafraslock/settings.py
+++ b/sassafraslock/settings.py
@@ -16,7 +16,6 @@
 Level = typing.Literal["debug", "info", "warning", "error"]
 
 STOP_BOUND_MS = 30_000
-HEARTBEAT_MS = 500
 VALIDITY_MS = 1_000
 POLL_MS = 500
 MIN_TOKEN_CHARS = 8
@@ -44,7 +43,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Platform:
-    """Where the platform's table service, object store and VM list answer."""
+    """Where the platform's table service and object store answer."""
 
     host: str
     port: Port
@@ -74,7 +73,6 @@
     peer_token: str
     peers: list[Address] = dataclasses.field(default_factory=list)
     logging: Logging = dataclasses.field(default_factory=Logging)
-    heartbeat_ms: Milliseconds = HEARTBEAT_MS
     validity_ms: Milliseconds = VALIDITY_MS
     poll_ms: Milliseconds = POLL_MS
     stop_bound_ms: Milliseconds = STOP_BOUND_MS
--- a/sassafraslock/shared_settings.py
+++ b/sassafraslock/shared_settings.py
@@ -53,7 +53,8 @@
     max_deadline_ms: settings.Milliseconds = 30_000
     max_body_bytes: Bytes = 1 << 20
     max_response_bytes: Bytes = 8 << 20
-    filing_reserve_ratio: Ratio = 0.2
+    target_latency_ms: settings.Milliseconds = 400
+    max_attempts: typing.Annotated[int, msgspec.Meta(ge=1, le=10)] = 3
     shift_cap_ratio: typing.Annotated[float, msgspec.Meta(gt=0.0, le=1.0)] = 0.1
     shift_window_ms: settings.Milliseconds = 60_000
     split: dict[str, Split] = dataclasses.field(default_factory=dict)
@@ -80,8 +81,6 @@
 class Claims:
     """How request keys are claimed."""
 
-    partitions: Count = 2
-    commits_per_s: Count = 45
     retention_ms: settings.Milliseconds = 600_000
 
 
--- a/sassafraslock/standin/backend.py
+++ b/sassafraslock/standin/backend.py
@@ -7,11 +7,11 @@
 
 import anyio
 
-from sassafraslock import asgi, clock
-from sassafraslock.services import forwarder
+from sassafraslock import asgi, clock, header_names
 
 MAX_BODY_BYTES = 64 << 20
-KEY_HEADER = b"sassafraslock-key"
+NAMES = header_names.HeaderNames()
+QUEUE_PER_SLOT = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,15 +50,20 @@
     runs_by_key: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
     own: Usage = dataclasses.field(default_factory=Usage)
     runs: int = 0
+    waiting: int = 0
+    shed: int = 0
     crashes: int = 0
     last_start_ms: int = 0
 
 
 class BackendServer:
-    """Serves requests over HTTP and answers with what it was asked, as a kernel service."""
+    """Serves requests over HTTP and answers with what it was asked, as a kernel service.
+
+    It runs as many as it has slots, lets some wait, and turns the others away as not run.
+    """
 
     __slots__ = ("server_id", "slots", "behaviour", "record", "region_usage", "_host", "_port",
-                 "_crash")  # fmt: skip
+                 "_crash", "_free_slots")  # fmt: skip
 
     def __init__(
         self, server_id: str, slots: int, host: str, port: int, region_usage: Usage
@@ -71,6 +76,7 @@
         self._host = host
         self._port = port
         self._crash = anyio.Event()
+        self._free_slots = anyio.Semaphore(slots)
 
     async def run(self, ready: anyio.Event) -> None:
         """Serve until cancelled; after a crash, serve again from a new socket.
@@ -86,6 +92,9 @@
                 group.cancel_scope.cancel()
             await anyio.sleep(self.behaviour.restart_ms / 1000)
 
+    def _load(self) -> bytes:
+        return f"{self.record.own.running},{self.record.waiting},{self.slots}".encode()
+
     def crash(self) -> None:
         """Break every connection and stay away for a while."""
         self.record.crashes += 1
@@ -105,8 +114,10 @@
         body = await asgi.read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return
-        if self.behaviour.refuse_all:
-            await asgi.send_answer(send, 503, [(forwarder.NOT_RUN_HEADER, b"true")], b"shedding")
+        if self.behaviour.refuse_all or self.record.waiting >= QUEUE_PER_SLOT * self.slots:
+            self.record.shed += 1
+            headers = [(NAMES.not_run, b"true"), (NAMES.load, self._load())]
+            await asgi.send_answer(send, 503, headers, b"shedding")
             return
         poison = self.behaviour.poison.encode()
         if poison and poison in request.path.encode() + b"\n" + body:
@@ -121,10 +132,28 @@
         await asgi.send_json(send, 200, {"load": load, "draining": self.behaviour.draining})
 
     async def _work(self, request: asgi.Request, body: bytes, send: asgi.Send) -> None:
+        self.record.waiting += 1
+        try:
+            await self._free_slots.acquire()
+        finally:
+            self.record.waiting -= 1
+        try:
+            await self._run_request(request)
+        finally:
+            self._free_slots.release()
+        headers = [
+            (b"x-server", self.server_id.encode()),
+            (b"x-echo", request.header(b"x-echo").encode()),
+            (NAMES.load, self._load()),
+        ]
+        filler = b"." * max(0, self.behaviour.response_bytes - len(body))
+        await asgi.send_answer(send, 200, headers, body + filler)
+
+    async def _run_request(self, request: asgi.Request) -> None:
         record = self.record
         record.runs += 1
         record.last_start_ms = clock.monotonic_ms()
-        key = request.header(KEY_HEADER)
+        key = request.header(NAMES.key)
         if key:
             record.runs_by_key[key] += 1
         record.own.change(1)
@@ -134,9 +163,3 @@
         finally:
             record.own.change(-1)
             self.region_usage.change(-1)
-        headers = [
-            (b"x-server", self.server_id.encode()),
-            (b"x-echo", request.header(b"x-echo").encode()),
-        ]
-        filler = b"." * max(0, self.behaviour.response_bytes - len(body))
-        await asgi.send_answer(send, 200, headers, body + filler)
--- a/sassafraslock/standin/caller.py
+++ b/sassafraslock/standin/caller.py
@@ -13,6 +13,7 @@
 import uuid6
 
 from sassafraslock import clock
+from sassafraslock.path import answer
 from sassafraslock.services import caller_api
 
 LOWEST_US = 1
@@ -129,7 +130,7 @@
         """
         self.journal.requests += 1
         started_ms = clock.monotonic_ms()
-        refusal: caller_api.ErrorBody | None = None
+        refusal: answer.ErrorBody | None = None
         certain = True
         entry: caller_api.NamedEntry | None = None
         for number in range(MAX_TRIES):
@@ -172,7 +173,7 @@
 
     async def _try(
         self, request: Request, entry: caller_api.NamedEntry
-    ) -> Answered | caller_api.ErrorBody | None:
+    ) -> Answered | answer.ErrorBody | None:
         """Send once; none means that the connection broke."""
         nonce = str(self._random.getrandbits(64))
         headers: dict[bytes | str, bytes | str] = {
@@ -196,7 +197,7 @@
             return None
         named = {n.lower().decode(): v.decode() for n, v in response.headers}
         if "sassafraslock-error" in named:
-            refusal = msgspec.json.decode(response.content, type=caller_api.ErrorBody)
+            refusal = msgspec.json.decode(response.content, type=answer.ErrorBody)
             self.journal.kinds[refusal.error] += 1
             return refusal
         replayed = bool(request.key) and named.get("x-echo") != nonce
