--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,24 +9,23 @@
 import click
 import msgspec
 
-from benchmarks import claims_cost, fuzz, headroom, latency, recovery, slopes
+from benchmarks import gossip, latency, placement, slopes
 
 Rows = typing.Sequence[typing.Any]
 
 PARTS: dict[str, tuple[str, typing.Callable[[], Rows]]] = {
     "latency": ("Latency through an entry, loopback, work of 20 ms", latency.measure),
-    "headroom": ("Headroom by policy, virtual time, four entries", headroom.measure),
-    "recovery": ("Drain, stop, configuration and recovery, virtual time", recovery.measure),
-    "claims": ("Store writes of claims, virtual time", claims_cost.measure),
-    "fuzz": ("At most once under random faults", fuzz.measure),
+    "placement": ("Choice of servers by policy, virtual time", placement.measure),
+    "gossip": ("Gossip by the number of entries, virtual time", gossip.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
 DOCUMENT = pathlib.Path(__file__).parent.parent / "docs" / "MEASUREMENTS.md"
 HEAD = """# Measurements
 
 Written by `make bench ARGS=--write` on one machine of 6 cores with Python 3.11; seeds are fixed.
-Latency is real time on loopback in one process; headroom, recovery and claims run on virtual
-time, so their figures do not depend on the machine.
+Latency is real time on loopback in one process; placement and the ages of gossip are virtual
+time, so they do not depend on the machine. The policies that came before are in the history of
+this page; docs/design/platform.md compares with them.
 """
 
 
@@ -50,7 +49,13 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object as the last line.")
 @click.option("--write", is_flag=True, help="Write docs/MEASUREMENTS.md.")
 def main(names: tuple[str, ...], as_json: bool, write: bool) -> None:
-    """Measure all parts, or those named."""
+    """Measure all parts, or those named.
+    \f
+
+    :param names: the parts, all where none is named.
+    :param as_json: whether the last line is JSON.
+    :param write: whether the page is written.
+    """
     found: dict[str, Rows] = {}
     text = HEAD
     for name in names or PARTS:
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -261,7 +261,7 @@
         found = self._ranks.get(name)
         if found is None:
             servers = [s for s in self.registry.usable(wanted.service.name) if s.region == region]
-            servers.sort(key=lambda s: _score(wanted.key, s), reverse=True)
+            servers.sort(key=lambda s: home_score(wanted.key, s), reverse=True)
             found = self._ranks[name] = servers[: 3 * CANDIDATES]
         return found
 
@@ -335,7 +335,12 @@
     return not route.regions or server.region in route.regions
 
 
-def _score(key: str, server: registry.Server) -> float:
+def home_score(key: str, server: registry.Server) -> float:
+    """Return a server's score for an object; the highest of a region is the object's home.
+
+    :param key: the object.
+    :param server: the server.
+    """
     return hashing.rendezvous_score(key, server.server_id, max(1, server.report.slots))
 
 
--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-import itertools
 import random
+import socket
 import typing
 
 import anyio
@@ -29,7 +29,6 @@
 from sassafraslock.standin import platform as standin_platform
 
 HOST = "127.0.0.1"
-FIRST_PORT = 21_700
 CALLERS = 32
 PAUSE_MS = (150, 300)
 FILING_CALLERS_EVERY = 3
@@ -48,6 +47,7 @@
 DRAINED = "kocar/logbook"
 
 Progress = typing.Callable[[str], None]
+_given: set[int] = set()
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,7 +66,14 @@
 
 
 def _ports() -> typing.Iterator[int]:
-    return itertools.count(FIRST_PORT)
+    """Return ports that are free now, so that two runs on one machine do not meet."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            port = probe.getsockname()[1]
+        if port not in _given:
+            _given.add(port)
+            yield port
 
 
 def _build(ports: typing.Iterator[int]) -> Stage:
@@ -212,6 +219,18 @@
     :param say: shows one line of progress.
     :param run_s: how long callers send requests.
     """
+
+    async def scenario(stage: Stage) -> None:
+        await _run_callers(stage, say, run_s)
+
+    return judge(await staged(scenario))
+
+
+async def staged(scenario: typing.Callable[[Stage], typing.Awaitable[None]]) -> Stage:
+    """Start platform, servers and entries, run a scenario among them and stop them.
+
+    :param scenario: gets the stage once all serve.
+    """
     ports = _ports()
     stage = _build(ports)
     platform_port = next(ports)
@@ -227,13 +246,13 @@
         for one in stage.entries:
             group.start_soon(one.run)
         await _wait_ready(stage, core)
-        await _run_callers(stage, say, run_s)
+        await scenario(stage)
         for one in stage.entries:
             one.edge.kernel.request_stop()
         await anyio.sleep(0.1)
         core.request_stop()
         group.cancel_scope.cancel()
-    return judge(stage)
+    return stage
 
 
 async def _wait_ready(stage: Stage, core: kernel.Kernel) -> None:
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -97,8 +97,8 @@
         :param bound: the socket.
         """
         now_ms = clock.monotonic_ms()
-        payload = seal.seal(self.token, self._encoder.encode(self.message(now_ms)))
-        for address in self._targets(now_ms):
+        payload = self.encode(now_ms)
+        for address in self.targets(now_ms):
             host, _, port = address.rpartition(":")
             try:
                 await bound.sendto(payload, host, int(port))
@@ -123,7 +123,18 @@
         own = self._describe(self._beat)
         return Message([own, *records], beats, self._poison.told(now_ms))
 
-    def _targets(self, now_ms: int) -> list[str]:
+    def encode(self, now_ms: int) -> bytes:
+        """Return this round's datagram.
+
+        :param now_ms: the present time.
+        """
+        return seal.seal(self.token, self._encoder.encode(self.message(now_ms)))
+
+    def targets(self, now_ms: int) -> list[str]:
+        """Return the addresses that this round's datagram goes to.
+
+        :param now_ms: the present time.
+        """
         live = [m.record.gossip_address for m in self.roster.live(now_ms)]
         silent = [m.record.gossip_address for m in self.roster.known()]
         silent = [a for a in {*silent, *self._seeds} if a not in live and a != self._address]
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -120,7 +120,9 @@
         """Return the server that is asked first for the object, and the other one."""
         placer = self.edge.line.placer
         order = sorted(self.backends, key=lambda i: placer.registry.servers[i].first_seen_ms)
-        order.sort(key=lambda i: placement._score("k", placer.registry.servers[i]), reverse=True)
+        order.sort(
+            key=lambda i: placement.home_score("k", placer.registry.servers[i]), reverse=True
+        )
         return [self.backends[i] for i in order]
 
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -107,8 +107,8 @@
     oldest_ms = 0
     for now_ms in range(0, 15_000, 500):
         for entry in entries.values():
-            raw = entry._encoder.encode(entry.message(now_ms))
-            for address in entry._targets(now_ms):
+            raw = entry.encode(now_ms)
+            for address in entry.targets(now_ms):
                 if address in by_address and source.random() > 0.1:
                     by_address[address].take_in(raw, now_ms)
         if now_ms >= 6_000:
