--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import typing
 
 import anyio
 import click
@@ -18,6 +19,7 @@
     edge,
     entry,
     errors,
+    explain,
     logs,
     output,
     settings,
@@ -140,6 +142,26 @@
     output.finish(client.Client(address, token).call("GET", "/dump"), form)
 
 
+@main.command(name="explain")
+@click.argument("request_id")
+@click.option("--log", "source", type=click.File("r"), default="-", help="Log lines of entries.")
+def explain_command(request_id: str, source: typing.TextIO) -> None:
+    """Tell a request's way from the log lines of entries, from a file or standard input.
+
+    Example: sassafraslock explain 9c41d07be2a35f68 --log entry-a.log
+    \f
+
+    :param request_id: the id that the client sent.
+    :param source: the log lines.
+    """
+    told = explain.explain(explain.parse(source), request_id)
+    if not told:
+        reason = f"no line of a request {request_id}; give the logs of every entry of its region"
+        output.finish(errors.Refusal(errors.ErrorKind.NOT_FOUND, reason), "table")
+    for line in told:
+        click.echo(line)
+
+
 @main.group()
 def blocks() -> None:
     """Publish the table from client blocks to sites."""
--- a/sassafraslock/errors.py
+++ b/sassafraslock/errors.py
@@ -18,22 +18,18 @@
     KEY_REUSED = "key-reused"
     IN_PROGRESS = "in-progress"
     MAY_HAVE_RUN = "may-have-run"
-    DEADLINE_EXCEEDED = "deadline-exceeded"
     TIMED_OUT = "timed-out"
     NO_CAPACITY = "no-capacity"
     LINK_FULL = "link-full"
-    SHIFT_CAP = "shift-cap"
     NO_SERVER = "no-server"
     STORE_UNAVAILABLE = "store-unavailable"
     QUARANTINED = "quarantined"
     NOT_READY = "not-ready"
-    LEAVING = "leaving"
     SERVER_FAILED = "server-failed"
     UNAUTHORIZED = "unauthorized"
     CONFLICT = "conflict"
     INVALID_SETTINGS = "invalid-settings"
     NOT_FOUND = "not-found"
-    PEER_PROTOCOL = "peer-protocol"
     HISTORY_LOST = "history-lost"
 
 
@@ -60,22 +56,18 @@
     ErrorKind.KEY_REUSED: Answer(422, True, 4),
     ErrorKind.IN_PROGRESS: Answer(409, False, 4, 500),
     ErrorKind.MAY_HAVE_RUN: Answer(409, False, 4),
-    ErrorKind.DEADLINE_EXCEEDED: Answer(504, True, 5),
     ErrorKind.TIMED_OUT: Answer(504, False, 5),
     ErrorKind.NO_CAPACITY: Answer(503, True, 6, 200),
     ErrorKind.LINK_FULL: Answer(503, True, 6, 200),
-    ErrorKind.SHIFT_CAP: Answer(503, True, 6, 1000),
     ErrorKind.NO_SERVER: Answer(503, True, 6, 1000),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, True, 7, 1000),
     ErrorKind.QUARANTINED: Answer(503, True, 8, 1000),
     ErrorKind.NOT_READY: Answer(503, True, 7, 500),
-    ErrorKind.LEAVING: Answer(503, True, 7, 100),
     ErrorKind.SERVER_FAILED: Answer(502, False, 5),
     ErrorKind.UNAUTHORIZED: Answer(401, True, 9),
     ErrorKind.CONFLICT: Answer(409, True, 10),
     ErrorKind.INVALID_SETTINGS: Answer(422, True, 2),
     ErrorKind.NOT_FOUND: Answer(404, True, 3),
-    ErrorKind.PEER_PROTOCOL: Answer(400, True, 2),
     ErrorKind.HISTORY_LOST: Answer(503, True, 7, 500),
 }
 
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -5,7 +5,7 @@
 import dataclasses
 import typing
 
-from sassafraslock import clock, errors, header_names, http_messages
+from sassafraslock import clock, errors, events, header_names, http_messages
 from sassafraslock.decisions import (
     link_share,
     placement,
@@ -17,7 +17,7 @@
 from sassafraslock.path import answer, judge, read, route, send
 from sassafraslock.services import belief, claims, poison_watch, upstream
 
-PATIENCE_RATIO = 4.0
+PATIENCE_RATIO = 2.0
 PATIENCE_TARGET_RATIO = 1.2
 MIN_LEFT_MS = 20
 MAX_TRIED = 5
@@ -261,7 +261,7 @@
         now_ms = attempt.sent_ms + attempt.took_ms
         exchange = attempt.exchange
         if verdict is judge.Verdict.NOT_SENT:
-            health.note_unreachable(now_ms)
+            self._eject(attempt, health, now_ms)
             return
         if exchange is None or exchange.response is None:
             health.note_broken(now_ms)
@@ -279,12 +279,26 @@
         if told is not None:
             health.note_load(told, now_ms)
         if verdict is judge.Verdict.MISDIRECTED:
-            health.note_unreachable(now_ms)
+            self._eject(attempt, health, now_ms)
             return
         health.note_answer(verdict in (judge.Verdict.FAILED, judge.Verdict.BROKEN), now_ms)
         if verdict is judge.Verdict.ANSWERED:
             self._learn_speed(routed, wanted, attempt, health)
 
+    def _eject(
+        self, attempt: send.Attempt, health: server_health.ServerHealth, now_ms: int
+    ) -> None:
+        health.note_unreachable(now_ms)
+        reason = attempt.exchange.reason if attempt.exchange else ""
+        events.log(
+            events.Event.SERVER_EJECTED,
+            "a server gets nothing for a moment",
+            server=attempt.choice.server.server_id,
+            failures=health.unreachable,
+            for_ms=health.ejected_until_ms - now_ms,
+            reason=reason or "another server has its address",
+        )
+
     def _learn_speed(
         self,
         routed: route.Routed,
