Bounds and seeds are taken over when the settings change; a refused body behind another request is never run; entries that stood still keep their part; departures end before the grace is over

Found by reading: a body over the limit behind a waiting request would have been forwarded cut short; a process that had been suspended took the whole slack of the retry budget for its part; a changed settings file was only logged.

--- a/sassafraslock/decisions/cold_start.py
+++ b/sassafraslock/decisions/cold_start.py
@@ -32,6 +32,15 @@
         self._slack = slack
         self._allowances: dict[str, _Allowance] = {}
 
+    def set_bounds(self, overage: float, slack: float) -> None:
+        """Take over other bounds.
+
+        :param overage: what a cold server's rate may be multiplied by.
+        :param slack: what may come on top.
+        """
+        self._overage = overage
+        self._slack = slack
+
     def take(self, server_id: str, cold_per_s: float, entry_ids: list[str], now_ms: int) -> bool:
         """Take one request to a cold server if this entry may send it.
 
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -26,6 +26,8 @@
 FREE_RATIO = 0.67
 QUEUE_LIMIT_BY_PRIORITY = (2.5, 2.0, 1.4)
 JOINED_MS = 15_000
+CONNECTION_RATIO = 0.5
+MIN_CONNECTIONS = 2
 GOLDEN_RATIO = 0.618033988749895  # its multiples spread evenly between 0 and 1
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 1_000
@@ -36,7 +38,7 @@
     """A request that needs a server.
 
     ``paid`` says that the retry budget allowed its next attempt, ``shed`` that a server was full,
-    ``own_region_only`` that the links carry no more.
+    ``own_region_only`` that the links carry no more. ``entries`` share the servers' connections.
     """
 
     route: routing_table.Route
@@ -49,6 +51,7 @@
     paid: bool = False
     shed: bool = False
     own_region_only: bool = False
+    entries: int = 1
 
     @property
     def object_name(self) -> str:
@@ -85,7 +88,7 @@
         "plans",
         "region",
         "_entries",
-        "_cold",
+        "cold",
         "_speeds",
         "_ranks",
         "_generation",
@@ -108,7 +111,7 @@
         self.plans: dict[tuple[str, frozenset[str]], region_plan.RegionPlan] = {}
         self.region = region
         self._entries = entries
-        self._cold = cold
+        self.cold = cold
         self._speeds: dict[str, route_speed.RouteSpeed] = {}
         self._ranks: dict[tuple[str, str, str], list[registry.Server]] = {}
         self._generation = -1
@@ -143,7 +146,7 @@
         """Drop what is kept of servers that left the registry."""
         names = {start_name(s) for s in self.registry.servers.values()}
         self.health = {k: v for k, v in self.health.items() if k in names or v.in_flight}
-        self._cold.forget(names)
+        self.cold.forget(names)
 
     def place(self, wanted: Wanted, now_ms: int) -> Choice | errors.Refusal:
         """Return the server for a request, or why there is none.
@@ -217,7 +220,7 @@
         :param server_id: the server.
         :param now_ms: the present time.
         """
-        if self._cold.own_id in cold_start.sponsors(server_id, self._entries.live_ids()):
+        if self.cold.own_id in cold_start.sponsors(server_id, self._entries.live_ids()):
             self._joined[server_id] = now_ms
 
     def _choices(self, wanted: Wanted, region: str, count: int, now_ms: int) -> list[Choice]:
@@ -226,13 +229,18 @@
             if server.server_id in wanted.tried or not _allowed(wanted.route, server):
                 continue
             health = self.health_of(server)
-            if not health.accepts(now_ms):
+            if not health.accepts(now_ms) or health.in_flight >= self._connection_part(wanted):
                 continue
             choices.append(self._judge(wanted, server, health, place == 0, now_ms))
             if len(choices) >= count:
                 break
         return choices
 
+    def _connection_part(self, wanted: Wanted) -> int:
+        """Return how many of a server's connections this entry may hold."""
+        part = CONNECTION_RATIO * wanted.service.max_connections / wanted.entries
+        return max(MIN_CONNECTIONS, int(part))
+
     def _judge(
         self,
         wanted: Wanted,
@@ -288,7 +296,7 @@
 
     def _take_cold(self, chosen: Choice, wanted: Wanted, now_ms: int) -> bool:
         name = start_name(chosen.server)
-        return self._cold.take(name, wanted.service.cold_per_s, self._entries.live_ids(), now_ms)
+        return self.cold.take(name, wanted.service.cold_per_s, self._entries.live_ids(), now_ms)
 
     def _instead_of_cold(
         self, wanted: Wanted, choices: list[Choice], now_ms: int
--- a/sassafraslock/decisions/retry_budget.py
+++ b/sassafraslock/decisions/retry_budget.py
@@ -23,6 +23,20 @@
         self._requests: dict[str, windows.SlidingCount] = {}
         self._retries: dict[str, windows.SlidingCount] = {}
 
+    def set_bounds(self, ratio: float, slack: float, window_ms: int) -> None:
+        """Take over other bounds; counts go on unless the window changed.
+
+        :param ratio: further attempts by requests.
+        :param slack: what all entries share beside the ratio.
+        :param window_ms: the window over which both are counted.
+        """
+        self._ratio = ratio
+        self._slack = slack
+        if window_ms != self._window_ms:
+            self._window_ms = window_ms
+            self._requests.clear()
+            self._retries.clear()
+
     def note_request(self, service: str, now_ms: int) -> None:
         """Count a request's first attempt.
 
--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -119,12 +119,13 @@
         """Return all members, dead ones included."""
         return list(self._members.values())
 
-    def entry_count(self, now_ms: int) -> int:
-        """Return the number of live entries, this one included.
+    def entry_count(self) -> int:
+        """Return the number of entries, this one and those that fell silent lately included.
 
-        :param now_ms: the present time.
+        Parts of limits go by it: a process that stood still hears nobody for a moment, and must
+        not take the whole for its part.
         """
-        return len(self.live(now_ms)) + 1
+        return len(self._members) + 1
 
     def forget_dead(self, now_ms: int) -> list[str]:
         """Drop members silent for long and return their ids.
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import signal
 import typing
 
@@ -11,7 +12,6 @@
 from sassafraslock import (
     clock,
     edge_settings,
-    errors,
     events,
     facts,
     header_names,
@@ -25,6 +25,7 @@
 from sassafraslock.services import (
     belief,
     claims,
+    departure,
     directory,
     gossip,
     http_server,
@@ -33,15 +34,23 @@
     operator_api,
     planner,
     poison_watch,
+    registrar,
     replica,
     upstream,
 )
 
-LEAVE_AFTER_MS = 3_200
-STOP_MARGIN_MS = 400
-STOP_POLL_S = 0.05
-REGISTER_RETRY_S = 0.5
-STOP_SLACK_MS = 300
+STOP_SLACK_MS = 600
+SETTINGS_POLL_S = 2.0
+
+
+class Reload(typing.Protocol):
+    """Reads the settings again."""
+
+    def __call__(self, signalled: bool) -> edge_settings.EdgeSettings | None:
+        """Return the settings if they changed, none where they did not or cannot be read.
+
+        :param signalled: whether a signal says that they changed.
+        """
 
 
 class Interfaces(typing.Protocol):
@@ -104,12 +113,13 @@
         self.belief = belief.Belief(servers, self.gossip.roster)
         self.replica = replica.Replica(source, self.belief)
         self.belief.judge_gaps_by(self.replica.store_gap)
+        self.replica.pace_by(self.gossip.roster.entry_count)
         self.replica.relay_through(gossip.PeerCopyReader(self.gossip, lambda: self.replica.version))
         self.metrics = metrics.Metrics()
         self.line = self._build_line(servers, names, keys)
         self.planner = planner.Planner(settings, self.belief, self.line.placer, self.gossip.roster)
-        self.line.note_work = self.planner.note_work
-        self.directory = directory.Directory(settings, self.gossip.roster)
+        self.line.learner.note_work = self.planner.note_work
+        self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.serves)
         self.front = _server(
             interfaces.client_handler(self), settings.client_address, self.line.may_overlap
         )
@@ -143,7 +153,7 @@
             names,
             log,
             self.poison,
-            lambda: self.gossip.roster.entry_count(clock.monotonic_ms()),
+            self.gossip.roster.entry_count,
             self._region_entries,
             keys,
         )
@@ -151,7 +161,7 @@
     def _register(self, interfaces: Interfaces) -> None:
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self.log_lines))
-        self.kernel.register("beliefs", Still(self.belief))
+        self.kernel.register("beliefs", kernel.Still(self.belief))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
         self.kernel.register("planner", self.planner)
@@ -159,7 +169,7 @@
         self.kernel.register("poison", self.poison)
         copies = gossip.PeerApi(self.replica, settings.peer_token)
         self.kernel.register("copies", _server(copies, settings.gossip_address))
-        self.kernel.register("registration", Registrar(settings, self._source))
+        self.kernel.register("registration", registrar.Registrar(settings, self._source))
         addresses = {
             "operators": (settings.operator_address, interfaces.operator_handler),
             "directory": (settings.directory_address, interfaces.directory_handler),
@@ -169,7 +179,7 @@
             if address:
                 self.kernel.register(name, _server(handler_for(self), address))
         self.kernel.register("front", self.front)
-        self.kernel.register("departure", Departure(self))
+        self.kernel.register("departure", departure.Departure(self))
 
     def _region_entries(self) -> int:
         """Return the number of live entries of the own region, this one included."""
@@ -218,12 +228,16 @@
         self.metrics.gauge("in_flight", "Requests being answered.", labels, status.in_flight)
         return self.metrics.render()
 
+    @property
+    def in_flight(self) -> int:
+        """The requests being answered."""
+        return self.line.in_flight
+
     @property
     def serves(self) -> bool:
         """Whether this entry takes clients."""
         known = self.belief.table is not None and bool(self.belief.registry.servers)
-        self.directory.own_serves = known and not self.leaving
-        return self.directory.own_serves
+        return known and not self.leaving
 
     def describe(self, beat: int) -> roster.MemberRecord:
         """Return what this entry says of itself.
@@ -254,10 +268,25 @@
         self.leaving = True
         self.front.begin_closing()
 
-    async def run(self, reload: typing.Callable[[], None]) -> str:
+    def apply_settings(self, settings: edge_settings.EdgeSettings) -> None:
+        """Take over new bounds and seeds; addresses hold until the next start.
+
+        :param settings: the settings as read again.
+        """
+        self.settings = dataclasses.replace(
+            self.settings, bounds=settings.bounds, seeds=settings.seeds
+        )
+        bounds = settings.bounds
+        self.directory.settings = self.settings
+        self.line.budget.set_bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms)
+        self.line.placer.cold.set_bounds(bounds.cold_overage, bounds.cold_slack)
+        self.gossip.seeds = list(settings.seeds)
+        events.log(events.Event.SETTINGS_RELOADED, "settings in force again")
+
+    async def run(self, reload: Reload) -> str:
         """Serve until SIGTERM or SIGINT.
 
-        :param reload: reads the settings again, on SIGHUP.
+        :param reload: reads the settings again, if they changed or SIGHUP says so.
         :returns: the name of the service that made the process give up, or nothing.
         """
         settings = self.settings
@@ -270,105 +299,32 @@
         )
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_signals, reload)
+            group.start_soon(self._watch_settings, reload)
             await self.kernel.run(settings.bounds.grace_ms - STOP_SLACK_MS)
             group.cancel_scope.cancel()
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
         return self.kernel.failed_service
 
-    async def _watch_signals(self, reload: typing.Callable[[], None]) -> None:
+    async def _watch_settings(self, reload: Reload) -> None:
+        while True:
+            await anyio.sleep(SETTINGS_POLL_S)
+            self._reload(reload, False)
+
+    def _reload(self, reload: Reload, signalled: bool) -> None:
+        settings = reload(signalled)
+        if settings is not None:
+            self.apply_settings(settings)
+
+    async def _watch_signals(self, reload: Reload) -> None:
         watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*watched) as received:
             async for number in received:
                 if number == signal.SIGHUP:
-                    reload()
+                    self._reload(reload, True)
                 else:
                     self.kernel.request_stop()
 
 
-class Departure:
-    """Ends an entry's service without cutting off a request."""
-
-    __slots__ = ("_edge",)
-
-    def __init__(self, edge: Edge) -> None:
-        self._edge = edge
-
-    async def run(self, ready: anyio.Event) -> None:
-        """Exist until cancelled.
-
-        :param ready: set at once.
-        """
-        ready.set()
-        await anyio.sleep_forever()
-
-    async def stop(self) -> None:
-        """Stop being named, serve those that still have the name, and end what is in flight."""
-        started_ms = clock.monotonic_ms()
-        bounds = self._edge.settings.bounds
-        events.log(
-            events.Event.PROCESS_STOPPING,
-            "entry leaves",
-            entry=self._edge.settings.entry_id,
-            in_flight=self._edge.line.in_flight,
-        )
-        self._edge.begin_leaving()
-        named_ms = min(LEAVE_AFTER_MS, bounds.grace_ms // 2 + 200)
-        last_ms = bounds.grace_ms - STOP_MARGIN_MS
-        while True:
-            await anyio.sleep(STOP_POLL_S)
-            passed_ms = clock.monotonic_ms() - started_ms
-            if passed_ms >= last_ms or (passed_ms >= named_ms and not self._edge.line.in_flight):
-                return
-
-
-class Registrar:
-    """Writes once, after the start, where this entry is reached."""
-
-    __slots__ = ("_settings", "_source")
-
-    def __init__(self, settings: edge_settings.EdgeSettings, source: facts.FactSource) -> None:
-        self._settings = settings
-        self._source = source
-
-    async def run(self, ready: anyio.Event) -> None:
-        """Write until the store took it, then exist until cancelled.
-
-        :param ready: set at once.
-        """
-        ready.set()
-        registration = facts.Registration(
-            self._settings.entry_id,
-            self._settings.region,
-            self._settings.zone,
-            self._settings.gossip_address,
-            self._settings.client_address,
-        )
-        while isinstance(await self._source.register(registration), errors.Refusal):
-            await anyio.sleep(REGISTER_RETRY_S)
-        await anyio.sleep_forever()
-
-
-class Still:
-    """Shows the state of a part that has no task of its own."""
-
-    __slots__ = ("_part",)
-
-    def __init__(self, part: kernel.Dumpable) -> None:
-        self._part = part
-
-    async def run(self, ready: anyio.Event) -> None:
-        """Exist until cancelled.
-
-        :param ready: set at once.
-        """
-        ready.set()
-        await anyio.sleep_forever()
-
-    def dump(self) -> object:
-        """Return the part's state as plain data."""
-        return self._part.dump()
-
-
 def configure_logs(log_format: logs.LogFormat, level: str) -> log_writer.BulkHandler:
     """Send all logs through a bounded buffer to standard output, and return the buffer.
 
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -101,7 +101,7 @@
 
         :returns: the name of the service that made the process give up, or nothing.
         """
-        return await self.edge.run(lambda: None)
+        return await self.edge.run(lambda signalled: None)
 
 
 def edge_settings_of(process: settings.Settings) -> edge_settings.EdgeSettings:
--- a/sassafraslock/kernel.py
+++ b/sassafraslock/kernel.py
@@ -178,3 +178,24 @@
         events.log(events.Event.SERVICE_GAVE_UP, f"service {name} keeps failing", logging.ERROR)
         self._stop_requested.set()
         return True
+
+
+class Still:
+    """Shows the state of a part that has no task of its own."""
+
+    __slots__ = ("_part",)
+
+    def __init__(self, part: Dumpable) -> None:
+        self._part = part
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Exist until cancelled.
+
+        :param ready: set at once.
+        """
+        ready.set()
+        await anyio.sleep_forever()
+
+    def dump(self) -> object:
+        """Return the part's state as plain data."""
+        return self._part.dump()
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -5,25 +5,20 @@
 import dataclasses
 import typing
 
-from sassafraslock import clock, errors, events, header_names, http_messages
+from sassafraslock import clock, errors, header_names, http_messages
 from sassafraslock.decisions import (
     link_share,
     placement,
-    quarantine,
     retry_budget,
-    server_health,
     split,
 )
-from sassafraslock.path import answer, judge, read, route, send
-from sassafraslock.services import belief, claims, poison_watch, upstream
+from sassafraslock.path import answer, judge, learn, read, route, send
+from sassafraslock.services import belief, claims, poison_watch
 
 PATIENCE_RATIO = 2.0
 PATIENCE_TARGET_RATIO = 1.2
 MIN_LEFT_MS = 20
 MAX_TRIED = 5
-HEAD_BYTES = 400
-EXPECTED_ANSWER_BYTES = 16 << 10
-ANSWER_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,9 +60,8 @@
         "_entries",
         "_neighbours",
         "links",
-        "_answer_bytes",
         "_claims",
-        "note_work",
+        "learner",
     )
 
     def __init__(
@@ -88,7 +82,7 @@
         self.splitter = split.Splitter()
         self.budget = budget
         self.draining = False
-        self.note_work: typing.Callable[[str, int, int], None] = lambda name, busy_ms, now_ms: None
+        self.learner = learn.Learner(placer, names, poison)
         self._belief = beliefs
         self._sender = sender
         self._names = names
@@ -97,7 +91,6 @@
         self._entries = entries
         self._neighbours = neighbours
         self.links = link_share.LinkShares()
-        self._answer_bytes: dict[str, float] = {}
         self._claims = keys
 
     async def __call__(self, request: http_messages.Request) -> http_messages.Response:
@@ -159,6 +152,7 @@
         key = journey.incoming.key or journey.incoming.request_id.decode("latin-1")
         left_ms = routed.left_ms(now_ms)
         wanted = placement.Wanted(routed.route, routed.service, key, left_ms, routed.idempotent)
+        wanted.entries = self._entries()
         return await self._attempt_until_answered(journey, routed, wanted)
 
     async def _attempt_until_answered(
@@ -197,15 +191,15 @@
 
     def _is_poison(self, routed: route.Routed, now_ms: int) -> bool:
         known = self._poison.quarantine
-        return known.size > 0 and known.is_quarantined(_mark(routed), now_ms)
+        return known.size > 0 and known.is_quarantined(learn.fingerprint(routed), now_ms)
 
     def _link_carries(self, routed: route.Routed, choice: placement.Choice, now_ms: int) -> bool:
         """Take this request's part of the link to its server's region."""
         region = choice.server.region
         if region == self.placer.region or not self.links.limits:
             return True
-        expected = int(self._answer_bytes.get(routed.route.name, EXPECTED_ANSWER_BYTES))
-        request_bytes = len(routed.incoming.request.body) + HEAD_BYTES
+        expected = int(self.learner.answer_bytes(routed.route))
+        request_bytes = len(routed.incoming.request.body) + learn.HEAD_BYTES
         return self.links.take(region, request_bytes, expected, self._neighbours(), now_ms)
 
     def _may_send_again(self, wanted: placement.Wanted, now_ms: int) -> bool:
@@ -238,7 +232,7 @@
             routed, choice, health, patience_ms, lambda: self._may_abandon(wanted)
         )
         verdict = judge.judge(attempt, self._names)
-        self._learn(routed, wanted, attempt, verdict, health)
+        self.learner.learn(routed, wanted, attempt, verdict, health)
         return attempt, verdict
 
     def _may_abandon(self, wanted: placement.Wanted) -> bool:
@@ -250,88 +244,6 @@
         wanted.paid = self._may_send_again(wanted, now_ms)
         return wanted.paid
 
-    def _learn(
-        self,
-        routed: route.Routed,
-        wanted: placement.Wanted,
-        attempt: send.Attempt,
-        verdict: judge.Verdict,
-        health: server_health.ServerHealth,
-    ) -> None:
-        now_ms = attempt.sent_ms + attempt.took_ms
-        exchange = attempt.exchange
-        if verdict is judge.Verdict.NOT_SENT:
-            self._eject(attempt, health, now_ms)
-            return
-        if exchange is None or exchange.response is None:
-            health.note_broken(now_ms)
-            if exchange is not None and exchange.end is upstream.End.BROKEN:
-                report = attempt.choice.server.report
-                found = poison_watch.Break(_mark(routed), report.server_id, report.address)
-                self._poison.note_broken(found)
-            return
-        if exchange.connect_ms >= 0:
-            health.rtt_ms = float(exchange.connect_ms)
-        known = self._answer_bytes.get(routed.route.name, EXPECTED_ANSWER_BYTES)
-        size_bytes = len(exchange.response.body) + HEAD_BYTES
-        self._answer_bytes[routed.route.name] = known + ANSWER_WEIGHT * (size_bytes - known)
-        told = _told_load(exchange.response.header(self._names.load))
-        if told is not None:
-            health.note_load(told, now_ms)
-        if verdict is judge.Verdict.MISDIRECTED:
-            self._eject(attempt, health, now_ms)
-            return
-        health.note_answer(verdict in (judge.Verdict.FAILED, judge.Verdict.BROKEN), now_ms)
-        if verdict is judge.Verdict.ANSWERED:
-            self._learn_speed(routed, wanted, attempt, health)
-
-    def _eject(
-        self, attempt: send.Attempt, health: server_health.ServerHealth, now_ms: int
-    ) -> None:
-        health.note_unreachable(now_ms)
-        reason = attempt.exchange.reason if attempt.exchange else ""
-        events.log(
-            events.Event.SERVER_EJECTED,
-            "a server gets nothing for a moment",
-            server=attempt.choice.server.server_id,
-            failures=health.unreachable,
-            for_ms=health.ejected_until_ms - now_ms,
-            reason=reason or "another server has its address",
-        )
-
-    def _learn_speed(
-        self,
-        routed: route.Routed,
-        wanted: placement.Wanted,
-        attempt: send.Attempt,
-        health: server_health.ServerHealth,
-    ) -> None:
-        choice = attempt.choice
-        now_ms = attempt.sent_ms + attempt.took_ms
-        connect_ms = max(0, attempt.exchange.connect_ms) if attempt.exchange else 0
-        took_ms = max(1.0, attempt.took_ms - health.rtt_ms - connect_ms)
-        self.note_work(routed.service.name, int(took_ms), now_ms)
-        slots = choice.server.report.slots
-        speed = self.placer.speed_of(routed.route)
-        if choice.load + 1 <= slots and not choice.cold:
-            health.note_speed(took_ms / speed.expected_ms(choice.warm), now_ms)
-            if health.slow_factor(now_ms) < 1.5:
-                speed.note(choice.warm, took_ms)
-        self.placer.objects.note(wanted.object_name, choice.server.server_id, now_ms)
-
-
-def _mark(routed: route.Routed) -> str:
-    request = routed.incoming.request
-    caller = f"{routed.service.name}|{request.client}"
-    return quarantine.fingerprint(caller, request.method, routed.target, request.body)
-
-
-def _told_load(value: bytes) -> server_health.ReportedLoad | None:
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return server_health.ReportedLoad(*(int(part) for part in parts))
-
 
 def _budget_refusal() -> errors.Refusal:
     reason = "no server ran it, and the budget for further attempts is used up"
--- a/sassafraslock/services/directory.py
+++ b/sassafraslock/services/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 from sassafraslock import clock, edge_settings
 from sassafraslock.decisions import roster
@@ -48,27 +49,32 @@
 class Directory:
     """Names live, ready entries near a client."""
 
-    __slots__ = ("_settings", "_roster", "own_serves")
+    __slots__ = ("settings", "_roster", "_own_serves")
 
-    def __init__(self, settings: edge_settings.EdgeSettings, members: roster.Roster) -> None:
-        self._settings = settings
+    def __init__(
+        self,
+        settings: edge_settings.EdgeSettings,
+        members: roster.Roster,
+        own_serves: typing.Callable[[], bool],
+    ) -> None:
+        self.settings = settings
         self._roster = members
-        self.own_serves = False
+        self._own_serves = own_serves
 
     @property
     def validity_ms(self) -> int:
         """How long a client may keep what it is told."""
-        return min(VALIDITY_MS, self._settings.bounds.max_validity_ms)
+        return min(VALIDITY_MS, self.settings.bounds.max_validity_ms)
 
     def candidates(self) -> list[Candidate]:
         """Return the entries that take clients now."""
-        settings = self._settings
+        settings = self.settings
         found = [
             Candidate(m.record.entry_id, m.record.client_address, m.record.zone, m.record.region)
             for m in self._roster.live(clock.monotonic_ms())
             if m.record.ready and not m.record.leaving
         ]
-        if self.own_serves:
+        if self._own_serves():
             address = settings.client_address
             found.append(Candidate(settings.entry_id, address, settings.zone, settings.region))
         return found
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -46,7 +46,7 @@
     __slots__ = (
         "roster",
         "_address",
-        "_seeds",
+        "seeds",
         "_describe",
         "_beat",
         "_encoder",
@@ -67,7 +67,7 @@
     ) -> None:
         self.roster = roster.Roster(own_id)
         self._address = address
-        self._seeds = [seed for seed in seeds if seed != address]
+        self.seeds = seeds
         self._describe = describe
         self._poison = poison
         self.token = token
@@ -137,7 +137,7 @@
         """
         live = [m.record.gossip_address for m in self.roster.live(now_ms)]
         silent = [m.record.gossip_address for m in self.roster.known()]
-        silent = [a for a in {*silent, *self._seeds} if a not in live and a != self._address]
+        silent = [a for a in {*silent, *self.seeds} if a not in live and a != self._address]
         targets = random.sample(live, min(FAN_OUT, len(live)))
         return targets + random.sample(silent, min(2, len(silent)))
 
@@ -179,6 +179,7 @@
         for entry_id in sorted(self._live - live):
             events.log(events.Event.PEER_LOST, "a peer is silent", entry=entry_id)
         self._live = live
+        self.roster.forget_dead(now_ms)
 
     def dump(self) -> dict[str, object]:
         """Return the members with the age of what is known of them."""
--- a/sassafraslock/services/http_server.py
+++ b/sassafraslock/services/http_server.py
@@ -143,6 +143,7 @@
         self._since_ms = clock.monotonic_ms()
         self._head_since_ms: int | None = None
         self._finished = False
+        self._refused = False
         self._new_message()
 
     def _new_message(self) -> None:
@@ -183,7 +184,7 @@
 
         :param data: the bytes.
         """
-        if self._finished:
+        if self._finished or self._refused:
             return
         if self._head_since_ms is None:
             self._head_since_ms = clock.monotonic_ms()
@@ -241,7 +242,7 @@
 
     def on_message_complete(self) -> None:
         """Queue a whole request and start it where its order allows."""
-        if self._finished:
+        if self._finished or self._refused:
             return
         now_ms = clock.monotonic_ms()
         request = http_messages.Request(
@@ -295,8 +296,9 @@
 
     def _refuse(self, status: int) -> None:
         """Answer a message that cannot be read, after all answers before it."""
-        if self._finished:
+        if self._finished or self._refused:
             return
+        self._refused = True
         request = http_messages.Request("GET", "/", [], b"", self._client, 0)
         self._exchanges.append(_Exchange(request, None, http_messages.Response(status, close=True)))
         self.flush()
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -19,6 +19,8 @@
 AFTER_GAP_MS = 2_300
 PEERS_AFTER_MS = 700
 PEERS_PAUSE_S = 0.4
+CROWD_ENTRIES = 24
+MAX_CROWD = 2.0
 
 _PAUSES_S = {
     facts.Topic.INTENTS: INTENTS_PAUSE_S,
@@ -67,6 +69,7 @@
         "_source",
         "_sink",
         "_peers",
+        "_entries",
         "_lost",
         "_complete",
     )
@@ -79,9 +82,21 @@
         self._source = source
         self._sink = sink
         self._peers: PeerCopies | None = None
+        self._entries: typing.Callable[[], int] = lambda: 1
         self._lost = False
         self._complete: set[facts.Topic] = set()
 
+    def pace_by(self, entries: typing.Callable[[], int]) -> None:
+        """Name what tells how many entries read the store; many of them read less often.
+
+        :param entries: returns the number of entries.
+        """
+        self._entries = entries
+
+    def _pause_s(self, topic: facts.Topic) -> float:
+        crowd = min(MAX_CROWD, max(1.0, self._entries() / CROWD_ENTRIES))
+        return _PAUSES_S[topic] * (1.0 if topic is facts.Topic.INTENTS else crowd)
+
     def relay_through(self, peers: PeerCopies) -> None:
         """Name who is asked while the store does not answer.
 
@@ -135,7 +150,7 @@
                 continue
             self._note_answer(now_ms)
             self._take_in(topic, result, now_ms)
-            await anyio.sleep(_PAUSES_S[topic])
+            await anyio.sleep(self._pause_s(topic))
 
     async def _note_refusal(self, topic: facts.Topic, refusal: errors.Refusal, now_ms: int) -> None:
         if refusal.kind is errors.ErrorKind.HISTORY_LOST:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -308,6 +308,16 @@
     running(scenario)
 
 
+def test_settings_read_again_are_in_force():
+    async def scenario(world):
+        bounds = edge_settings.Bounds(retry_ratio=0.0, retry_slack=0.0, cold_overage=0.0)
+        world.edge.apply_settings(dataclasses.replace(world.settings, bounds=bounds))
+        world.home()[0].mode = "shed"
+        assert (await world.ask()).status == 503
+
+    running(scenario)
+
+
 def test_metrics_and_dump_are_shown():
     async def scenario(world):
         await world.ask()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -180,6 +180,16 @@
     serving(scenario)
 
 
+def test_a_body_too_large_behind_another_request_is_never_run():
+    async def scenario(stream, handler, server):
+        await stream.send(get("/slow1") + post("/w", b"x" * 11) + get("/after"))
+        found = await read_to_end(stream)
+        assert b"/slow1" in found and b"HTTP/1.1 413" in found
+        assert handler.started == ["/slow1"]
+
+    serving(scenario, LIMITS)
+
+
 def test_slow_heads_and_idle_clients_are_closed():
     async def scenario(stream, handler, server):
         connection = next(iter(server.connections))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import ast
 import base64
+import os
 import pathlib
 import re
 
@@ -213,6 +214,20 @@
     assert refusal.kind is errors.ErrorKind.INVALID_SETTINGS and missing in refusal.reason
 
 
+def test_a_changed_file_is_read_again_and_a_faulty_one_left_out(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    watch = platform_settings.Watch(str(path))
+    assert watch.reload(False) is None
+    assert watch.reload(True).bounds.drain_ms == 2500
+    path.write_text(SETTINGS.replace("drainS = 2.5", "drainS = 4"))
+    os.utime(path, ns=(1, 1))
+    assert watch.reload(False).bounds.drain_ms == 4000
+    path.write_text("a = = 1")
+    os.utime(path, ns=(2, 2))
+    assert watch.reload(False) is None
+
+
 def test_a_file_that_is_no_toml_is_refused(tmp_path):
     path = tmp_path / "settings.toml"
     path.write_text("a = = 1")
