--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -39,7 +39,7 @@
     upstream,
 )
 
-STOP_SLACK_MS = 600
+STOPPING_RATIO = 0.9
 SETTINGS_POLL_S = 2.0
 
 
@@ -300,7 +300,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_signals, reload)
             group.start_soon(self._watch_settings, reload)
-            await self.kernel.run(settings.bounds.grace_ms - STOP_SLACK_MS)
+            await self.kernel.run(int(STOPPING_RATIO * settings.bounds.grace_ms))
             group.cancel_scope.cancel()
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
         return self.kernel.failed_service
--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -9,7 +9,7 @@
 from sassafraslock import clock, edge_settings, events
 
 LEAVE_AFTER_MS = 3_200
-STOP_MARGIN_MS = 900
+SERVING_RATIO = 0.85
 STOP_POLL_S = 0.05
 
 
@@ -54,7 +54,7 @@
         )
         self._entry.begin_leaving()
         named_ms = min(LEAVE_AFTER_MS, bounds.grace_ms // 2 + 200)
-        last_ms = bounds.grace_ms - STOP_MARGIN_MS
+        last_ms = SERVING_RATIO * bounds.grace_ms
         while True:
             await anyio.sleep(STOP_POLL_S)
             passed_ms = clock.monotonic_ms() - started_ms
