--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -220,7 +220,10 @@
 @click.option("--port", default=7400, show_default=True)
 @click.option("--slots", default=3, show_default=True)
 @click.option("--work-ms", default=20, show_default=True)
-def standin_backend(server_id: str, host: str, port: int, slots: int, work_ms: int) -> None:
+@click.option("--journal", default="", help="A file that gets a line for each run under a key.")
+def standin_backend(
+    server_id: str, host: str, port: int, slots: int, work_ms: int, journal: str
+) -> None:
     """Run a backend server's stand-in.
 
     Example: sassafraslock standin backend logbook-1 --port 7401
@@ -231,8 +234,9 @@
     :param port: the port.
     :param slots: the slots that it reports.
     :param work_ms: the time that a request takes.
+    :param journal: the file of runs.
     """
-    anyio.run(commands.run_backend, server_id, host, port, slots, work_ms)
+    anyio.run(commands.run_backend, server_id, host, port, slots, work_ms, journal)
 
 
 @main.command(name="demo")
--- a/sassafraslock/commands.py
+++ b/sassafraslock/commands.py
@@ -101,7 +101,9 @@
     await _run_alone(asgi.HttpServer(platform_api.PlatformApp(faulty), host, port))
 
 
-async def run_backend(server_id: str, host: str, port: int, slots: int, work_ms: int) -> None:
+async def run_backend(
+    server_id: str, host: str, port: int, slots: int, work_ms: int, journal: str
+) -> None:
     """Run a backend server's stand-in until SIGTERM or SIGINT.
 
     :param server_id: the server's id, which its answers carry.
@@ -109,9 +111,11 @@
     :param port: the port.
     :param slots: the requests that it reports as full load.
     :param work_ms: the time that a request takes.
+    :param journal: a file that gets a line for each run of a request with a key.
     """
     server = backend.BackendServer(server_id, slots, host, port, backend.Usage())
     server.behaviour.work_ms = work_ms
+    server.behaviour.journal_path = journal
     await _run_alone(server)
 
 
--- a/sassafraslock/standin/backend.py
+++ b/sassafraslock/standin/backend.py
@@ -25,6 +25,7 @@
     refuse_all: bool = False
     poison: str = ""
     restart_ms: int = 500
+    journal_path: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +93,12 @@
                 group.cancel_scope.cancel()
             await anyio.sleep(self.behaviour.restart_ms / 1000)
 
+    def _write_down(self, key: str) -> None:
+        """Keep a run's key and time where a kill does not lose them."""
+        if self.behaviour.journal_path:
+            with open(self.behaviour.journal_path, "a") as journal:
+                journal.write(f"{clock.monotonic_ms()} {key}\n")
+
     def _load(self) -> bytes:
         return f"{self.record.own.running},{self.record.waiting},{self.slots}".encode()
 
@@ -156,6 +163,7 @@
         key = request.header(NAMES.key)
         if key:
             record.runs_by_key[key] += 1
+            self._write_down(key)
         record.own.change(1)
         self.region_usage.change(1)
         try:
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,103 @@
+"""Loopback proxy that delays, resets, silences or cuts connections one way."""
+
+from __future__ import annotations
+
+import enum
+import random
+import socket
+import struct
+
+import anyio
+import anyio.abc
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65_536
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class Mode(enum.StrEnum):
+    """What happens to connections now."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENCE = "silence"
+    ONE_WAY = "one way"
+
+
+class Proxy:
+    """Forwards one port to another; a fault meets open and new connections alike."""
+
+    def __init__(self, port: int, target_port: int, seed: int) -> None:
+        self.port = port
+        self.mode = Mode.PASS
+        self._target_port = target_port
+        self._random = random.Random(seed)
+        self._open: set[anyio.abc.SocketStream] = set()
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Forward until cancelled.
+
+        :param ready: set once the port accepts connections.
+        """
+        listener = await anyio.create_tcp_listener(local_host=HOST, local_port=self.port)
+        async with listener:
+            ready.set()
+            await listener.serve(self._serve)
+
+    def strike(self, mode: Mode) -> None:
+        """Begin a fault, or end it with :attr:`Mode.PASS`.
+
+        :param mode: the fault.
+        """
+        self.mode = mode
+        if mode is Mode.RESET:
+            for stream in list(self._open):
+                _reset(stream)
+
+    async def _serve(self, client: anyio.abc.SocketStream) -> None:
+        if self.mode is Mode.RESET:
+            _reset(client)
+        self._open.add(client)
+        try:
+            async with (
+                client,
+                await anyio.connect_tcp(HOST, self._target_port) as server,
+                anyio.create_task_group() as group,
+            ):
+                group.start_soon(self._pump, client, server, False, group.cancel_scope)
+                group.start_soon(self._pump, server, client, True, group.cancel_scope)
+        except OSError:
+            _reset(client)
+        finally:
+            self._open.discard(client)
+
+    async def _pump(
+        self,
+        source: anyio.abc.SocketStream,
+        sink: anyio.abc.SocketStream,
+        back: bool,
+        scope: anyio.CancelScope,
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive(CHUNK_BYTES)
+                await self._hold(back)
+                await sink.send(data)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            scope.cancel()
+
+    async def _hold(self, back: bool) -> None:
+        if self.mode is Mode.DELAY:
+            await anyio.sleep(self._random.uniform(0.02, 0.3))
+        while self.mode is Mode.SILENCE or (self.mode is Mode.ONE_WAY and back):
+            await anyio.sleep(0.02)
+
+
+def _reset(stream: anyio.abc.SocketStream) -> None:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    try:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        raw.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,155 @@
+"""One seed of the soak, from start to verdict."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import pathlib
+import random
+import tempfile
+
+import anyio
+
+from sassafraslock.standin import caller
+from soak import faults, proxy, stage
+
+CALLERS = 8
+PAUSE_S = (0.02, 0.15)
+RECOVERY_S = 12.0
+READY_S = 30.0
+FILING_RATIO = 0.4
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What a seed showed; ``broken`` names the promises that did not hold."""
+
+    seed: int
+    requests: int = 0
+    answered: int = 0
+    refused: int = 0
+    unknown: int = 0
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+
+async def play(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
+    """Play one seed in a folder and judge it.
+
+    :param seed: the seed.
+    :param seconds: how long faults last.
+    :param folder: an empty folder, which keeps logs and schedules.
+    """
+    one = stage.Stage(folder, seed)
+    journal = caller.Journal()
+    injector = faults.Injector(one)
+    targets = [name for name in one.processes if name != "platform"] + ["platform"]
+    schedule = faults.draw(seed, seconds, targets, list(one.proxies))
+    (folder / "schedule.txt").write_text("".join(f"{fault}\n" for fault in schedule))
+    recovered = False
+    try:
+        async with anyio.create_task_group() as group:
+            for each in one.proxies.values():
+                ready = anyio.Event()
+                group.start_soon(each.run, ready)
+                await ready.wait()
+            for process in one.processes.values():
+                process.start()
+            await _until_ready(one)
+            async with anyio.create_task_group() as calling:
+                for number in range(CALLERS):
+                    calling.start_soon(_call, one, journal, seed * 1_000 + number)
+                await injector.run(schedule)
+                recovered = await _recovers(one, journal)
+                calling.cancel_scope.cancel()
+            group.cancel_scope.cancel()
+    finally:
+        one.end()
+    return judge(seed, one, journal, injector, recovered)
+
+
+async def _until_ready(one: stage.Stage) -> None:
+    with anyio.fail_after(READY_S):
+        for number in range(stage.ENTRIES):
+            while not await anyio.to_thread.run_sync(one.is_ready, number):
+                await anyio.sleep(0.1)
+
+
+async def _call(one: stage.Stage, journal: caller.Journal, seed: int) -> None:
+    source = random.Random(seed)
+    addresses = [f"{proxy.HOST}:{port}" for port in one.caller_ports]
+    source.shuffle(addresses)
+    client = caller.Caller(f"caller-{seed}", addresses, journal, seed)
+    try:
+        while True:
+            if source.random() < FILING_RATIO:
+                await client.file(stage.SERVICE, "/filings", str(source.random()).encode())
+            else:
+                await client.read(stage.SERVICE, "/entries/7")
+            await anyio.sleep(source.uniform(*PAUSE_S))
+    finally:
+        with anyio.CancelScope(shield=True):
+            await client.close()
+
+
+async def _recovers(one: stage.Stage, journal: caller.Journal) -> bool:
+    """Tell whether all entries serve again, and callers get answers, after the last fault."""
+    with anyio.move_on_after(RECOVERY_S):
+        await _until_ready(one)
+        before = journal.answered
+        while journal.answered < before + 5 * CALLERS:
+            await anyio.sleep(0.1)
+        return True
+    return False
+
+
+def judge(
+    seed: int,
+    one: stage.Stage,
+    journal: caller.Journal,
+    injector: faults.Injector,
+    recovered: bool,
+) -> Verdict:
+    """Compare what callers saw with what servers ran.
+
+    :param seed: the seed.
+    :param one: the stage, its processes ended.
+    :param journal: what the callers saw.
+    :param injector: what was done.
+    :param recovered: whether callers were served again after the last fault.
+    """
+    runs: collections.Counter[str] = collections.Counter()
+    for name in one.processes:
+        path = one.journal(name)
+        lines = path.read_text().splitlines() if path.exists() else []
+        runs.update(line.split()[1] for line in lines if len(line.split()) == 2)
+    verdict = Verdict(
+        seed, journal.requests, journal.answered, journal.refused_not_run, journal.unknown
+    )
+    twice = [key for key, count in runs.items() if count > 1]
+    false = [key for key in journal.refused_keys if runs[key]]
+    checks = {
+        f"requests that ran twice: {twice[:3]}": bool(twice),
+        f"requests refused as not run that had run: {false[:3]}": bool(false),
+        f"answers that were another request's: {journal.mixed_up}": journal.mixed_up > 0,
+        f"requests cut off without harm to an entry: {journal.cut_off}": journal.cut_off > 0
+        and not any(name.startswith("entry") for name in injector.harmed),
+        "no recovery after the last fault": not recovered,
+        "nothing was answered": journal.answered == 0,
+    }
+    verdict.broken = [text for text, broken in checks.items() if broken]
+    return verdict
+
+
+def play_seed(seed: int, seconds: float, keep: pathlib.Path | None = None) -> Verdict:
+    """Play one seed in a folder of its own, kept where a promise broke and a place is given.
+
+    :param seed: the seed.
+    :param seconds: how long faults last.
+    :param keep: where folders of broken seeds are kept.
+    """
+    if keep is not None:
+        folder = keep / f"seed-{seed}"
+        folder.mkdir(parents=True)
+        return anyio.run(play, seed, seconds, folder)
+    with tempfile.TemporaryDirectory() as name:
+        return anyio.run(play, seed, seconds, pathlib.Path(name))
