--- a/sassafraslock/services/log_writer.py
+++ b/sassafraslock/services/log_writer.py
@@ -56,19 +56,17 @@
         ready.set()
         while True:
             await anyio.sleep(INTERVAL_S)
-            if self._handler.lines:
-                await anyio.to_thread.run_sync(_write, self._handler.take())
+            text = self._handler.take()
+            # Only now is there room for the line that tells of dropped ones.
             self._report_dropped()
+            if text:
+                await anyio.to_thread.run_sync(_write, text)
 
     def _report_dropped(self) -> None:
         dropped, self._handler.dropped = self._handler.dropped, 0
         if dropped:
             events.log(events.Event.LOG_LINES_DROPPED, "log lines were dropped", count=dropped)
 
-    def finish(self) -> None:
-        """Write what is left, before the process ends."""
-        _write(self._handler.take())
-
 
 def _write(text: str) -> None:
     sys.stdout.write(text)
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,64 @@
+"""Plans follow demand and capacity, and an operator's split goes before both."""
+
+import pytest
+
+from sassafraslock import edge_settings, routing_table
+from sassafraslock.decisions import cold_start, placement, registry, roster
+from sassafraslock.services import belief, planner
+from tests import fact_source
+
+
+class Entries:
+    def live_ids(self):
+        return ["e"]
+
+
+def build(capacity, splits=None, own="a"):
+    servers, members = registry.Registry(), roster.Roster("e")
+    believed = belief.Belief(servers, members)
+    service = routing_table.Service("s", 330, 0, 5.0, splits=splits or {})
+    intents = routing_table.Intents(1, (fact_source.route(),), (service,))
+    believed.table = routing_table.RoutingTable(intents)
+    for region, slots in capacity.items():
+        servers.note_report(
+            fact_source.report(region, zone=f"{region}-1", slots=slots), 0, False, 0
+        )
+    placer = placement.Placer(own, servers, Entries(), cold_start.ColdStart("e", 1.5, 5.0))
+    settings = edge_settings.EdgeSettings("e", f"{own}-1", own, "h:1", "", "", "h:2")
+    return planner.Planner(settings, believed, placer, members), members
+
+
+def weights(one):
+    return one.splits()["s"]
+
+
+def test_a_region_that_can_serve_its_clients_keeps_them():
+    one, _ = build({"a": 10, "b": 10})
+    one.update(0)
+    assert weights(one) == {"a": 1.0}
+
+
+def test_demand_that_peers_tell_moves_the_plan_slowly():
+    one, members = build({"a": 10, "b": 10})
+    one.update(0)
+    one.note_work("s", 60_000, 100)
+    record = roster.MemberRecord("x", 1, 1, "b", "b-1", "h:3", "h:4", demand={"s": 1.0})
+    members.note(record, 100)
+    for now_ms in range(500, 5_000, 500):
+        one.update(now_ms)
+    moved = weights(one).get("b", 0.0)
+    assert 0.1 < moved < 0.5
+
+
+def test_an_operators_split_goes_first_without_regions_that_cannot_serve():
+    one, _ = build({"a": 10, "b": 10}, {"a": {"a": 0.2, "b": 0.5, "c": 0.3}})
+    one.update(0)
+    assert weights(one) == pytest.approx({"a": 2 / 7, "b": 5 / 7})
+
+
+def test_a_region_without_servers_is_left_at_once():
+    one, _ = build({"a": 10, "b": 10})
+    one.update(0)
+    one._placer.registry.note_removed("a", 100, False)
+    one.update(200)
+    assert weights(one) == {"b": 1.0}
--- /dev/null
+++ b/tests/test_server_health.py
@@ -0,0 +1,70 @@
+"""What an entry learns of a server fades, ejections end, and probes go one at a time."""
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from sassafraslock.decisions import object_memory, route_speed, server_health
+
+
+def test_told_load_counts_others_once_and_fades():
+    health = server_health.ServerHealth()
+    health.in_flight = 2
+    health.note_load(server_health.ReportedLoad(3, 4, 3), 1_000)
+    assert health.load(1_000) == 7
+    assert health.load(1_000 + int(server_health.LOAD_HALF_LIFE_MS)) == pytest.approx(4.5)
+    health.note_load(server_health.ReportedLoad(1, 0, 3), 1_000)
+    assert health.load(1_000) == 2
+
+
+def test_a_slow_server_is_forgiven_with_time():
+    health = server_health.ServerHealth()
+    for _ in range(20):
+        health.note_speed(5.0, 0)
+    assert health.slow_factor(0) > 4.5
+    assert health.slow_factor(40_000) == pytest.approx(1.0, abs=0.01)
+
+
+def test_failures_make_a_server_dear_and_answers_cheap_again():
+    health = server_health.ServerHealth()
+    for _ in range(5):
+        health.note_answer(True, 0)
+    assert health.slow_factor(0) > 3
+    for _ in range(20):
+        health.note_answer(False, 0)
+    assert health.slow_factor(0) == pytest.approx(1.0)
+
+
+@hypothesis.given(st.integers(1, 30))
+def test_ejections_are_bounded(failures):
+    health, now_ms = server_health.ServerHealth(), 0
+    for _ in range(failures):
+        health.note_unreachable(now_ms)
+        assert not health.accepts(now_ms)
+        assert health.ejected_until_ms - now_ms <= server_health.MAX_EJECTION_MS
+        now_ms = health.ejected_until_ms
+        assert health.accepts(now_ms)
+    health.probing = True
+    assert not health.accepts(now_ms)
+    health.note_answer(False, now_ms)
+    assert health.accepts(now_ms)
+
+
+def test_speeds_move_towards_what_is_measured():
+    speed = route_speed.RouteSpeed.guess(400)
+    assert speed.expected_ms(True) < speed.expected_ms(False)
+    for _ in range(200):
+        speed.note(True, 100.0)
+        speed.note(False, 50.0)
+    assert speed.expected_ms(True) == pytest.approx(100, abs=1)
+    assert speed.expected_ms(False) >= route_speed.MIN_COLD_RATIO * 99
+
+
+def test_objects_are_remembered_for_a_time_and_the_oldest_forgotten(monkeypatch):
+    monkeypatch.setattr(object_memory, "MAX_OBJECTS", 3)
+    memory = object_memory.ObjectMemory()
+    for number in range(4):
+        memory.note(str(number), "s", 0)
+    assert not memory.holds("0", "s", 0) and memory.holds("3", "s", 0)
+    assert not memory.holds("3", "other", 0)
+    assert not memory.holds("3", "s", object_memory.KEPT_MS)
