--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	.venv/bin/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch .venv/ready
 
-.PHONY: demo test bench binary format
+.PHONY: demo test bench soak binary format
 demo: .venv/ready
 	@$(PY) -m sassafraslock demo $(ARGS)
 
@@ -20,6 +20,9 @@
 bench: .venv/ready
 	@$(PY) -m benchmarks $(ARGS)
 
+soak: .venv/ready
+	@$(PY) -m soak $(ARGS)
+
 binary: .venv/ready
 	mkdir -p dist build
 	rm -rf build/site && .venv/bin/pip install -q --disable-pip-version-check --no-deps --target build/site -r requirements-run.lock
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -21,6 +21,7 @@
 PEERS_PAUSE_S = 0.4
 CROWD_ENTRIES = 24
 MAX_CROWD = 2.0
+REMOVALS_KEPT_VERSIONS = 20_000
 
 _PAUSES_S = {
     facts.Topic.INTENTS: INTENTS_PAUSE_S,
@@ -184,6 +185,15 @@
         for change in batch.changes:
             self._apply(change, first_read, now_ms)
         self.positions[topic] = max(self.positions.get(topic, 0), batch.version)
+        self._forget_removals(topic)
+
+    def _forget_removals(self, topic: facts.Topic) -> None:
+        """Drop removals so old that no peer asks for them any more."""
+        oldest = self.positions[topic] - REMOVALS_KEPT_VERSIONS
+        removed = [k for k, row in self.rows.items() if row.removed and row.version < oldest]
+        for name in removed:
+            if name[0] is topic:
+                del self.rows[name]
 
     def _remove_missing(self, topic: facts.Topic, batch: facts.Batch, now_ms: int) -> None:
         """Find the rows that left while no history tells of it."""
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -181,6 +181,19 @@
     following(scenario)
 
 
+def test_old_removals_are_forgotten(monkeypatch):
+    monkeypatch.setattr(replica, "REMOVALS_KEPT_VERSIONS", 5)
+
+    async def scenario(source, copy, believed):
+        for number in range(30):
+            source.put_server(f"x{number}")
+            source.drop_server(f"x{number}")
+        await until(lambda: copy.version == 60)
+        assert len(copy.rows) <= 6
+
+    following(scenario)
+
+
 def test_an_export_holds_what_is_newer():
     async def scenario(source, copy, believed):
         source.put_server("x")
