Joined and cold servers are cared for by entries of their own region

Cause: sponsors were drawn from all entries, so that of servers that join in a region with a third of the entries, two of five had none there; their region's requests could not reach them while cold, and a first request came by chance only.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -31,8 +31,11 @@
 class _Alone:
     """The view of an entry that is alone."""
 
-    def live_ids(self) -> list[str]:
-        """Return the one entry's id."""
+    def live_ids(self, region: str = "") -> list[str]:
+        """Return the one entry's id.
+
+        :param region: no matter here.
+        """
         return ["e"]
 
 
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -74,8 +74,11 @@
 class EntryView(typing.Protocol):
     """What placement needs to know of the other entries."""
 
-    def live_ids(self) -> list[str]:
-        """Return the ids of the live entries, this one included."""
+    def live_ids(self, region: str = "") -> list[str]:
+        """Return the ids of the live entries, this one included.
+
+        :param region: leaves out the entries of other regions.
+        """
 
 
 class Placer:
@@ -204,7 +207,7 @@
                 del self._joined[server_id]
                 continue
             fits = server.report.service == wanted.service.name and not server.draining
-            if not fits or not _allowed(wanted.route, server) or server.region != self.region:
+            if not fits or not _allowed(wanted.route, server):
                 continue
             health = self.health_of(server)
             evacuated = server.report.zone in self.registry.evacuated
@@ -220,9 +223,16 @@
         :param server_id: the server.
         :param now_ms: the present time.
         """
-        if self.cold.own_id in cold_start.sponsors(server_id, self._entries.live_ids()):
+        server = self.registry.servers.get(server_id)
+        if server is None:
+            return
+        if self.cold.own_id in cold_start.sponsors(server_id, self._near(server)):
             self._joined[server_id] = now_ms
 
+    def _near(self, server: registry.Server) -> list[str]:
+        """Return the entries that may care for a server: those of its region, if there are any."""
+        return self._entries.live_ids(server.region) or self._entries.live_ids()
+
     def _choices(self, wanted: Wanted, region: str, count: int, now_ms: int) -> list[Choice]:
         choices: list[Choice] = []
         for place, server in enumerate(self._ranked(wanted, region)):
@@ -296,7 +306,8 @@
 
     def _take_cold(self, chosen: Choice, wanted: Wanted, now_ms: int) -> bool:
         name = start_name(chosen.server)
-        return self.cold.take(name, wanted.service.cold_per_s, self._entries.live_ids(), now_ms)
+        near = self._near(chosen.server)
+        return self.cold.take(name, wanted.service.cold_per_s, near, now_ms)
 
     def _instead_of_cold(
         self, wanted: Wanted, choices: list[Choice], now_ms: int
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -105,10 +105,14 @@
             except OSError:
                 continue
 
-    def live_ids(self) -> list[str]:
-        """Return the ids of the live entries, this one included."""
-        live = self.roster.live(clock.monotonic_ms())
-        return [self.roster.own_id, *(m.record.entry_id for m in live)]
+    def live_ids(self, region: str = "") -> list[str]:
+        """Return the ids of the live entries, this one included.
+
+        :param region: leaves out the entries of other regions.
+        """
+        live = [m.record for m in self.roster.live(clock.monotonic_ms())]
+        live.append(self._describe(self._beat))
+        return [r.entry_id for r in live if not region or r.region == region]
 
     def message(self, now_ms: int) -> Message:
         """Return what this round tells: records of a few entries, counters of all live ones.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,8 +16,8 @@
     def __init__(self, count=1):
         self.ids = [f"e-{n}" for n in range(count)]
 
-    def live_ids(self):
-        return self.ids
+    def live_ids(self, region=""):
+        return self.ids if region in ("", "a") else []
 
 
 def route(regions=(), priority=1, idempotent=True, sticky=True):
@@ -147,6 +147,20 @@
     assert all(refusal.answer.not_run for refusal in refused)
 
 
+def test_joined_and_cold_servers_are_cared_for_by_entries_of_their_region():
+    """The sponsors are drawn from the region, so that its requests reach them."""
+    placer = build({"x": "b-1"}, region="b", entries=Entries(9))
+    placer.registry.servers["x"].cold_until_ms = 10_000
+    regions = {"e-7": "b", "e-8": "b"}
+    placer._entries.live_ids = lambda region="": [
+        e for e in map("e-{}".format, range(9)) if not region or regions.get(e, "a") == region
+    ]
+    placer.cold.own_id = "e-7"
+    assert not isinstance(placer.place(wanted(), 0), errors.Refusal)
+    placer.cold.own_id = "e-1"
+    assert isinstance(placer.place(wanted(), 0), errors.Refusal)
+
+
 def test_a_server_that_joined_gets_a_request_once_it_is_warm():
     placer = build(SERVERS)
     ready = registry.ServerState.READY
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -9,7 +9,7 @@
 
 
 class Entries:
-    def live_ids(self):
+    def live_ids(self, region=""):
         return ["e"]
 
 
