--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -10,6 +10,7 @@
 from sassafraslock import (
     edge,
     edge_settings,
+    facts,
     header_names,
     http_messages,
     kernel,
@@ -275,6 +276,45 @@
     running(scenario)
 
 
+def test_an_emptied_zone_gets_nothing_until_it_is_taken_back():
+    async def scenario(world):
+        emptied = world.home()[0]
+        world.source.put_server(emptied.server_id, f"{HOST}:{emptied.port}", zone="a-2")
+        world.source.put(facts.Topic.INTENTS, "a-2", evacuation=facts.Evacuation("a-2"))
+        await anyio.sleep(0.8)
+        before = len(emptied.seen)
+        for _ in range(5):
+            assert (await world.ask()).status == 200
+        assert len(emptied.seen) == before
+        world.source.put(facts.Topic.INTENTS, "a-2")
+        await anyio.sleep(0.2)
+        assert not world.edge.belief.registry.evacuated
+
+    running(scenario)
+
+
+def test_without_budget_a_silent_server_is_waited_for_and_no_other_asked():
+    async def scenario(world):
+        world.edge.line.budget.set_bounds(0.0, 0.0, 10_000)
+        world.home()[0].mode = "silent"
+        assert (await world.ask(limit_ms=4_000)).status == 504
+        assert world.runs == 1
+
+    running(scenario, routes=[fact_source.route(timeout_ms=1_500)])
+
+
+def test_a_server_whose_address_went_to_another_one_runs_nothing():
+    async def scenario(world):
+        first, second = world.home()
+        world.source.put_server(first.server_id, f"{HOST}:{second.port}")
+        await anyio.sleep(0.8)
+        for number in range(3):
+            assert (await world.ask("POST", f"/w/{number}")).status == 200
+        assert not first.ran
+
+    running(scenario)
+
+
 def test_newer_intents_are_in_force_within_a_second():
     async def scenario(world):
         world.source.put_intents(2, [fact_source.route("new", "/new/")])
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -41,6 +41,16 @@
     assert live(members, 0) == set() and len(members.known()) == 1
 
 
+def test_an_entry_that_stood_still_does_not_take_the_whole_for_its_part():
+    members = roster.Roster("me")
+    for name in ("x", "y", "z"):
+        members.note(record(name), 0)
+    assert live(members, 20_000) == set()
+    assert members.entry_count() == 4
+    assert sorted(members.forget_dead(70_000)) == ["x", "y", "z"]
+    assert members.entry_count() == 1
+
+
 def test_a_new_boot_goes_before_a_higher_counter():
     members = roster.Roster("me")
     members.note(record("x", 900, boot_ms=1), 0)
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,54 @@
+"""What an attempt's outcome means, in a table: only three outcomes say that nothing ran."""
+
+import pytest
+
+from sassafraslock import header_names, http_messages
+from sassafraslock.decisions import placement, registry
+from sassafraslock.path import judge, send
+from sassafraslock.services import upstream
+from tests import fact_source
+
+NAMES = header_names.HeaderNames(signature=b"x-signature", echoed=True)
+SIGNED = [(b"x-signature", b"s")]
+NOT_RUN = [(NAMES.not_run, b"1")]
+End, Verdict = upstream.End, judge.Verdict
+
+
+def attempt(end=End.ANSWERED, status=200, headers=SIGNED, exchange=True):
+    server = registry.Server(fact_source.report("i-1"), 0)
+    choice = placement.Choice(server, 1.0, True, 0.0, True, False)
+    response = http_messages.Response(status, list(headers)) if end is End.ANSWERED else None
+    found = upstream.Exchange(end, response) if exchange else None
+    return send.Attempt(choice, found, 0, 10)
+
+
+TABLE = {
+    "signed success": (attempt(), Verdict.ANSWERED),
+    "signed client error": (attempt(status=404), Verdict.ANSWERED),
+    "signed failure": (attempt(status=500), Verdict.FAILED),
+    "signed time-out of the server": (attempt(status=504), Verdict.FAILED),
+    "success without a signature": (attempt(headers=[]), Verdict.BROKEN),
+    "failure without a signature": (attempt(status=503, headers=[]), Verdict.BROKEN),
+    "shed": (attempt(status=503, headers=NOT_RUN), Verdict.NOT_RUN),
+    "too many": (attempt(status=429, headers=NOT_RUN), Verdict.NOT_RUN),
+    "another server has the address": (attempt(status=421, headers=[]), Verdict.MISDIRECTED),
+    "no connection": (attempt(End.NOT_CONNECTED), Verdict.NOT_SENT),
+    "reset or closed": (attempt(End.BROKEN), Verdict.BROKEN),
+    "bytes that are no answer": (attempt(End.GARBLED), Verdict.BROKEN),
+    "no answer in time": (attempt(exchange=False), Verdict.SILENT),
+}
+
+
+@pytest.mark.parametrize("name", list(TABLE))
+def test_each_outcome_has_its_verdict(name):
+    found, verdict = TABLE[name]
+    assert judge.judge(found, NAMES) is verdict
+
+
+def test_only_what_was_not_sent_or_refused_by_the_server_certainly_did_not_run():
+    certain = {v for v in Verdict if v.certainly_not_run}
+    assert certain == {Verdict.NOT_SENT, Verdict.NOT_RUN, Verdict.MISDIRECTED}
+
+
+def test_where_servers_sign_nothing_an_answer_needs_no_signature():
+    assert judge.judge(attempt(headers=[]), header_names.HeaderNames()) is Verdict.ANSWERED
