--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 	.venv/bin/black --check .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
+	MYPYPATH=platform .venv/bin/mypy --explicit-package-bases platform/*.py
 	$(PY) -m pytest $(ARGS)
 
 bench: .venv/ready
--- a/sassafraslock/asgi.py
+++ b/sassafraslock/asgi.py
@@ -11,6 +11,8 @@
 import msgspec
 import uvicorn
 
+from sassafraslock import listening
+
 Scope = typing.MutableMapping[str, typing.Any]
 Message = typing.MutableMapping[str, typing.Any]
 Receive = typing.Callable[[], typing.Awaitable[Message]]
@@ -136,7 +138,7 @@
             backlog=BACKLOG,
         )
         server = _Server(config)
-        listener = self._bind()
+        listener = listening.listen(self._host, self._port)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._announce, server, ready)
@@ -146,17 +148,6 @@
             server.drop_connections()
             listener.close()
 
-    def _bind(self) -> socket.socket:
-        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            listener.bind((self._host, self._port))
-        except OSError as error:
-            listener.close()
-            raise OSError(f"cannot listen on {self._host}:{self._port}: {error}") from error
-        return listener
-
     async def _announce(self, server: uvicorn.Server, ready: anyio.Event) -> None:
         while not server.started:
             await anyio.sleep(STOP_POLL_S)
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -6,12 +6,7 @@
 import typing
 
 from sassafraslock import clock, errors, header_names, http_messages
-from sassafraslock.decisions import (
-    link_share,
-    placement,
-    retry_budget,
-    split,
-)
+from sassafraslock.decisions import link_share, placement, retry_budget, split
 from sassafraslock.path import answer, judge, learn, read, route, send
 from sassafraslock.services import belief, claims, poison_watch
 
@@ -51,7 +46,6 @@
         "placer",
         "splitter",
         "budget",
-        "draining",
         "_belief",
         "_sender",
         "_names",
@@ -81,7 +75,6 @@
         self.placer = placer
         self.splitter = split.Splitter()
         self.budget = budget
-        self.draining = False
         self.learner = learn.Learner(placer, names, poison)
         self._belief = beliefs
         self._sender = sender
--- a/sassafraslock/services/http_server.py
+++ b/sassafraslock/services/http_server.py
@@ -10,12 +10,11 @@
 import collections
 import dataclasses
 import logging
-import socket
 
 import anyio
 import httptools
 
-from sassafraslock import clock, http_messages, routing_table
+from sassafraslock import clock, http_messages, listening, routing_table
 
 BACKLOG = 512
 MAX_PIPELINED = 32
@@ -71,7 +70,7 @@
         """
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: Connection(self), sock=self._bind(), backlog=BACKLOG
+            lambda: Connection(self), sock=listening.listen(self._host, self._port), backlog=BACKLOG
         )
         ready.set()
         try:
@@ -120,16 +119,6 @@
             exchange.response = http_messages.Response(500, close=True)
         connection.flush()
 
-    def _bind(self) -> socket.socket:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            listener.bind((self._host, self._port))
-        except OSError as error:
-            listener.close()
-            raise OSError(f"cannot listen on {self._host}:{self._port}: {error}") from error
-        return listener
-
 
 class Connection(asyncio.Protocol):
     """One client connection: parses requests, keeps answers in the order of the requests."""
