--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -268,6 +268,10 @@
         self.leaving = True
         self.front.begin_closing()
 
+    def take_no_more(self) -> None:
+        """Refuse requests that come now, so that none is cut off at the end."""
+        self.line.closed = True
+
     def apply_settings(self, settings: edge_settings.EdgeSettings) -> None:
         """Take over new bounds and seeds; addresses hold until the next start.
 
--- a/sassafraslock/errors.py
+++ b/sassafraslock/errors.py
@@ -25,6 +25,7 @@
     STORE_UNAVAILABLE = "store-unavailable"
     QUARANTINED = "quarantined"
     NOT_READY = "not-ready"
+    LEAVING = "leaving"
     SERVER_FAILED = "server-failed"
     UNAUTHORIZED = "unauthorized"
     CONFLICT = "conflict"
@@ -63,6 +64,7 @@
     ErrorKind.STORE_UNAVAILABLE: Answer(503, True, 7, 1000),
     ErrorKind.QUARANTINED: Answer(503, True, 8, 1000),
     ErrorKind.NOT_READY: Answer(503, True, 7, 500),
+    ErrorKind.LEAVING: Answer(503, True, 7, 100),
     ErrorKind.SERVER_FAILED: Answer(502, False, 5),
     ErrorKind.UNAUTHORIZED: Answer(401, True, 9),
     ErrorKind.CONFLICT: Answer(409, True, 10),
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -15,6 +15,8 @@
 MIN_LEFT_MS = 20
 MAX_TRIED = 5
 
+_LEAVING = errors.Refusal(errors.ErrorKind.LEAVING, "this entry is about to stop; use another one")
+
 
 @dataclasses.dataclass(slots=True)
 class Journey:
@@ -43,6 +45,7 @@
 
     __slots__ = (
         "in_flight",
+        "closed",
         "placer",
         "splitter",
         "budget",
@@ -72,6 +75,7 @@
         keys: claims.Claims | None = None,
     ) -> None:
         self.in_flight = 0
+        self.closed = False
         self.placer = placer
         self.splitter = split.Splitter()
         self.budget = budget
@@ -121,6 +125,8 @@
         return found.may_repeat(request.method, found.target(request.path))
 
     async def _pass(self, journey: Journey) -> http_messages.Response | errors.Refusal:
+        if self.closed:
+            return _LEAVING
         routed = route.route(journey.incoming, self._belief.table, self.splitter)
         if isinstance(routed, errors.Refusal):
             return routed
--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -25,6 +25,9 @@
     def begin_leaving(self) -> None:
         """Stop being named and tell clients on kept connections to go elsewhere."""
 
+    def take_no_more(self) -> None:
+        """Refuse requests that come now, so that none is cut off at the end."""
+
 
 class Departure:
     """Stops being named, serves those that still have the name, and ends what is in flight."""
@@ -58,5 +61,8 @@
         while True:
             await anyio.sleep(STOP_POLL_S)
             passed_ms = clock.monotonic_ms() - started_ms
-            if passed_ms >= last_ms or (passed_ms >= named_ms and not self._entry.in_flight):
+            if passed_ms < named_ms:
+                continue
+            self._entry.take_no_more()
+            if passed_ms >= last_ms or not self._entry.in_flight:
                 return
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -348,6 +348,25 @@
     running(scenario)
 
 
+def test_the_last_part_of_a_stop_refuses_what_it_could_not_finish():
+    """Found on a played day: a request that came late in the grace time was cut off."""
+
+    async def scenario(world):
+        for backend in world.backends.values():
+            backend.mode = "silent"
+        async with anyio.create_task_group() as group:
+            group.start_soon(world.ask, "POST", "/w/early")
+            await anyio.sleep(0.05)
+            world.edge.kernel.request_stop()
+            await anyio.sleep(1.0)
+            answer = await world.ask("POST", "/w/late")
+            assert answer.status == 503 and answer.header(b"retry-after")
+            group.cancel_scope.cancel()
+        assert world.runs == 1
+
+    running(scenario)
+
+
 def test_settings_read_again_are_in_force():
     async def scenario(world):
         bounds = edge_settings.Bounds(retry_ratio=0.0, retry_slack=0.0, cold_overage=0.0)
