--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -39,6 +39,7 @@
 
     ``paid`` says that the retry budget allowed its next attempt, ``shed`` that a server was full,
     ``own_region_only`` that the links carry no more. ``entries`` share the servers' connections.
+    ``agreed`` is the server for which a silent one was given up.
     """
 
     route: routing_table.Route
@@ -52,6 +53,7 @@
     shed: bool = False
     own_region_only: bool = False
     entries: int = 1
+    agreed: Choice | None = None
 
     @property
     def object_name(self) -> str:
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -266,6 +266,7 @@
     def begin_leaving(self) -> None:
         """Stop being named and tell clients on kept connections to go elsewhere."""
         self.leaving = True
+        self.line.leaving = True
         self.front.begin_closing()
 
     def take_no_more(self) -> None:
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -45,6 +45,7 @@
 
     __slots__ = (
         "in_flight",
+        "leaving",
         "closed",
         "placer",
         "splitter",
@@ -75,6 +76,7 @@
         keys: claims.Claims | None = None,
     ) -> None:
         self.in_flight = 0
+        self.leaving = False
         self.closed = False
         self.placer = placer
         self.splitter = split.Splitter()
@@ -162,7 +164,8 @@
             wanted.left_ms = routed.left_ms(now_ms)
             if wanted.left_ms < MIN_LEFT_MS:
                 return _out_of_time(journey)
-            choice = self.placer.place(wanted, now_ms)
+            choice = wanted.agreed or self.placer.place(wanted, now_ms)
+            wanted.agreed = None
             if isinstance(choice, errors.Refusal):
                 return _give_up(journey, choice)
             if not self._link_carries(routed, choice, now_ms):
@@ -235,12 +238,18 @@
         return attempt, verdict
 
     def _may_abandon(self, wanted: placement.Wanted) -> bool:
-        """Tell whether another server could answer now; the budget is taken when it is asked."""
+        """Tell whether another server will be asked now, with the budget for it taken.
+
+        An entry that leaves breaks off nothing at which a server may be at work.
+        """
+        if self.leaving:
+            return False
         now_ms = clock.monotonic_ms()
         choice = self.placer.place(wanted, now_ms)
         if isinstance(choice, errors.Refusal) or choice.expected_ms > wanted.left_ms / 2:
             return False
         wanted.paid = self._may_send_again(wanted, now_ms)
+        wanted.agreed = choice if wanted.paid else None
         return wanted.paid
 
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -348,6 +348,18 @@
     running(scenario)
 
 
+def test_an_entry_that_leaves_breaks_off_no_request_at_a_slow_server():
+    """Found on a played day: a slow server was given up and no other one took the request."""
+
+    async def scenario(world):
+        world.home()[0].mode = "silent"
+        world.edge.begin_leaving()
+        assert (await world.ask(limit_ms=4_000)).status == 504
+        assert world.runs == 1
+
+    running(scenario, routes=[fact_source.route(timeout_ms=1_500)])
+
+
 def test_the_last_part_of_a_stop_refuses_what_it_could_not_finish():
     """Found on a played day: a request that came late in the grace time was cut off."""
 
