--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -241,7 +241,11 @@
             if server.server_id in wanted.tried or not _allowed(wanted.route, server):
                 continue
             health = self.health_of(server)
-            if not health.accepts(now_ms) or health.in_flight >= self._connection_part(wanted):
+            if (
+                server.is_gone(now_ms)
+                or not health.accepts(now_ms)
+                or health.in_flight >= self._connection_part(wanted)
+            ):
                 continue
             choices.append(self._judge(wanted, server, health, place == 0, now_ms))
             if len(choices) >= count:
@@ -330,7 +334,9 @@
         for server in self.registry.usable(wanted.service.name):
             if not _allowed(wanted.route, server):
                 continue
-            if server.server_id in wanted.tried or server.is_cold(now_ms):
+            if server.is_gone(now_ms) or server.is_cold(now_ms):
+                continue
+            if server.server_id in wanted.tried:
                 continue
             health = self.health_of(server)
             if health.accepts(now_ms):
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -50,6 +50,13 @@
         """The server's id, new at most starts."""
         return self.report.server_id
 
+    def is_gone(self, now_ms: int) -> bool:
+        """Tell whether the server's row went and was not written again in its time.
+
+        :param now_ms: the present time.
+        """
+        return self.held_until_ms is not None and now_ms >= self.held_until_ms
+
     @property
     def region(self) -> str:
         """The region that the server stands in."""
@@ -131,11 +138,7 @@
 
         :param now_ms: the present time.
         """
-        gone = [
-            server_id
-            for server_id, server in self.servers.items()
-            if server.held_until_ms is not None and now_ms >= server.held_until_ms
-        ]
+        gone = [server_id for server_id, server in self.servers.items() if server.is_gone(now_ms)]
         for server_id in gone:
             del self.servers[server_id]
         if gone:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -110,6 +110,15 @@
     assert isinstance(placer.place(wanted(regions=["b"]), 0), errors.Refusal)
 
 
+def test_a_held_server_gets_nothing_from_the_moment_at_which_its_time_is_over():
+    """Found on a played day: it got requests until the next look at held servers."""
+    placer = build({"x": "a-1", "y": "a-1"})
+    placer.registry.note_removed("x", 0, hold_until_ms=2_000)
+    before = {placer.place(wanted(str(n)), 1_999).server.server_id for n in range(20)}
+    after = {placer.place(wanted(str(n)), 2_000).server.server_id for n in range(20)}
+    assert (before, after) == ({"x", "y"}, {"y"})
+
+
 def test_the_plan_divides_objects_between_regions():
     placer = build({"x": "a-1", "y": "b-1"})
     plan = region_plan.RegionPlan()
