The regions that serve are worked out once; the time of silence has one name; unused parts removed

Read once more: a spill walked the servers twice for the regions that serve, the bound of the store's silence stood twice as a sum, and two constants, an empty value and an argument had no reader.

--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -296,10 +296,10 @@
         if wanted.own_region_only:
             return None
         allowed = SPILL_RATIO * self._placed.total(now_ms)
-        planned_serves = any(s.region == planned for s in self.registry.usable(wanted.service.name))
-        if planned_serves and chosen is not None and self._spilled.total(now_ms) + 1 > allowed:
+        serving = {s.region for s in self.registry.usable(wanted.service.name)}
+        if planned in serving and chosen is not None and self._spilled.total(now_ms) + 1 > allowed:
             return None
-        regions = {s.region for s in self.registry.usable(wanted.service.name)} - {planned}
+        regions = serving - {planned}
         choices: list[Choice] = []
         for region in sorted(regions):
             choices += self._choices(wanted, region, REMOTE_CANDIDATES, now_ms)
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -17,6 +17,7 @@
 ENTRIES_PAUSE_S = 1.0
 RETRY_PAUSE_S = 0.25
 STORE_GAP_MS = 1_000
+AWAY_AFTER_MS = STORE_GAP_MS + FEED_WAIT_MS
 AFTER_GAP_MS = 2_100
 PEERS_AFTER_MS = 700
 PEERS_PAUSE_S = 0.4
@@ -132,7 +133,7 @@
 
         :param now_ms: the present time.
         """
-        away = now_ms - self.last_answer_ms > STORE_GAP_MS + FEED_WAIT_MS
+        away = now_ms - self.last_answer_ms > AWAY_AFTER_MS
         returned_ms = now_ms if self._lost or away else self.regained_ms
         return returned_ms + AFTER_GAP_MS
 
@@ -191,7 +192,7 @@
     def _note_answer(self, topic: facts.Topic, now_ms: int) -> None:
         away_ms = now_ms - self.last_answer_ms
         self.last_answer_ms = now_ms
-        if self._lost or away_ms > STORE_GAP_MS + FEED_WAIT_MS:
+        if self._lost or away_ms > AWAY_AFTER_MS:
             self._lost = False
             self.regained_ms = now_ms
             events.log(events.Event.STORE_UP, "the store answers again", away_ms=away_ms)
--- a/sassafraslock/shared_settings.py
+++ b/sassafraslock/shared_settings.py
@@ -128,9 +128,6 @@
         return {r: 1.0 / len(served) for r in served}
 
 
-EMPTY = SharedSettings({}, {}, [], Claims())
-
-
 def merge(teams: dict[str, TeamSettings]) -> SharedSettings:
     """Merge the teams' subtrees.
 
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -22,8 +22,6 @@
 PEER_TOKEN = "soak-peers"
 REGION = "gorenjska"
 SERVICE = "kocar/logbook"
-READY_TRIES = 200
-READY_PAUSE_S = 0.1
 
 
 class Process:
@@ -74,12 +72,12 @@
         self.caller_ports = _free_ports(ENTRIES)
         self._operator_ports = _free_ports(ENTRIES)
         self._peer_ports = _free_ports(ENTRIES)
-        self._add_platform(seed)
+        self._add_platform()
         self._add_servers(seed)
         for number in range(ENTRIES):
             self._add_entry(number, seed)
 
-    def _add_platform(self, seed: int) -> None:
+    def _add_platform(self) -> None:
         self._platform_port = _free_ports(1)[0]
         shared = self.folder / "shared"
         shared.mkdir()
