One entry of a zone reads the store for the others; reports that say nothing new are not news

Change: in zones of four entries or more the first by rendezvous hash reads the store; the others keep a long call open to it and get what changed. An entry follows only while the reader's answers are at most 1.6 s old for intents and servers each; a reader that is silent for 1 s, refuses or is too old is left out for 2 s and the entry reads the store itself, by the same code as before. Reports of servers that differ in nothing but their version reach neither beliefs nor peers.

Ruled out: longer waits of the long poll alone (intents would be late after a silent connection); one reader a region (bytes between zones).

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -32,11 +32,13 @@
     log_writer,
     metrics,
     operator_api,
+    peer_copies,
     planner,
     poison_watch,
     registrar,
     replica,
     upstream,
+    zone_feed,
 )
 
 STOPPING_RATIO = 0.9
@@ -114,7 +116,9 @@
         self.replica = replica.Replica(source, self.belief)
         self.belief.hold_removed_by(self.replica.hold_until_ms)
         self.replica.pace_by(self.gossip.roster.entry_count)
-        self.replica.relay_through(gossip.PeerCopyReader(self.gossip, lambda: self.replica.version))
+        self.replica.relay_through(
+            peer_copies.PeerCopyReader(self.gossip, lambda: self.replica.version)
+        )
         self.metrics = metrics.Metrics()
         self.line = self._build_line(servers, names, keys)
         self.planner = planner.Planner(settings, self.belief, self.line.placer, self.gossip.roster)
@@ -167,8 +171,11 @@
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
         self.kernel.register("poison", self.poison)
-        copies = gossip.PeerApi(self.replica, settings.peer_token)
+        copies = peer_copies.PeerApi(self.replica, settings.peer_token)
         self.kernel.register("copies", _server(copies, settings.gossip_address))
+        client = peer_copies.CopyClient(settings.peer_token)
+        feed = zone_feed.ZoneFeed(settings.zone, self.gossip.roster, self.replica, client)
+        self.kernel.register("zone feed", feed)
         self.kernel.register("registration", registrar.Registrar(settings, self._source))
         addresses = {
             "operators": (settings.operator_address, interfaces.operator_handler),
--- a/sassafraslock/facts.py
+++ b/sassafraslock/facts.py
@@ -65,6 +65,15 @@
         facts = (self.report, self.intents, self.evacuation, self.registration, self.unreadable)
         return all(fact is None for fact in facts)
 
+    def repeats(self, known: Change) -> bool:
+        """Tell whether the row says what it said before, as most reports of servers do.
+
+        :param known: the row's earlier state.
+        """
+        if self.report is not None and self.report.cold_ms:
+            return False
+        return self == dataclasses.replace(known, version=self.version)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Batch:
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -7,18 +7,15 @@
 
 import anyio
 import anyio.abc
-import httpcore
 import msgspec
 
-from sassafraslock import clock, events, http_messages
+from sassafraslock import clock, events
 from sassafraslock.decisions import roster, seal
-from sassafraslock.services import poison_watch, replica
+from sassafraslock.services import poison_watch
 
 INTERVAL_S = 0.5
 FAN_OUT = 3
 RECORDS_PER_MESSAGE = 12
-FETCH_TIMEOUT_S = 1.5
-COPY_PATH = "/copy"
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
@@ -188,70 +185,3 @@
         """Return the members with the age of what is known of them."""
         now_ms = clock.monotonic_ms()
         return {m.record.entry_id: now_ms - m.heard_ms for m in self.roster.known()}
-
-
-class PeerCopyReader:
-    """Fetches what peers' copies of the store hold."""
-
-    __slots__ = ("_gossip", "_own_version", "_decoder")
-
-    def __init__(self, gossip: GossipService, own_version: typing.Callable[[], int]) -> None:
-        self._gossip = gossip
-        self._own_version = own_version
-        self._decoder = msgspec.msgpack.Decoder(replica.Export)
-
-    async def fetch(self, positions: dict[str, int]) -> replica.Export | None:
-        """Return what a peer that is ahead knows beyond some versions, if there is one.
-
-        :param positions: the version reached, by topic.
-        """
-        now_ms = clock.monotonic_ms()
-        ahead = [
-            m.record.gossip_address
-            for m in self._gossip.roster.live(now_ms)
-            if m.record.replica_version > self._own_version()
-        ]
-        if not ahead:
-            return None
-        token = self._gossip.token
-        body = seal.seal(token, msgspec.msgpack.encode(positions))
-        try:
-            with anyio.fail_after(FETCH_TIMEOUT_S):
-                async with httpcore.AsyncConnectionPool() as pool:
-                    url = f"http://{random.choice(ahead)}{COPY_PATH}"
-                    answer = await pool.request("POST", url, content=body)
-            opened = seal.unseal(token, answer.content)
-            return self._decoder.decode(opened) if opened is not None else None
-        except (OSError, TimeoutError, httpcore.NetworkError, httpcore.TimeoutException) as error:
-            events.log(events.Event.PEER_MESSAGE_REJECTED, f"no copy from a peer: {error!r}")
-        except (httpcore.ProtocolError, msgspec.DecodeError) as error:
-            events.log(events.Event.PEER_MESSAGE_REJECTED, f"a peer's copy: {error!r}")
-        return None
-
-
-class PeerApi:
-    """Answers peers that ask for this entry's copy."""
-
-    __slots__ = ("_replica", "_decoder", "_token")
-
-    def __init__(self, copy: replica.Replica, token: str) -> None:
-        self._replica = copy
-        self._token = token
-        self._decoder = msgspec.msgpack.Decoder(dict[str, int])
-
-    async def __call__(self, request: http_messages.Request) -> http_messages.Response:
-        """Return the copy beyond the versions that the request names.
-
-        :param request: the peer's request.
-        """
-        if request.path != COPY_PATH:
-            return http_messages.Response(404)
-        opened = seal.unseal(self._token, request.body)
-        if opened is None:
-            return http_messages.Response(401)
-        try:
-            positions = self._decoder.decode(opened)
-        except msgspec.DecodeError:
-            return http_messages.Response(400)
-        export = msgspec.msgpack.encode(self._replica.export(positions))
-        return http_messages.Response(200, body=seal.seal(self._token, export))
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -24,6 +24,9 @@
 CROWD_ENTRIES = 24
 MAX_CROWD = 2.0
 REMOVALS_KEPT_VERSIONS = 20_000
+RELAY_WAIT_MS = 1_000  # followers take a reader whose calls take longer for one cut off
+RELAYING_MS = 2_000
+CALM_MS = 4_000
 
 _PAUSES_S = {
     facts.Topic.INTENTS: INTENTS_PAUSE_S,
@@ -61,10 +64,11 @@
 
 
 class Export(msgspec.Struct, frozen=True, array_like=True):
-    """Changes as one entry passes them to another."""
+    """Changes as one entry passes them to another, and how old its knowledge of the store is."""
 
     positions: dict[str, int]
     changes: list[facts.Change]
+    age_ms: int = 0
 
 
 class Replica:
@@ -82,6 +86,11 @@
         "_lost",
         "_complete",
         "_calls",
+        "_changed_versions",
+        "_answered_ms",
+        "_news",
+        "_direct",
+        "_relays_until_ms",
     )
 
     def __init__(self, source: facts.FactSource, sink: ChangeSink) -> None:
@@ -96,6 +105,12 @@
         self._lost = False
         self._complete: set[facts.Topic] = set()
         self._calls: dict[facts.Topic, anyio.CancelScope] = {}
+        self._changed_versions: dict[tuple[facts.Topic, str], int] = {}
+        self._answered_ms: dict[facts.Topic, int] = {}
+        self._news = anyio.Event()
+        self._direct = anyio.Event()
+        self._direct.set()
+        self._relays_until_ms = 0
 
     def pace_by(self, entries: typing.Callable[[], int]) -> None:
         """Name what tells how many entries read the store; many of them read less often.
@@ -105,6 +120,8 @@
         self._entries = entries
 
     def _pause_s(self, topic: facts.Topic) -> float:
+        if self._relays:
+            return _PAUSES_S[topic]
         crowd = min(MAX_CROWD, max(1.0, self._entries() / CROWD_ENTRIES))
         return _PAUSES_S[topic] * (1.0 if topic is facts.Topic.INTENTS else crowd)
 
@@ -147,11 +164,69 @@
 
         :param positions: the version reached, by topic.
         """
-        changes = [c for c in self.rows.values() if c.version > positions.get(c.topic, 0)]
-        return Export(dict(self.positions), changes)
+        changed = self._changed_versions
+        changes = [c for n, c in self.rows.items() if changed[n] > positions.get(c.topic, 0)]
+        return Export(dict(self.positions), changes, self._age_ms(clock.monotonic_ms()))
+
+    def _age_ms(self, now_ms: int) -> int:
+        """Return how long ago the store last answered for the topic that waits longest."""
+        followed = (facts.Topic.INTENTS, facts.Topic.SERVERS)
+        return now_ms - min(self._answered_ms.get(topic, 0) for topic in followed)
+
+    @property
+    def relayed(self) -> bool:
+        """Whether another entry reads the store for this one."""
+        return not self._direct.is_set()
+
+    @property
+    def _relays(self) -> bool:
+        """Whether this entry reads the store for others."""
+        return clock.monotonic_ms() < self._relays_until_ms
+
+    async def wait_for_news(self, positions: dict[str, int], wait_ms: int) -> None:
+        """Wait until something is known beyond some versions, for a follower of this entry.
+
+        :param positions: the version that the follower reached, by topic.
+        :param wait_ms: the longest time to wait.
+        """
+        self._relays_until_ms = clock.monotonic_ms() + RELAYING_MS
+        with anyio.move_on_after(wait_ms / 1000):
+            while not self._knows_beyond(positions):
+                await self._news.wait()
+
+    def _knows_beyond(self, positions: dict[str, int]) -> bool:
+        return any(
+            version > positions.get(topic, 0)
+            for (topic, _), version in self._changed_versions.items()
+        )
+
+    def may_be_relayed(self, now_ms: int) -> bool:
+        """Tell whether the copy is whole and the store has answered without a gap for a while.
+
+        :param now_ms: the present time.
+        """
+        calm = not self._lost and now_ms - self.regained_ms > CALM_MS
+        return calm and self._complete.issuperset(facts.Topic)
+
+    def take_in_relayed(self, export: Export, now_ms: int) -> None:
+        """Take in what the entry that reads for this one knows, and leave the store alone.
+
+        :param export: the reader's changes.
+        :param now_ms: the present time.
+        """
+        if self._direct.is_set():
+            self._direct = anyio.Event()
+        self._take_in_export(export, False, now_ms)
+        heard_ms = now_ms - export.age_ms
+        self.last_answer_ms = max(self.last_answer_ms, heard_ms)
+
+    def read_directly(self) -> None:
+        """Read the store from now on."""
+        self._direct.set()
 
     async def _follow(self, topic: facts.Topic) -> None:
         while True:
+            await self._direct.wait()
             result = await self._read(topic)
             now_ms = clock.monotonic_ms()
             if result is None:
@@ -170,7 +245,8 @@
             if topic not in self._complete:
                 return await self._source.read_all(topic)
             after = self.positions[topic]
-            return await self._source.read_changes(topic, after, _WAITS_MS[topic])
+            wait_ms = min(_WAITS_MS[topic], RELAY_WAIT_MS) if self._relays else _WAITS_MS[topic]
+            return await self._source.read_changes(topic, after, wait_ms)
         return None
 
     async def _note_refusal(self, topic: facts.Topic, refusal: errors.Refusal, now_ms: int) -> None:
@@ -192,6 +268,7 @@
     def _note_answer(self, topic: facts.Topic, now_ms: int) -> None:
         away_ms = now_ms - self.last_answer_ms
         self.last_answer_ms = now_ms
+        self._answered_ms[topic] = now_ms
         if self._lost or away_ms > AWAY_AFTER_MS:
             self._lost = False
             self.regained_ms = now_ms
@@ -221,6 +298,7 @@
         for name in removed:
             if name[0] is topic:
                 del self.rows[name]
+                del self._changed_versions[name]
 
     def _remove_missing(self, topic: facts.Topic, batch: facts.Batch, now_ms: int) -> None:
         """Find the rows that left while no history tells of it."""
@@ -235,7 +313,12 @@
         if known is not None and known.version >= change.version:
             return
         self.rows[(change.topic, change.key)] = change
+        if known is not None and change.repeats(known):
+            return
+        self._changed_versions[(change.topic, change.key)] = change.version
         self._sink.apply(change, first_read, now_ms)
+        self._news.set()
+        self._news = anyio.Event()
 
     async def _follow_peers(self) -> None:
         while True:
@@ -248,13 +331,14 @@
             export = await self._peers.fetch(self.positions)
             if export is None:
                 continue
-            now_ms = clock.monotonic_ms()
-            first_read = not self.positions
-            for change in sorted(export.changes, key=lambda c: c.version):
-                self._apply(change, first_read, now_ms)
-            for topic, version in export.positions.items():
-                if version > self.positions.get(topic, 0):
-                    self.positions[topic] = version
+            self._take_in_export(export, not self.positions, clock.monotonic_ms())
+
+    def _take_in_export(self, export: Export, first_read: bool, now_ms: int) -> None:
+        for change in sorted(export.changes, key=lambda c: c.version):
+            self._apply(change, first_read, now_ms)
+        for topic, version in export.positions.items():
+            if version > self.positions.get(topic, 0):
+                self.positions[topic] = version
 
     def dump(self) -> dict[str, object]:
         """Return how far each topic is known."""
--- /dev/null
+++ b/tests/test_zone_feed.py
@@ -0,0 +1,188 @@
+"""Followers of a zone's reader: fewer calls to the store, and no later knowledge when it fails."""
+
+import anyio
+import msgspec
+import pytest
+
+from sassafraslock import facts, http_messages
+from sassafraslock.decisions import registry, roster, store_readers
+from sassafraslock.services import belief, peer_copies, replica, zone_feed
+from tests import fact_source
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(replica, "_PAUSES_S", dict.fromkeys(facts.Topic, 0.005))
+    monkeypatch.setattr(replica, "RETRY_PAUSE_S", 0.01)
+    monkeypatch.setattr(replica, "_WAITS_MS", dict.fromkeys(facts.Topic, 50))
+    monkeypatch.setattr(replica, "CALM_MS", -replica.AFTER_GAP_MS)
+    monkeypatch.setattr(zone_feed, "NEWS_WAIT_MS", 40)
+    monkeypatch.setattr(zone_feed, "CHECK_S", 0.01)
+    monkeypatch.setattr(store_readers, "MAX_AGE_MS", 200)
+
+
+class Source(fact_source.FakeSource):
+    """Counts the calls that read changes."""
+
+    reads = 0
+
+    async def read_changes(self, topic, after, wait_ms):
+        self.reads += 1
+        return await super().read_changes(topic, after, wait_ms)
+
+
+class Client:
+    """Passes requests to another entry's interface; a ``silent`` one never answers."""
+
+    def __init__(self, api):
+        self.api, self.silent = api, False
+
+    async def ask(self, address, wanted, timeout_s):
+        with anyio.move_on_after(0.1):
+            if self.silent:
+                await anyio.sleep_forever()
+            body = msgspec.msgpack.encode(wanted)
+            request = http_messages.Request("POST", peer_copies.COPY_PATH, [], body, "h", 0)
+            answer = await self.api(request)
+            if answer.status == 200:
+                return msgspec.msgpack.decode(answer.body, type=replica.Export)
+        return None
+
+
+class Entry:
+    """An entry's copy of the store, its roster and its place in the zone."""
+
+    def __init__(self, entry_id, rows):
+        self.source = Source()
+        self.source.rows, self.source.history = rows.rows, rows.history
+        self.members = roster.Roster(entry_id)
+        self.believed = belief.Belief(registry.Registry(), self.members)
+        self.copy = replica.Replica(self.source, self.believed)
+        self.believed.hold_removed_by(self.copy.hold_until_ms)
+        self.api = peer_copies.PeerApi(self.copy, "")
+
+    @property
+    def known(self):
+        return set(self.believed.registry.servers)
+
+
+def zone_of(*entries):
+    for entry in entries:
+        for name in ("e0", "e1", "e2", "e3"):
+            entry.members.note(
+                roster.MemberRecord(name, 1, 1, "a", "a-1", f"{name}:1", f"{name}:2", True),
+                replica.clock.monotonic_ms(),
+            )
+
+
+def running(scenario):
+    async def main():
+        rows = fact_source.FakeSource()
+        records = [
+            roster.MemberRecord(f"e{n}", 1, 1, "a", "a-1", "h:1", "h:2", True) for n in range(4)
+        ]
+        first = store_readers.StoreReaders("x", "a-1")
+        name = max(records, key=lambda r: first._rank(r.entry_id)).entry_id
+        other = "e0" if name != "e0" else "e1"
+        reader, follower = Entry(name, rows), Entry(other, rows)
+        zone_of(reader, follower)
+        client = Client(reader.api)
+        feed = zone_feed.ZoneFeed("a-1", follower.members, follower.copy, client)
+        async with anyio.create_task_group() as group:
+            for service in (reader.copy, follower.copy, feed):
+                group.start_soon(service.run, anyio.Event())
+            put(reader, follower, "x")
+            with anyio.fail_after(10):
+                await until(lambda: follower.copy.relayed)
+                await scenario(reader, follower, client)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def put(reader, follower, server_id, **more):
+    """Write one server's row, which both entries' sources show."""
+    reader.source.put_server(server_id, **more)
+    follower.source.version = reader.source.version
+    follower.source.changed.set()
+    follower.source.changed = anyio.Event()
+
+
+async def until(condition):
+    with anyio.fail_after(5):
+        while not condition():
+            await anyio.sleep(0.005)
+
+
+def test_a_follower_learns_all_and_calls_the_store_no_more():
+    async def scenario(reader, follower, client):
+        await anyio.sleep(0.1)
+        before = follower.source.reads
+        put(reader, follower, "y")
+        await until(lambda: follower.known == {"x", "y"})
+        put(reader, follower, "y", state="draining")
+        await until(lambda: follower.believed.registry.servers["y"].draining)
+        assert follower.source.reads == before
+
+    running(scenario)
+
+
+def test_a_follower_of_a_silent_reader_reads_the_store_itself():
+    async def scenario(reader, follower, client):
+        client.silent = True
+        await until(lambda: not follower.copy.relayed)
+        put(reader, follower, "y")
+        await until(lambda: follower.known == {"x", "y"})
+
+    running(scenario)
+
+
+def test_a_follower_of_a_reader_that_lost_the_store_reads_it_itself():
+    async def scenario(reader, follower, client):
+        reader.source.away = True
+        await until(lambda: not follower.copy.relayed)
+        put(reader, follower, "y")
+        await until(lambda: follower.known == {"x", "y"})
+        assert reader.known == {"x"}
+
+    running(scenario)
+
+
+def test_a_reader_whose_intents_are_stuck_is_left_though_its_servers_come():
+    async def scenario(reader, follower, client):
+        reader.source.hanging.add(facts.Topic.INTENTS)
+        await until(lambda: not follower.copy.relayed)
+
+    running(scenario)
+
+
+def test_an_entry_that_follows_refuses_followers():
+    async def scenario(reader, follower, client):
+        wanted = peer_copies.CopyRequest({}, 40)
+        assert await Client(follower.api).ask("h:1", wanted, 1.0) is None
+
+    running(scenario)
+
+
+def test_reports_that_say_nothing_new_are_not_news():
+    async def scenario(reader, follower, client):
+        put(reader, follower, "x")
+        await until(lambda: reader.copy.version == 2)
+        assert reader.copy.export({"servers": 1}).changes == []
+        put(reader, follower, "x", cold_ms=500)
+        put(reader, follower, "x", cold_ms=500)
+        await until(lambda: reader.copy.version == 4)
+        assert [c.version for c in reader.copy.export({"servers": 3}).changes] == [4]
+
+    running(scenario)
+
+
+def test_an_older_state_from_a_peer_is_left_out_though_newer_rows_repeat():
+    async def scenario(reader, follower, client):
+        put(reader, follower, "x")
+        await until(lambda: reader.copy.version == 2)
+        late = facts.Change(facts.Topic.SERVERS, "x", 1)
+        reader.copy._apply(late, False, 0)
+        assert reader.known == {"x"}
+
+    running(scenario)
