An object's home that this entry seldom uses has a speed of its own

Cause: with 74 entries each sees few requests for one object.

Change: known here, home, and new are three means. The best server of another region than the planned one is no home. Requests and servers that are weighed stand in decisions/candidates.py.

Test first: 30 entries, 200 objects; the old code expected the same of home and stranger.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -13,7 +13,7 @@
 import random
 
 from sassafraslock import errors, routing_table
-from sassafraslock.decisions import cold_start, placement, registry, server_health
+from sassafraslock.decisions import candidates, cold_start, placement, registry, server_health
 
 SERVERS, SLOTS, QUEUE, KEPT = 10, 3, 9, 28
 WORK_MS, KNOWN_RATIO, TARGET_MS, TIMEOUT_MS = 480.0, 0.3, 400, 2_000
@@ -22,7 +22,7 @@
 POLICIES = ("by home and time", "home only", "two choices", "round robin")
 WARM_CAPACITY_PER_S = SERVERS * SLOTS * 1_000 / (WORK_MS * KNOWN_RATIO)
 
-Job = tuple[float, int, str, placement.Choice]
+Job = tuple[float, int, str, candidates.Choice]
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,7 +77,7 @@
             health.note_load(told, int(at_ms))
             self.placer.objects.note(name, choice.server.server_id, int(at_ms))
 
-    def run(self, choice: placement.Choice, wanted: placement.Wanted, now_ms: float) -> float:
+    def run(self, choice: candidates.Choice, wanted: candidates.Wanted, now_ms: float) -> float:
         """Run a request, or turn it away, and return its time; negative where turned away."""
         server_id = choice.server.server_id
         if self.load(server_id) >= SLOTS + QUEUE:
@@ -108,8 +108,8 @@
 
 
 def _choose(
-    policy: str, world: _World, wanted: placement.Wanted, source: random.Random, number: int
-) -> placement.Choice | None:
+    policy: str, world: _World, wanted: candidates.Wanted, source: random.Random, number: int
+) -> candidates.Choice | None:
     placer = world.placer
     servers = list(placer.registry.servers.values())
     if policy == "round robin":
@@ -118,7 +118,7 @@
         server = min(source.sample(servers, 2), key=lambda s: placer.health_of(s).in_flight)
     else:
         server = max(servers, key=lambda s: placement.home_score(wanted.key, s))
-    return placement.Choice(server, 0.0, True, 0.0, True, False)
+    return candidates.Choice(server, 0.0, True, 0.0, True, False)
 
 
 def _measure(policy: str, load: float) -> Row:
@@ -136,18 +136,18 @@
             break
         world.settle(now_ms)
         key = str(source.randrange(OBJECTS))
-        wanted = placement.Wanted(route, service, key, TIMEOUT_MS, True)
-        choice: placement.Choice | errors.Refusal | None
+        wanted = candidates.Wanted(route, service, key, TIMEOUT_MS, True)
+        choice: candidates.Choice | errors.Refusal | None
         if policy == POLICIES[0]:
             choice = world.placer.place(wanted, int(now_ms))
         else:
             choice = _choose(policy, world, wanted, source, number)
         if now_ms < WARM_UP_S * 1_000:
-            if isinstance(choice, placement.Choice):
+            if isinstance(choice, candidates.Choice):
                 world.run(choice, wanted, now_ms)
             continue
         counts["asked"] += 1
-        if not isinstance(choice, placement.Choice):
+        if not isinstance(choice, candidates.Choice):
             counts["refused"] += 1
             continue
         counts["known"] += key in world.known[choice.server.server_id]
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -11,7 +11,14 @@
 import msgspec
 
 from sassafraslock import facts, logs, routing_table
-from sassafraslock.decisions import client_blocks, cold_start, placement, registry, roster
+from sassafraslock.decisions import (
+    candidates,
+    client_blocks,
+    cold_start,
+    placement,
+    registry,
+    roster,
+)
 from sassafraslock.services import belief, directory, log_writer, replica
 
 SIZES = (30, 300, 3_000)
@@ -83,7 +90,7 @@
     service = routing_table.Service("logbook", 330, 0, 5.0)
 
     def place(key: str) -> object:
-        return placer.place(placement.Wanted(route, service, key, 2_000, True), 0)
+        return placer.place(candidates.Wanted(route, service, key, 2_000, True), 0)
 
     return [
         Row("choice for a new object", size, _micros(lambda n: place(str(n)), 300), "us"),
--- /dev/null
+++ b/sassafraslock/decisions/candidates.py
@@ -0,0 +1,115 @@
+"""A request that needs a server, the servers that it may go to, and which of them is best."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sassafraslock import errors, routing_table
+from sassafraslock.decisions import registry, route_speed
+
+LEAVE_HOME_RATIO = 0.75
+LEAVE_HOME_MS = 5.0
+FREE_RATIO = 0.67
+QUEUE_LIMIT_BY_PRIORITY = (2.5, 2.0, 1.4)
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 1_000
+
+
+@dataclasses.dataclass(slots=True)
+class Wanted:
+    """A request that needs a server.
+
+    ``paid`` says that the retry budget allowed its next attempt, ``shed`` that a server was full,
+    ``own_region_only`` that the links carry no more. ``entries`` share the servers' connections.
+    ``agreed`` is the server for which a silent one was given up.
+    """
+
+    route: routing_table.Route
+    service: routing_table.Service
+    key: str
+    left_ms: int
+    idempotent: bool
+    tried: set[str] = dataclasses.field(default_factory=set)
+    attempts: int = 0
+    paid: bool = False
+    shed: bool = False
+    own_region_only: bool = False
+    entries: int = 1
+    agreed: Choice | None = None
+
+    @property
+    def object_name(self) -> str:
+        """The object with its service, as servers keep it."""
+        return f"{self.service.name}|{self.key}"
+
+
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """The server for a request and what spoke for it."""
+
+    server: registry.Server
+    expected_ms: float
+    familiarity: route_speed.Familiarity
+    load: float
+    home: bool
+    cold: bool
+
+
+def best(choices: list[Choice], shed: bool) -> Choice | None:
+    """Return the object's home, or a server with room that is expected to be clearly earlier.
+
+    Work at another server than the home takes several times as long. Where no server has room
+    to spare, leaving the home would cost the others more than it saves here, and a busy system
+    would tip into one in which nothing is at home.
+
+    :param choices: the servers that may get the request, its home first.
+    :param shed: whether a server has just turned the request away.
+    """
+    if not choices:
+        return None
+    roomy = [c for c in choices if has_room(c)]
+    if shed:
+        return min(roomy, key=lambda c: c.expected_ms, default=None)
+    first = choices[0]
+    other = min(roomy, key=lambda c: c.expected_ms, default=first)
+    if other.expected_ms < LEAVE_HOME_RATIO * first.expected_ms - LEAVE_HOME_MS:
+        return other
+    return first
+
+
+def has_room(choice: Choice) -> bool:
+    """Tell whether a server has slots to spare for work that is new to it.
+
+    :param choice: the server.
+    """
+    return choice.load + 1 <= FREE_RATIO * max(1, choice.server.report.slots)
+
+
+def is_too_late(choice: Choice, wanted: Wanted) -> bool:
+    """Tell whether a request would wait for its answer too long to be worth a place in a queue.
+
+    Without a queue it is tried whatever is expected, so that a wrong guess corrects itself.
+
+    :param choice: the server.
+    :param wanted: the request.
+    """
+    if choice.load < choice.server.report.slots:
+        return False
+    place = min(wanted.route.priority, len(QUEUE_LIMIT_BY_PRIORITY) - 1)
+    limit_ms = QUEUE_LIMIT_BY_PRIORITY[place] * wanted.route.target_latency_ms
+    return choice.expected_ms > min(limit_ms, wanted.left_ms)
+
+
+def too_late(chosen: Choice, wanted: Wanted) -> errors.Refusal:
+    """Return the refusal of a request for which even the best server is too late.
+
+    :param chosen: the best server.
+    :param wanted: the request.
+    """
+    over_ms = int(chosen.expected_ms - wanted.left_ms / 2)
+    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, over_ms))
+    reason = (
+        f"the best server would answer in {chosen.expected_ms:.0f} ms,"
+        f" {wanted.left_ms} ms are left"
+    )
+    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, wait_ms)
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
 from sassafraslock import errors, routing_table
 from sassafraslock.decisions import (
+    candidates,
     cold_start,
     hashing,
     object_memory,
@@ -19,58 +19,13 @@
 
 CANDIDATES = 4
 REMOTE_CANDIDATES = 2
-LEAVE_HOME_RATIO = 0.75
-LEAVE_HOME_MS = 5.0
 SPILL_RATIO = 0.06
 MAX_KEPT_RANKS = 16_384
-FREE_RATIO = 0.67
-QUEUE_LIMIT_BY_PRIORITY = (2.5, 2.0, 1.4)
+QUEUED_KNOWN_RATIO = 0.7
 JOINED_MS = 15_000
 CONNECTION_RATIO = 0.5
 MIN_CONNECTIONS = 2
 GOLDEN_RATIO = 0.618033988749895  # its multiples spread evenly between 0 and 1
-MIN_RETRY_AFTER_MS = 100
-MAX_RETRY_AFTER_MS = 1_000
-
-
-@dataclasses.dataclass(slots=True)
-class Wanted:
-    """A request that needs a server.
-
-    ``paid`` says that the retry budget allowed its next attempt, ``shed`` that a server was full,
-    ``own_region_only`` that the links carry no more. ``entries`` share the servers' connections.
-    ``agreed`` is the server for which a silent one was given up.
-    """
-
-    route: routing_table.Route
-    service: routing_table.Service
-    key: str
-    left_ms: int
-    idempotent: bool
-    tried: set[str] = dataclasses.field(default_factory=set)
-    attempts: int = 0
-    paid: bool = False
-    shed: bool = False
-    own_region_only: bool = False
-    entries: int = 1
-    agreed: Choice | None = None
-
-    @property
-    def object_name(self) -> str:
-        """The object with its service, as servers keep it."""
-        return f"{self.service.name}|{self.key}"
-
-
-@dataclasses.dataclass(slots=True)
-class Choice:
-    """The server for a request and what spoke for it."""
-
-    server: registry.Server
-    expected_ms: float
-    warm: bool
-    load: float
-    home: bool
-    cold: bool
 
 
 class EntryView(typing.Protocol):
@@ -153,29 +108,29 @@
         self.health = {k: v for k, v in self.health.items() if k in names or v.in_flight}
         self.cold.forget(names)
 
-    def place(self, wanted: Wanted, now_ms: int) -> Choice | errors.Refusal:
+    def place(self, wanted: candidates.Wanted, now_ms: int) -> candidates.Choice | errors.Refusal:
         """Return the server for a request, or why there is none.
 
         :param wanted: the request.
         :param now_ms: the present time.
         """
         planned = self._planned_region(wanted)
-        choices = self._choices(wanted, planned, CANDIDATES, now_ms)
-        chosen = _best(choices, wanted.shed)
+        choices = self._choices(wanted, planned, planned, CANDIDATES, now_ms)
+        chosen = candidates.best(choices, wanted.shed)
         if chosen is not None and wanted.idempotent and not wanted.attempts:
             chosen = self._untried(wanted, now_ms) or chosen
         self._placed.add(now_ms)
-        if chosen is None or _is_too_late(chosen, wanted):
+        if chosen is None or candidates.is_too_late(chosen, wanted):
             chosen = self._spill(wanted, planned, chosen, now_ms) or chosen
         if chosen is None:
             return self._no_server(wanted)
-        if _is_too_late(chosen, wanted):
-            return _too_late(chosen, wanted)
+        if candidates.is_too_late(chosen, wanted):
+            return candidates.too_late(chosen, wanted)
         if not chosen.cold or self._take_cold(chosen, wanted, now_ms):
             return chosen
         return self._instead_of_cold(wanted, choices, now_ms)
 
-    def _planned_region(self, wanted: Wanted) -> str:
+    def _planned_region(self, wanted: candidates.Wanted) -> str:
         if wanted.own_region_only:
             return self.region
         plan = self.plans.get((wanted.service.name, wanted.route.regions))
@@ -201,7 +156,7 @@
                 return region
         return max(weights, key=lambda r: weights[r])
 
-    def _untried(self, wanted: Wanted, now_ms: int) -> Choice | None:
+    def _untried(self, wanted: candidates.Wanted, now_ms: int) -> candidates.Choice | None:
         """Return a server that joined and got nothing yet, so that its faults show early."""
         for server_id, since_ms in list(self._joined.items()):
             server = self.registry.servers.get(server_id)
@@ -235,8 +190,10 @@
         """Return the entries that may care for a server: those of its region, if there are any."""
         return self._entries.live_ids(server.region) or self._entries.live_ids()
 
-    def _choices(self, wanted: Wanted, region: str, count: int, now_ms: int) -> list[Choice]:
-        choices: list[Choice] = []
+    def _choices(
+        self, wanted: candidates.Wanted, region: str, planned: str, count: int, now_ms: int
+    ) -> list[candidates.Choice]:
+        choices: list[candidates.Choice] = []
         for place, server in enumerate(self._ranked(wanted, region)):
             if server.server_id in wanted.tried or not _allowed(wanted.route, server):
                 continue
@@ -247,37 +204,47 @@
                 or health.in_flight >= self._connection_part(wanted)
             ):
                 continue
-            choices.append(self._judge(wanted, server, health, place == 0, now_ms))
+            home = place == 0 and region == planned
+            choices.append(self._judge(wanted, server, health, home, now_ms))
             if len(choices) >= count:
                 break
         return choices
 
-    def _connection_part(self, wanted: Wanted) -> int:
+    def _connection_part(self, wanted: candidates.Wanted) -> int:
         """Return how many of a server's connections this entry may hold."""
         part = CONNECTION_RATIO * wanted.service.max_connections / wanted.entries
         return max(MIN_CONNECTIONS, int(part))
 
     def _judge(
         self,
-        wanted: Wanted,
+        wanted: candidates.Wanted,
         server: registry.Server,
         health: server_health.ServerHealth,
         home: bool,
         now_ms: int,
-    ) -> Choice:
+    ) -> candidates.Choice:
         speed = self.speed_of(wanted.route)
-        sticky = wanted.route.sticky and bool(wanted.key)
-        warm = not sticky or self.objects.holds(wanted.object_name, server.server_id, now_ms)
+        familiarity = self._familiarity(wanted, server, home, now_ms)
         cold = server.is_cold(now_ms)
         slots = max(1, server.report.slots)
         load = health.load(now_ms)
-        mean_ms = 0.7 * speed.expected_ms(True) + 0.3 * speed.expected_ms(False)
+        known_ms = speed.expected_ms(route_speed.Familiarity.KNOWN)
+        new_ms = speed.expected_ms(route_speed.Familiarity.NEW)
+        mean_ms = QUEUED_KNOWN_RATIO * known_ms + (1 - QUEUED_KNOWN_RATIO) * new_ms
         queue_ms = max(0.0, load + 1 - slots) / slots * mean_ms
         factor = health.slow_factor(now_ms) * (2.0 if cold else 1.0)
-        expected_ms = factor * (speed.expected_ms(warm) + queue_ms) + health.rtt_ms
-        return Choice(server, expected_ms, warm, load, home, cold)
+        expected_ms = factor * (speed.expected_ms(familiarity) + queue_ms) + health.rtt_ms
+        return candidates.Choice(server, expected_ms, familiarity, load, home, cold)
 
-    def _ranked(self, wanted: Wanted, region: str) -> list[registry.Server]:
+    def _familiarity(
+        self, wanted: candidates.Wanted, server: registry.Server, home: bool, now_ms: int
+    ) -> route_speed.Familiarity:
+        sticky = wanted.route.sticky and bool(wanted.key)
+        if not sticky or self.objects.holds(wanted.object_name, server.server_id, now_ms):
+            return route_speed.Familiarity.KNOWN
+        return route_speed.Familiarity.HOME if home else route_speed.Familiarity.NEW
+
+    def _ranked(self, wanted: candidates.Wanted, region: str) -> list[registry.Server]:
         if self._generation != self.registry.generation or len(self._ranks) > MAX_KEPT_RANKS:
             self._ranks.clear()
             self._generation = self.registry.generation
@@ -290,8 +257,8 @@
         return found
 
     def _spill(
-        self, wanted: Wanted, planned: str, chosen: Choice | None, now_ms: int
-    ) -> Choice | None:
+        self, wanted: candidates.Wanted, planned: str, chosen: candidates.Choice | None, now_ms: int
+    ) -> candidates.Choice | None:
         """Look in the other regions, within the part of requests that may leave the plan."""
         if wanted.own_region_only:
             return None
@@ -300,24 +267,24 @@
         if planned in serving and chosen is not None and self._spilled.total(now_ms) + 1 > allowed:
             return None
         regions = serving - {planned}
-        choices: list[Choice] = []
+        choices: list[candidates.Choice] = []
         for region in sorted(regions):
-            choices += self._choices(wanted, region, REMOTE_CANDIDATES, now_ms)
-        fitting = (c for c in choices if not c.cold and (chosen is None or _has_room(c)))
+            choices += self._choices(wanted, region, planned, REMOTE_CANDIDATES, now_ms)
+        fitting = (c for c in choices if not c.cold and (chosen is None or candidates.has_room(c)))
         best = min(fitting, key=lambda c: c.expected_ms, default=None)
         if best is None or (chosen is not None and best.expected_ms >= chosen.expected_ms):
             return None
         self._spilled.add(now_ms)
         return best
 
-    def _take_cold(self, chosen: Choice, wanted: Wanted, now_ms: int) -> bool:
+    def _take_cold(self, chosen: candidates.Choice, wanted: candidates.Wanted, now_ms: int) -> bool:
         name = start_name(chosen.server)
         near = self._near(chosen.server)
         return self.cold.take(name, wanted.service.cold_per_s, near, now_ms)
 
     def _instead_of_cold(
-        self, wanted: Wanted, choices: list[Choice], now_ms: int
-    ) -> Choice | errors.Refusal:
+        self, wanted: candidates.Wanted, choices: list[candidates.Choice], now_ms: int
+    ) -> candidates.Choice | errors.Refusal:
         ready = [c for c in choices if not c.cold]
         if not ready:
             ready = self._ready_anywhere(wanted, now_ms)
@@ -329,8 +296,8 @@
         reason = "all servers that could run it start cold"
         return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 300)
 
-    def _ready_anywhere(self, wanted: Wanted, now_ms: int) -> list[Choice]:
-        choices: list[Choice] = []
+    def _ready_anywhere(self, wanted: candidates.Wanted, now_ms: int) -> list[candidates.Choice]:
+        choices: list[candidates.Choice] = []
         for server in self.registry.usable(wanted.service.name):
             if not _allowed(wanted.route, server):
                 continue
@@ -344,7 +311,7 @@
         local = [c for c in choices if c.server.region == self.region]
         return local or choices
 
-    def _no_server(self, wanted: Wanted) -> errors.Refusal:
+    def _no_server(self, wanted: candidates.Wanted) -> errors.Refusal:
         known = len(self.registry.usable(wanted.service.name))
         reason = f"none of the {known} servers of {wanted.service.name} may get the request"
         return errors.Refusal(errors.ErrorKind.NO_SERVER, reason, 300)
@@ -369,48 +336,3 @@
     :param server: the server.
     """
     return hashing.rendezvous_score(key, server.server_id, max(1, server.report.slots))
-
-
-def _best(choices: list[Choice], shed: bool) -> Choice | None:
-    """Return the object's home, or a server with room that is expected to be clearly earlier.
-
-    Work at another server than the home takes several times as long. Where no server has room
-    to spare, leaving the home would cost the others more than it saves here, and a busy system
-    would tip into one in which nothing is at home.
-    """
-    if not choices:
-        return None
-    roomy = [c for c in choices if _has_room(c)]
-    if shed:
-        return min(roomy, key=lambda c: c.expected_ms, default=None)
-    first = choices[0]
-    best = min(roomy, key=lambda c: c.expected_ms, default=first)
-    if best.expected_ms < LEAVE_HOME_RATIO * first.expected_ms - LEAVE_HOME_MS:
-        return best
-    return first
-
-
-def _has_room(choice: Choice) -> bool:
-    return choice.load + 1 <= FREE_RATIO * max(1, choice.server.report.slots)
-
-
-def _is_too_late(choice: Choice, wanted: Wanted) -> bool:
-    """Tell whether a request would wait for its answer too long to be worth a place in a queue.
-
-    Without a queue it is tried whatever is expected, so that a wrong guess corrects itself.
-    """
-    if choice.load < choice.server.report.slots:
-        return False
-    place = min(wanted.route.priority, len(QUEUE_LIMIT_BY_PRIORITY) - 1)
-    limit_ms = QUEUE_LIMIT_BY_PRIORITY[place] * wanted.route.target_latency_ms
-    return choice.expected_ms > min(limit_ms, wanted.left_ms)
-
-
-def _too_late(chosen: Choice, wanted: Wanted) -> errors.Refusal:
-    over_ms = int(chosen.expected_ms - wanted.left_ms / 2)
-    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, over_ms))
-    reason = (
-        f"the best server would answer in {chosen.expected_ms:.0f} ms,"
-        f" {wanted.left_ms} ms are left"
-    )
-    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, wait_ms)
--- a/sassafraslock/decisions/route_speed.py
+++ b/sassafraslock/decisions/route_speed.py
@@ -3,19 +3,33 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 WEIGHT = 0.08
-WARM_START_RATIO = 0.4
-COLD_START_RATIO = 1.2
-MIN_COLD_RATIO = 1.2
+KNOWN_START_RATIO = 0.4
+NEW_START_RATIO = 1.2
+MIN_NEW_RATIO = 1.2
+
+
+class Familiarity(enum.Enum):
+    """What an entry can say of a server and an object.
+
+    ``HOME`` stands for the object's home to which this entry did not send it lately: others may
+    have done so, the more entries there are the more likely.
+    """
+
+    KNOWN = "known"
+    HOME = "home"
+    NEW = "new"
 
 
 @dataclasses.dataclass(slots=True)
 class RouteSpeed:
     """Moving means of a route's time at a server, without queues, in milliseconds."""
 
-    warm_ms: float
-    cold_ms: float
+    known_ms: float
+    home_ms: float
+    new_ms: float
 
     @classmethod
     def guess(cls, target_latency_ms: int) -> RouteSpeed:
@@ -23,22 +37,30 @@
 
         :param target_latency_ms: the route's target.
         """
-        return cls(WARM_START_RATIO * target_latency_ms, COLD_START_RATIO * target_latency_ms)
+        new_ms = NEW_START_RATIO * target_latency_ms
+        return cls(KNOWN_START_RATIO * target_latency_ms, new_ms, new_ms)
 
-    def expected_ms(self, warm: bool) -> float:
+    def expected_ms(self, familiarity: Familiarity) -> float:
         """Return the time that a request takes once a server works on it.
 
-        :param warm: whether the server handled the object before.
+        :param familiarity: what is known of the server and the object.
         """
-        return self.warm_ms if warm else max(self.cold_ms, MIN_COLD_RATIO * self.warm_ms)
+        if familiarity is Familiarity.KNOWN:
+            return self.known_ms
+        new_ms = max(self.new_ms, MIN_NEW_RATIO * self.known_ms)
+        if familiarity is Familiarity.NEW:
+            return new_ms
+        return min(new_ms, max(self.home_ms, self.known_ms))
 
-    def note(self, warm: bool, took_ms: float) -> None:
+    def note(self, familiarity: Familiarity, took_ms: float) -> None:
         """Take in an answer from a server that was not busy.
 
-        :param warm: whether the server handled the object before.
+        :param familiarity: what was known of the server and the object.
         :param took_ms: the time taken.
         """
-        if warm:
-            self.warm_ms += WEIGHT * (took_ms - self.warm_ms)
+        if familiarity is Familiarity.KNOWN:
+            self.known_ms += WEIGHT * (took_ms - self.known_ms)
+        elif familiarity is Familiarity.HOME:
+            self.home_ms += WEIGHT * (took_ms - self.home_ms)
         else:
-            self.cold_ms += WEIGHT * (took_ms - self.cold_ms)
+            self.new_ms += WEIGHT * (took_ms - self.new_ms)
--- a/sassafraslock/path/learn.py
+++ b/sassafraslock/path/learn.py
@@ -5,7 +5,7 @@
 import typing
 
 from sassafraslock import events, header_names, http_messages, routing_table
-from sassafraslock.decisions import placement, quarantine, server_health
+from sassafraslock.decisions import candidates, placement, quarantine, server_health
 from sassafraslock.path import judge, route, send
 from sassafraslock.services import poison_watch, upstream
 
@@ -47,7 +47,7 @@
     def learn(
         self,
         routed: route.Routed,
-        wanted: placement.Wanted,
+        wanted: candidates.Wanted,
         attempt: send.Attempt,
         verdict: judge.Verdict,
         health: server_health.ServerHealth,
@@ -102,7 +102,7 @@
     def _learn_speed(
         self,
         routed: route.Routed,
-        wanted: placement.Wanted,
+        wanted: candidates.Wanted,
         attempt: send.Attempt,
         health: server_health.ServerHealth,
     ) -> None:
@@ -114,9 +114,9 @@
         slots = choice.server.report.slots
         speed = self._placer.speed_of(routed.route)
         if choice.load + 1 <= slots and not choice.cold:
-            health.note_speed(took_ms / speed.expected_ms(choice.warm), now_ms)
+            health.note_speed(took_ms / speed.expected_ms(choice.familiarity), now_ms)
             if health.slow_factor(now_ms) < SLOW_RATIO:
-                speed.note(choice.warm, took_ms)
+                speed.note(choice.familiarity, took_ms)
         self._placer.objects.note(wanted.object_name, choice.server.server_id, now_ms)
 
 
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -6,7 +6,7 @@
 import typing
 
 from sassafraslock import clock, errors, header_names, http_messages
-from sassafraslock.decisions import link_share, placement, retry_budget, split
+from sassafraslock.decisions import candidates, link_share, placement, retry_budget, split
 from sassafraslock.path import answer, judge, learn, read, route, send
 from sassafraslock.services import belief, claims, poison_watch
 
@@ -152,12 +152,12 @@
         self.budget.note_request(routed.service.name, now_ms)
         key = journey.incoming.key or journey.incoming.request_id.decode("latin-1")
         left_ms = routed.left_ms(now_ms)
-        wanted = placement.Wanted(routed.route, routed.service, key, left_ms, routed.idempotent)
+        wanted = candidates.Wanted(routed.route, routed.service, key, left_ms, routed.idempotent)
         wanted.entries = self._entries()
         return await self._attempt_until_answered(journey, routed, wanted)
 
     async def _attempt_until_answered(
-        self, journey: Journey, routed: route.Routed, wanted: placement.Wanted
+        self, journey: Journey, routed: route.Routed, wanted: candidates.Wanted
     ) -> http_messages.Response | errors.Refusal:
         while True:
             now_ms = clock.monotonic_ms()
@@ -195,7 +195,7 @@
         known = self._poison.quarantine
         return known.size > 0 and known.is_quarantined(learn.fingerprint(routed), now_ms)
 
-    def _link_carries(self, routed: route.Routed, choice: placement.Choice, now_ms: int) -> bool:
+    def _link_carries(self, routed: route.Routed, choice: candidates.Choice, now_ms: int) -> bool:
         """Take this request's part of the link to its server's region."""
         region = choice.server.region
         if region == self.placer.region or not self.links.limits:
@@ -204,13 +204,13 @@
         request_bytes = len(routed.incoming.request.body) + learn.HEAD_BYTES
         return self.links.take(region, request_bytes, expected, self._neighbours(), now_ms)
 
-    def _may_send_again(self, wanted: placement.Wanted, now_ms: int) -> bool:
+    def _may_send_again(self, wanted: candidates.Wanted, now_ms: int) -> bool:
         return self.budget.take(wanted.service.name, self._entries(), now_ms)
 
     def _may_go_on(
         self,
         routed: route.Routed,
-        wanted: placement.Wanted,
+        wanted: candidates.Wanted,
         attempt: send.Attempt,
         verdict: judge.Verdict,
     ) -> bool:
@@ -223,7 +223,7 @@
         return routed.idempotent
 
     async def _attempt(
-        self, routed: route.Routed, wanted: placement.Wanted, choice: placement.Choice
+        self, routed: route.Routed, wanted: candidates.Wanted, choice: candidates.Choice
     ) -> tuple[send.Attempt, judge.Verdict]:
         health = self.placer.health_of(choice.server)
         patience_ms = 0
@@ -237,7 +237,7 @@
         self.learner.learn(routed, wanted, attempt, verdict, health)
         return attempt, verdict
 
-    def _may_abandon(self, wanted: placement.Wanted) -> bool:
+    def _may_abandon(self, wanted: candidates.Wanted) -> bool:
         """Tell whether another server will be asked now, with the budget for it taken.
 
         An entry that leaves breaks off nothing at which a server may be at work.
@@ -258,7 +258,7 @@
     return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 200)
 
 
-def _link_refusal(choice: placement.Choice) -> errors.Refusal:
+def _link_refusal(choice: candidates.Choice) -> errors.Refusal:
     reason = f"the link to {choice.server.region} carries no more now"
     return errors.Refusal(errors.ErrorKind.LINK_FULL, reason)
 
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -7,7 +7,7 @@
 import typing
 
 from sassafraslock import clock, header_names, http_messages
-from sassafraslock.decisions import placement, registry, server_health
+from sassafraslock.decisions import candidates, registry, server_health
 from sassafraslock.path import route
 from sassafraslock.services import upstream
 
@@ -19,7 +19,7 @@
     ``exchange`` is none where the time ran out before an answer.
     """
 
-    choice: placement.Choice
+    choice: candidates.Choice
     exchange: upstream.Exchange | None
     sent_ms: int
     took_ms: int
@@ -38,7 +38,7 @@
     async def send(
         self,
         routed: route.Routed,
-        choice: placement.Choice,
+        choice: candidates.Choice,
         health: server_health.ServerHealth,
         patience_ms: int,
         may_abandon: typing.Callable[[], bool],
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sassafraslock import header_names, http_messages
-from sassafraslock.decisions import placement, registry
+from sassafraslock.decisions import candidates, registry
 from sassafraslock.path import judge, send
 from sassafraslock.services import upstream
 from tests import fact_source
@@ -16,7 +16,7 @@
 
 def attempt(end=End.ANSWERED, status=200, headers=SIGNED, exchange=True):
     server = registry.Server(fact_source.report("i-1"), 0)
-    choice = placement.Choice(server, 1.0, True, 0.0, True, False)
+    choice = candidates.Choice(server, 1.0, True, 0.0, True, False)
     response = http_messages.Response(status, list(headers)) if end is End.ANSWERED else None
     found = upstream.Exchange(end, response) if exchange else None
     return send.Attempt(choice, found, 0, 10)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sassafraslock import errors, routing_table
-from sassafraslock.decisions import cold_start, placement, region_plan, registry
+from sassafraslock.decisions import candidates, cold_start, placement, region_plan, registry
 
 SERVICE = routing_table.Service("s", 330, 3000, 4.9)
 
@@ -37,7 +37,7 @@
 
 
 def wanted(key="k", left_ms=2000, **more):
-    return placement.Wanted(route(**more), SERVICE, key, left_ms, True)
+    return candidates.Wanted(route(**more), SERVICE, key, left_ms, True)
 
 
 SERVERS = {f"i-{n}": "a-1" if n % 2 else "a-2" for n in range(6)}
@@ -240,3 +240,33 @@
             late += took_ms > 400
     assert answered > 500
     assert late / answered < 0.1
+
+
+def test_entries_that_see_an_object_seldom_still_know_what_its_home_is_worth():
+    """Pattern: many entries, each of which sees few requests for any one object.
+
+    Other entries keep the homes warm. An entry that takes the mix of warm homes and cold
+    strangers for one mean leaves homes too early, which fills the servers with cold work.
+    """
+    placers = [build({f"i-{n}": "a-1" for n in range(12)}) for _ in range(30)]
+    known, source = set(), random.Random(6)
+    for _ in range(6000):
+        placer = source.choice(placers)
+        request = wanted(str(source.randrange(200)))
+        chosen = placer.place(request, 0)
+        if source.random() < 0.1:
+            chosen = placer._choices(request, "a", "a", 4, 0)[-1]
+        took_ms = WARM_MS if chosen.home and request.key in known else COLD_MS
+        known.add(request.key)
+        placer.speed_of(request.route).note(chosen.familiarity, took_ms)
+    for placer in placers:
+        home, *_, stranger = placer._choices(wanted("unseen"), "a", "a", 4, 0)
+        assert home.expected_ms < (WARM_MS + COLD_MS) / 2
+        assert stranger.expected_ms > (WARM_MS + COLD_MS) / 2
+
+
+def test_the_best_server_of_another_region_is_nobodys_home():
+    placer = build({"x": "a-1", "y": "b-1"})
+    placer.health_of(placer.registry.servers["x"]).note_unreachable(0)
+    chosen = placer.place(wanted(), 10)
+    assert chosen.server.server_id == "y" and not chosen.home
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -52,12 +52,25 @@
 
 def test_speeds_move_towards_what_is_measured():
     speed = route_speed.RouteSpeed.guess(400)
-    assert speed.expected_ms(True) < speed.expected_ms(False)
+    known, home, new = route_speed.Familiarity
+    assert speed.expected_ms(known) < speed.expected_ms(home) <= speed.expected_ms(new)
     for _ in range(200):
-        speed.note(True, 100.0)
-        speed.note(False, 50.0)
-    assert speed.expected_ms(True) == pytest.approx(100, abs=1)
-    assert speed.expected_ms(False) >= route_speed.MIN_COLD_RATIO * 99
+        speed.note(known, 100.0)
+        speed.note(home, 200.0)
+        speed.note(new, 400.0)
+    found = [speed.expected_ms(f) for f in (known, home, new)]
+    assert found == pytest.approx([100, 200, 400], abs=2)
+
+
+def test_a_server_that_knows_less_is_never_expected_to_be_faster():
+    speed = route_speed.RouteSpeed.guess(400)
+    known, home, new = route_speed.Familiarity
+    for _ in range(200):
+        speed.note(known, 100.0)
+        speed.note(home, 50.0)
+        speed.note(new, 50.0)
+    assert speed.expected_ms(new) >= route_speed.MIN_NEW_RATIO * 99
+    assert speed.expected_ms(known) <= speed.expected_ms(home) <= speed.expected_ms(new)
 
 
 def test_objects_are_remembered_for_a_time_and_the_oldest_forgotten(monkeypatch):
