A cold or lost home has one stand-in; replaced servers are left at once; choices of servers rebuilt lazily

Change: where a home is out or cold, the next server by rank is home for all entries; the choice instead of a cold server follows the rule for homes and is refused where it would be too late; "another server is here" leaves the server's start alone for 10 s; of two rows with one address only the later start is used. The index of usable servers is rebuilt when it is asked for, not with each row.

Ruled out: telling peers of replaced servers by gossip (rows tell within a second).

--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -193,19 +193,25 @@
     def _choices(
         self, wanted: candidates.Wanted, region: str, planned: str, count: int, now_ms: int
     ) -> list[candidates.Choice]:
+        """Return the best servers of a region, the object's home first.
+
+        Where the home is out, or cold and so for few requests only, all entries use the next
+        server in its place, which soon knows the object.
+        """
         choices: list[candidates.Choice] = []
-        for place, server in enumerate(self._ranked(wanted, region)):
-            if server.server_id in wanted.tried or not _allowed(wanted.route, server):
-                continue
+        home = region == planned
+        for server in self._ranked(wanted, region):
             health = self.health_of(server)
-            if (
-                server.is_gone(now_ms)
-                or not health.accepts(now_ms)
-                or health.in_flight >= self._connection_part(wanted)
-            ):
+            if server.is_gone(now_ms) or not health.accepts(now_ms):
+                continue
+            if not _allowed(wanted.route, server):
+                continue
+            full = health.in_flight >= self._connection_part(wanted)
+            if full or server.server_id in wanted.tried:
+                home = False
                 continue
-            home = place == 0 and region == planned
             choices.append(self._judge(wanted, server, health, home, now_ms))
+            home = home and choices[-1].cold
             if len(choices) >= count:
                 break
         return choices
@@ -287,9 +293,13 @@
     ) -> candidates.Choice | errors.Refusal:
         ready = [c for c in choices if not c.cold]
         if not ready:
-            ready = self._ready_anywhere(wanted, now_ms)
+            found = self._ready_anywhere(wanted, now_ms)
+            ready = sorted(found, key=lambda c: c.expected_ms)
         if ready:
-            return min(ready, key=lambda c: c.expected_ms)
+            instead = candidates.best(ready, wanted.shed) or ready[0]
+            if candidates.is_too_late(instead, wanted):
+                return candidates.too_late(instead, wanted)
+            return instead
         for choice in choices:
             if self._take_cold(choice, wanted, now_ms):
                 return choice
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -77,12 +77,13 @@
 class Registry:
     """Servers by id and service, evacuated zones, and entries that lapsed with the store."""
 
-    __slots__ = ("servers", "evacuated", "_by_service", "generation")
+    __slots__ = ("servers", "evacuated", "_by_service", "_stale", "generation")
 
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
         self.evacuated: set[str] = set()
         self.generation = 0
+        self._stale = False
         self._by_service: dict[str, list[Server]] = {}
 
     def note_report(self, report: ServerReport, now_ms: int, joined: bool, cold_ms: int) -> None:
@@ -106,12 +107,12 @@
         known.held_until_ms = None
         was_draining, known.draining = known.draining, report.state is ServerState.DRAINING
         if was_draining != known.draining:
-            self._rebuild()
+            self._note_change()
 
     def _add(self, report: ServerReport, now_ms: int) -> Server:
         server = Server(report, now_ms)
         self.servers[report.server_id] = server
-        self._rebuild()
+        self._note_change()
         return server
 
     def note_removed(self, server_id: str, now_ms: int, hold_until_ms: int) -> bool:
@@ -130,7 +131,7 @@
             server.held_until_ms = hold_until_ms
             return True
         del self.servers[server_id]
-        self._rebuild()
+        self._note_change()
         return True
 
     def expire_lapsed(self, now_ms: int) -> list[str]:
@@ -142,7 +143,7 @@
         for server_id in gone:
             del self.servers[server_id]
         if gone:
-            self._rebuild()
+            self._note_change()
         return gone
 
     def note_evacuation(self, zone: str, evacuated: bool, now_ms: int) -> None:
@@ -162,18 +163,43 @@
                 if server.report.zone == zone:
                     cold_until_ms = now_ms + EVACUATION_COLD_MS
                     server.cold_until_ms = max(server.cold_until_ms, cold_until_ms)
-        self._rebuild()
+        self._note_change()
 
     def usable(self, service: str) -> list[Server]:
         """Return the servers of a service that may get new work.
 
         :param service: the service.
         """
+        if self._stale:
+            self._stale = False
+            self._rebuild()
         return self._by_service.get(service, [])
 
-    def _rebuild(self) -> None:
+    def _note_change(self) -> None:
         self.generation += 1
+        self._stale = True
+
+    def _rebuild(self) -> None:
         self._by_service = {}
+        last_born_ms = self._last_born_ms()
         for server in self.servers.values():
-            if not server.draining and server.report.zone not in self.evacuated:
+            if self._may_be_used(server, last_born_ms):
                 self._by_service.setdefault(server.report.service, []).append(server)
+
+    def _last_born_ms(self) -> dict[str, int]:
+        """Return the latest start at each address."""
+        found: dict[str, int] = {}
+        for server in self.servers.values():
+            report = server.report
+            found[report.address] = max(report.born_ms, found.get(report.address, 0))
+        return found
+
+    def _may_be_used(self, server: Server, last_born_ms: dict[str, int]) -> bool:
+        """Tell whether a server may get new work.
+
+        An address is given away after its server's end, so of two servers the later one lives.
+        """
+        report = server.report
+        if server.draining or report.zone in self.evacuated:
+            return False
+        return report.born_ms >= last_born_ms[report.address]
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -11,6 +11,7 @@
 MAX_SLOWNESS = 20.0
 FIRST_EJECTION_MS = 400
 MAX_EJECTION_MS = 2_000
+REPLACED_EJECTION_MS = 10_000
 GREY_FAILURE_RATIO = 0.25
 GREY_PENALTY = 6.0
 
@@ -105,6 +106,14 @@
         backoff_ms = min(MAX_EJECTION_MS, FIRST_EJECTION_MS << min(self.unreachable - 1, 4))
         self.ejected_until_ms = now_ms + backoff_ms
 
+    def note_replaced(self, now_ms: int) -> None:
+        """Take in that another server has the address, so that this start is over.
+
+        :param now_ms: the present time.
+        """
+        self.note_unreachable(now_ms)
+        self.ejected_until_ms = now_ms + REPLACED_EJECTION_MS
+
     def note_broken(self, now_ms: int) -> None:
         """Take in that the server broke off or stayed silent.
 
--- a/sassafraslock/path/learn.py
+++ b/sassafraslock/path/learn.py
@@ -63,7 +63,8 @@
         now_ms = attempt.sent_ms + attempt.took_ms
         exchange = attempt.exchange
         if verdict is judge.Verdict.NOT_SENT:
-            self._eject(attempt, health, now_ms)
+            health.note_unreachable(now_ms)
+            self._log_ejection(attempt, health, now_ms)
             return
         if exchange is None or exchange.response is None:
             health.note_broken(now_ms)
@@ -79,16 +80,16 @@
         if told is not None:
             health.note_load(told, now_ms)
         if verdict is judge.Verdict.MISDIRECTED:
-            self._eject(attempt, health, now_ms)
+            health.note_replaced(now_ms)
+            self._log_ejection(attempt, health, now_ms)
             return
         health.note_answer(verdict in (judge.Verdict.FAILED, judge.Verdict.BROKEN), now_ms)
         if verdict is judge.Verdict.ANSWERED:
             self._learn_speed(routed, wanted, attempt, health)
 
-    def _eject(
+    def _log_ejection(
         self, attempt: send.Attempt, health: server_health.ServerHealth, now_ms: int
     ) -> None:
-        health.note_unreachable(now_ms)
         reason = attempt.exchange.reason if attempt.exchange else ""
         events.log(
             events.Event.SERVER_EJECTED,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -265,6 +265,49 @@
         assert stranger.expected_ms > (WARM_MS + COLD_MS) / 2
 
 
+def test_where_a_home_is_out_all_entries_use_the_same_server_in_its_place():
+    placers = [build(SERVERS, own_id=f"e-{n}", entries=Entries(12)) for n in range(12)]
+    home = home_of(placers[0])
+    for placer in placers:
+        placer.health_of(home).note_unreachable(0)
+    chosen = [placer.place(wanted(), 10) for placer in placers]
+    assert len({c.server.server_id for c in chosen}) == 1
+    assert all(c.home for c in chosen)
+
+
+def test_while_a_home_is_cold_its_object_lives_at_one_other_server():
+    """Pattern: a zone comes back cold, and its objects must not be spread over all the others."""
+    placers = [build(SERVERS, own_id=f"e-{n}", entries=Entries(12)) for n in range(12)]
+    home = home_of(placers[0]).server_id
+    chosen = []
+    for number, placer in enumerate(placers):
+        placer.registry.servers[home].cold_until_ms = 10_000
+        for server in placer.registry.usable("s"):
+            placer.health_of(server).others_load = number % 2
+        chosen += [placer.place(wanted(), 10) for _ in range(20)]
+    counts = collections.Counter(c.server.server_id for c in chosen if c.server.server_id != home)
+    assert len(counts) == 1
+
+
+def test_what_finds_its_home_cold_and_all_others_full_is_refused_at_once():
+    placer = build(SERVERS, own_id="e-9", entries=Entries(2))
+    home = home_of(placer)
+    placer.registry.servers[home.server_id].cold_until_ms = 10_000
+    for server in placer.registry.usable("s"):
+        if server.server_id != home.server_id:
+            placer.health_of(server).in_flight = 9
+    found = placer.place(wanted(priority=2), 10)
+    assert isinstance(found, errors.Refusal) and found.answer.not_run
+
+
+def test_a_shed_request_does_not_make_the_next_server_its_home():
+    placer = build(SERVERS)
+    request = wanted()
+    request.tried.add(home_of(placer).server_id)
+    request.shed = True
+    assert not placer.place(request, 0).home
+
+
 def test_the_best_server_of_another_region_is_nobodys_home():
     placer = build({"x": "a-1", "y": "b-1"})
     placer.health_of(placer.registry.servers["x"]).note_unreachable(0)
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -50,6 +50,13 @@
     assert health.accepts(now_ms)
 
 
+def test_a_start_that_was_replaced_is_left_longer_than_one_that_cannot_be_reached():
+    health = server_health.ServerHealth()
+    health.note_replaced(0)
+    assert not health.accepts(server_health.REPLACED_EJECTION_MS - 1)
+    assert health.accepts(server_health.REPLACED_EJECTION_MS)
+
+
 def test_speeds_move_towards_what_is_measured():
     speed = route_speed.RouteSpeed.guess(400)
     known, home, new = route_speed.Familiarity
