--- a/sassafraslock/decisions/store_readers.py
+++ b/sassafraslock/decisions/store_readers.py
@@ -12,7 +12,8 @@
 class StoreReaders:
     """Picks the same reader at all entries of a zone that know of each other.
 
-    Every zone has one reader, the first by rendezvous hash. A reader that failed this entry is
+    Every zone has one reader, the first by rendezvous hash of those that have read the store, also
+    before there are intents that make them ready for clients. A reader that failed this entry is
     left out for a moment; meanwhile this entry reads the store itself.
     """
 
@@ -29,7 +30,7 @@
         :param live: the live entries, this one left out.
         :param now_ms: the present time.
         """
-        peers = [r for r in live if r.zone == self._zone and r.ready and not r.leaving]
+        peers = [r for r in live if r.zone == self._zone and r.replica_version and not r.leaving]
         if len(peers) + 1 < MIN_ENTRIES:
             return None
         first = max(peers, key=lambda r: self._rank(r.entry_id))
