--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -9,10 +9,10 @@
 from sassafraslock.decisions import roster
 from sassafraslock.services import gossip, poison_watch, upstream
 
-COUNTS = (9, 68, 300)
+COUNTS = (9, 68, 300, 1_000)
 LOSS_RATIO = 0.05
 ROUND_MS = 500
-START_MS, END_MS = 8_000, 12_000
+START_MS, END_MS = 20_000, 24_000
 SEED = 5
 ZONES = ("gor-a", "gor-b", "sta-a", "sta-b", "pri-a", "pri-b")
 
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-LOAD_HALF_LIFE_MS = 3_000.0
+LOAD_HALF_LIFE_MS = 1_500.0
 SPEED_HALF_LIFE_MS = 4_000.0
 SPEED_WEIGHT = 0.25
 FAILURE_WEIGHT = 0.2
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -17,6 +17,7 @@
 INTERVAL_S = 0.5
 SILENT_TARGETS = 2
 RECORDS_PER_MESSAGE = 12
+BEATS_PER_MESSAGE = 300
 COMPRESSION_LEVEL = 3
 MAX_MESSAGE_BYTES = 1 << 20
 
@@ -117,7 +118,7 @@
         return [r.entry_id for r in live if not region or r.region == region]
 
     def message(self, now_ms: int) -> Message:
-        """Return what this round tells: records of a few entries, counters of all live ones.
+        """Return what this round tells: records of a few live entries and counters of many.
 
         :param now_ms: the present time.
         """
@@ -125,8 +126,9 @@
         members = self.roster.live(now_ms)
         self._chance.shuffle(members)
         records = [m.record for m in members[:RECORDS_PER_MESSAGE]]
-        beats = [m.beat() for m in members[RECORDS_PER_MESSAGE:]]
         own = self._describe(self._beat)
+        others = members[RECORDS_PER_MESSAGE : RECORDS_PER_MESSAGE + BEATS_PER_MESSAGE]
+        beats = [m.beat() for m in others]
         return Message([own, *records], beats, self._poison.told(now_ms))
 
     def encode(self, now_ms: int) -> bytes:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -187,3 +187,12 @@
                 crossed["zone"] += 1
     assert 0 < crossed["region"] <= 1.5 * gossip_targets.FAR_SENDERS * rounds
     assert 0 < crossed["zone"] <= 2 * 1.5 * gossip_targets.FAR_SENDERS * rounds
+
+
+def test_a_message_stays_small_however_many_entries_there_are():
+    one = service("one", "a-1")
+    for number in range(1_000):
+        one.roster.note(record(f"e{number}", zone=ZONES[number % 6]), 0)
+    message = one.message(0)
+    assert len(message.beats) == gossip.BEATS_PER_MESSAGE
+    assert len(one.encode(0)) < 10_000
