Links are part of the intents, so that a copy of the store holds them too

Cause: on the product's own platform an entry took the limits of links from the teams' rows that it had read itself. One that learns of intents from a peer (while the store is away, or since the last changes from its zone's reader) kept old limits, or none. Change: Intents carry links; the edge takes its region's limits from the table in force. Tests: intents as a copy passes them hold the links; a region's links are those that end there.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -267,6 +267,7 @@
 
     def _note_table(self, table: routing_table.RoutingTable) -> None:
         self.front.limits = table.limits
+        self.line.links.limits = table.link_limits(self.settings.region)
         self.planner.update(clock.monotonic_ms())
         self.line.splitter.forget()
 
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -9,9 +9,7 @@
     edge_settings,
     header_names,
     http_messages,
-    routing_table,
     settings,
-    shared_settings,
 )
 from sassafraslock.decisions import client_blocks
 from sassafraslock.services import (
@@ -87,14 +85,6 @@
         self.edge.kernel.register("platform", table)
         loader = block_loader.BlockLoader(process, table, self._interfaces.blocks)
         self.edge.kernel.register("blocks", loader)
-        self.edge.belief.listeners.append(self._note_table)
-
-    def _note_table(self, table: routing_table.RoutingTable) -> None:
-        """Take over the limits that belong to the system team."""
-        shared = shared_settings.merge(self.source.teams)
-        own = self.settings.region
-        limits = {r: shared.link_limit(own, r) for r in shared.regions if r != own}
-        self.edge.line.links.limits = {r: limit for r, limit in limits.items() if limit}
 
     async def run(self) -> str:
         """Serve until SIGTERM or SIGINT.
--- a/sassafraslock/routing_table.py
+++ b/sassafraslock/routing_table.py
@@ -99,6 +99,14 @@
     idle_timeout_ms: int = 60_000
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Link:
+    """What the link between two regions carries in each direction."""
+
+    regions: tuple[str, str]
+    bytes_per_s: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Intents:
     """One version of what the operator wants; versions rise."""
@@ -107,22 +115,32 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = dataclasses.field(default_factory=Limits)
+    links: tuple[Link, ...] = ()
 
 
 class RoutingTable:
     """One version of the intents, indexed by host and path prefix."""
 
-    __slots__ = ("version", "services", "limits", "routes", "_prefixes")
+    __slots__ = ("version", "services", "limits", "links", "routes", "_prefixes")
 
     def __init__(self, intents: Intents) -> None:
         self.version = intents.version
         self.routes = intents.routes
         self.services = {service.name: service for service in intents.services}
         self.limits = intents.limits
+        self.links = intents.links
         self._prefixes: dict[str, dict[str, Route]] = {}
         for route in intents.routes:
             self._prefixes.setdefault(route.host, {})[route.prefix] = route
 
+    def link_limits(self, region: str) -> dict[str, int]:
+        """Return the bytes a second that the links of a region carry, by the region at their end.
+
+        :param region: the region.
+        """
+        own = [link for link in self.links if region in link.regions]
+        return {r: link.bytes_per_s for link in own for r in link.regions if r != region}
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, if there is one.
 
--- a/sassafraslock/services/settings_source.py
+++ b/sassafraslock/services/settings_source.py
@@ -37,11 +37,11 @@
     different moments agree on what is newer.
     """
 
-    __slots__ = ("teams", "row_versions", "_table", "_poll_ms", "_seen")
+    __slots__ = ("_teams", "_row_versions", "_table", "_poll_ms", "_seen")
 
     def __init__(self, table: platform.Table, poll_ms: int) -> None:
-        self.teams: dict[str, shared_settings.TeamSettings] = {}
-        self.row_versions: dict[str, int] = {}
+        self._teams: dict[str, shared_settings.TeamSettings] = {}
+        self._row_versions: dict[str, int] = {}
         self._table = table
         self._poll_ms = poll_ms
         self._seen = {topic: _Seen() for topic in facts.Topic}
@@ -102,15 +102,15 @@
     def _decode_teams(self, rows: list[platform.Row]) -> None:
         for row in rows:
             team = row.key.removeprefix(revisions.SETTINGS_PREFIX)
-            if self.row_versions.get(team) != row.version:
+            if self._row_versions.get(team) != row.version:
                 subtree = msgspec.msgpack.decode(row.value, type=revisions.SubtreeRow)
-                self.teams[team] = msgspec.json.decode(
+                self._teams[team] = msgspec.json.decode(
                     subtree.document, type=shared_settings.TeamSettings
                 )
-                self.row_versions[team] = row.version
+                self._row_versions[team] = row.version
 
     def _work_out(self, topic: facts.Topic, newest: int) -> list[facts.Change]:
-        shared = shared_settings.merge(self.teams)
+        shared = shared_settings.merge(self._teams)
         if topic is facts.Topic.INTENTS:
             intents = intents_of(shared, newest)
             return [facts.Change(topic, "intents", newest, intents=intents)]
@@ -120,7 +120,7 @@
         ]
 
     def _version_of(self, report: registry.ServerReport) -> int:
-        return self.row_versions[report.service.partition("/")[0]]
+        return self._row_versions[report.service.partition("/")[0]]
 
     def _note(self, seen: _Seen, found: list[facts.Change], newest: int) -> None:
         by_key = {change.key: change for change in found}
@@ -144,7 +144,13 @@
     services = tuple(_service(name, rules) for name, rules in shared.services.items())
     largest = max((rules.max_body_bytes for rules in shared.services.values()), default=0)
     limits = routing_table.Limits(max_body_bytes=largest or routing_table.DEFAULT_BODY_BYTES)
-    return routing_table.Intents(version, routes, services, limits)
+    links = tuple(routing_table.Link(_pair(link), link.bytes_per_s) for link in shared.links)
+    return routing_table.Intents(version, routes, services, limits, links)
+
+
+def _pair(link: shared_settings.Link) -> tuple[str, str]:
+    first, second = link.regions
+    return first, second
 
 
 def reports_of(shared: shared_settings.SharedSettings) -> list[registry.ServerReport]:
--- a/sassafraslock/shared_settings.py
+++ b/sassafraslock/shared_settings.py
@@ -103,17 +103,6 @@
     links: list[Link]
     claims: Claims
 
-    def link_limit(self, from_region: str, to_region: str) -> int:
-        """Return the bytes a second that a link carries in one direction, 0 where none is.
-
-        :param from_region: the sending region.
-        :param to_region: the receiving region.
-        """
-        for link in self.links:
-            if set(link.regions) == {from_region, to_region}:
-                return link.bytes_per_s
-        return 0
-
     def split_for(self, service: Service, region: str) -> Split:
         """Return the accepted split for traffic that enters a region, shifts left out.
 
--- a/tests/test_routing_table.py
+++ b/tests/test_routing_table.py
@@ -29,3 +29,11 @@
     assert table.match("other", "/a/") is None
     assert table.match("h", "/a") is None
     assert table.match("h", "") is None
+
+
+def test_the_links_of_a_region_are_those_that_end_there():
+    links = (routing_table.Link(("a", "b"), 100), routing_table.Link(("c", "a"), 50))
+    table = routing_table.RoutingTable(routing_table.Intents(1, links=links))
+    assert table.link_limits("a") == {"b": 100, "c": 50}
+    assert table.link_limits("b") == {"a": 100}
+    assert table.link_limits("d") == {}
--- a/tests/test_settings_source.py
+++ b/tests/test_settings_source.py
@@ -128,3 +128,17 @@
         assert len(await store.history("k")) == 19
 
     with_table(scenario)
+
+
+def test_links_are_part_of_the_intents_so_that_a_copy_holds_them_too():
+    """An entry that learns of intents from a peer has read none of the teams' rows itself."""
+
+    async def scenario(faulty, store, source):
+        links = [{"regions": ["a", "b"], "bytes_per_s": 1000}]
+        assert await put(store, "system", {**SYSTEM, "links": links})
+        batch = await source.read_all(Topic.INTENTS)
+        raw = msgspec.msgpack.encode(batch.changes[0])
+        copied = msgspec.msgpack.decode(raw, type=facts.Change).intents
+        assert facts.routing_table.RoutingTable(copied).link_limits("a") == {"b": 1000}
+
+    with_table(scenario)
