--- a/soak/run.py
+++ b/soak/run.py
@@ -117,17 +117,16 @@
     :param injector: what was done.
     :param recovered: whether callers were served again after the last fault.
     """
-    runs: collections.Counter[str] = collections.Counter()
-    for name in one.processes:
-        path = one.journal(name)
-        lines = path.read_text().splitlines() if path.exists() else []
-        runs.update(line.split()[1] for line in lines if len(line.split()) == 2)
+    lines = {name: _lines(one.journal(name)) for name in one.processes}
+    runs = collections.Counter(key for each in lines.values() for _, key in each)
     verdict = Verdict(
         seed, journal.requests, journal.answered, journal.refused_not_run, journal.unknown
     )
     twice = [key for key, count in runs.items() if count > 1]
     false = [key for key in journal.refused_keys if runs[key]]
+    drained = [(d.target, at) for d in injector.drains for at in _late(d, lines, injector.hits)]
     checks = {
+        f"work at servers that drain: {drained[:3]}": bool(drained),
         f"requests that ran twice: {twice[:3]}": bool(twice),
         f"requests refused as not run that had run: {false[:3]}": bool(false),
         f"answers that were another request's: {journal.mixed_up}": journal.mixed_up > 0,
@@ -140,6 +139,27 @@
     return verdict
 
 
+def _lines(path: pathlib.Path) -> list[tuple[int, str]]:
+    """Return the times and keys of a server's runs; a line cut short by a kill is left out."""
+    text = path.read_text() if path.exists() else ""
+    found = (line.split() for line in text.splitlines())
+    return [(int(words[0]), words[1]) for words in found if len(words) == 2]
+
+
+def _late(
+    drain: faults.Span, lines: dict[str, list[tuple[int, str]]], hits: list[faults.Span]
+) -> list[int]:
+    """Return when a draining server began work that it should not have got any more.
+
+    What comes while the platform or an entry does not run, or just after, tells nothing: the
+    change may not be known yet, or the work was sent before.
+    """
+    bound_ms = int(1_000 * faults.DRAIN_BOUND_S)
+    blind = [h for h in hits if not h.target.startswith("server")]
+    times = [at for at, _ in lines[drain.target] if drain.from_ms + bound_ms < at < drain.until_ms]
+    return [at for at in times if not any(h.from_ms <= at < h.until_ms + bound_ms for h in blind)]
+
+
 def play_seed(seed: int, seconds: float, keep: pathlib.Path | None = None) -> Verdict:
     """Play one seed in a folder of its own, kept where a promise broke and a place is given.
 
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -12,9 +12,10 @@
 
 import tomli_w
 
+from sassafraslock import client, errors
 from soak import proxy
 
-ENTRIES = 3
+ENTRIES = 5  # so many in a zone that one reads the store for the others
 SERVERS = 4
 SLOTS = 3
 WORK_MS = 15
@@ -155,6 +156,18 @@
         except (urllib.error.URLError, OSError):
             return False
 
+    def set_state(self, server: str, state: str, number: int) -> bool:
+        """Ask an entry's operators' interface to drain a server or to take it back.
+
+        :param server: the server.
+        :param state: ``draining`` or ``active``.
+        :param number: the entry that is asked.
+        :returns: whether the change was accepted.
+        """
+        operator = client.Client(f"{proxy.HOST}:{self._operator_ports[number]}", TOKEN)
+        path = f"/kocar/services/logbook/servers/{server}/state"
+        return not isinstance(operator.change(path, lambda value: state), errors.Refusal)
+
     def end(self) -> None:
         """End all processes that this stage started."""
         for process in self.processes.values():
