Plans between regions hold to peaks of demand and move only where it is worth it

Change: a region's share follows the highest demand of late (half-life 30 s); a target less than 15 % away is not chased unless the own region has too much (each move makes objects new to their servers); an operator's split is reached exactly as before. The own region gets 1.15, not 1.3, times its fair part.

--- a/sassafraslock/decisions/region_plan.py
+++ b/sassafraslock/decisions/region_plan.py
@@ -4,10 +4,12 @@
 
 import dataclasses
 
-LOCAL_PREFERENCE = 1.3
+LOCAL_PREFERENCE = 1.15
 STEP_MS = 500
 CAP_MARGIN = 0.55
 SPILL_WINDOW_MS = 2_000
+LAZY_RATIO = 0.15
+OWN_EXCESS_RATIO = 0.03
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,17 +67,22 @@
     """Weights that move slowly towards their target, so that traffic never shifts at once.
 
     ``cap_ratio`` bounds what may move within ``window_ms``; a margin is left for the chance in
-    which objects are asked for.
+    which objects are asked for. Objects that move find servers that do not know them, so a
+    target is followed only where it lies well away, or where the own region has too much.
     """
 
-    __slots__ = ("weights", "step", "_moved_ms")
+    __slots__ = ("weights", "step", "_own", "_moved_ms", "_moving")
 
-    def __init__(self, cap_ratio: float = 0.15, window_ms: int = 2_000) -> None:
+    def __init__(self, own: str, cap_ratio: float = 0.15, window_ms: int = 2_000) -> None:
         self.weights: dict[str, float] = {}
         self.step = CAP_MARGIN * cap_ratio * min(1.0, STEP_MS / window_ms)
+        self._own = own
         self._moved_ms = 0
+        self._moving = False
 
-    def update(self, target: dict[str, float], serving: set[str], now_ms: int) -> None:
+    def update(
+        self, target: dict[str, float], serving: set[str], now_ms: int, exact: bool = False
+    ) -> None:
         """Move towards a target by at most a step each :data:`STEP_MS`.
 
         A region that can serve nothing is left at once.
@@ -83,6 +90,7 @@
         :param target: the weights wanted.
         :param serving: the regions that have servers.
         :param now_ms: the present time.
+        :param exact: whether an operator wants just these weights.
         """
         kept = {r: w for r, w in self.weights.items() if r in serving}
         if not kept or sum(kept.values()) < 0.05:
@@ -95,12 +103,26 @@
         if steps <= 0:
             return
         self._moved_ms = now_ms
-        self.weights = _approach(self.weights, target, self.step * steps)
+        if not (exact or self._moving or self._is_due(target)):
+            return
+        step = self.step * steps
+        self._moving = _distance(self.weights, target) > step
+        self.weights = _approach(self.weights, target, step)
+
+    def _is_due(self, target: dict[str, float]) -> bool:
+        """Tell whether it is worth moving; once begun, it goes on until the target is reached."""
+        excess = self.weights.get(self._own, 0.0) - target.get(self._own, 0.0)
+        return excess > OWN_EXCESS_RATIO or _distance(self.weights, target) > LAZY_RATIO
+
+
+def _distance(now: dict[str, float], target: dict[str, float]) -> float:
+    regions = now.keys() | target.keys()
+    return sum(max(0.0, target.get(r, 0.0) - now.get(r, 0.0)) for r in regions)
 
 
 def _approach(now: dict[str, float], target: dict[str, float], step: float) -> dict[str, float]:
     regions = now.keys() | target.keys()
-    moved = sum(max(0.0, target.get(r, 0.0) - now.get(r, 0.0)) for r in regions)
+    moved = _distance(now, target)
     part = 1.0 if moved <= step else step / moved
     mixed = {r: now.get(r, 0.0) + part * (target.get(r, 0.0) - now.get(r, 0.0)) for r in regions}
     return {r: w for r, w in mixed.items() if w > 1e-9}
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -5,7 +5,7 @@
 import anyio
 
 from sassafraslock import clock, edge_settings, routing_table
-from sassafraslock.decisions import placement, region_plan, roster, windows
+from sassafraslock.decisions import demand_peaks, placement, region_plan, roster, windows
 from sassafraslock.services import belief
 
 INTERVAL_S = 0.5
@@ -17,7 +17,7 @@
 class Planner:
     """Measures what clients ask for here and divides it between regions."""
 
-    __slots__ = ("_settings", "_belief", "_placer", "_roster", "_counts")
+    __slots__ = ("_settings", "_belief", "_placer", "_roster", "_counts", "_peaks")
 
     def __init__(
         self,
@@ -31,6 +31,7 @@
         self._placer = placer
         self._roster = members
         self._counts: dict[str, windows.SlidingCount] = {}
+        self._peaks = demand_peaks.DemandPeaks()
 
     async def run(self, ready: anyio.Event) -> None:
         """Update the plans until cancelled.
@@ -85,27 +86,28 @@
             split = service.splits.get(self._settings.region) if service else None
             target = region_plan.wanted_weights(split, found) if split else {}
             target = target or region_plan.target_weights(self._settings.region, found)
-            plan.update(target, serving, now_ms)
+            plan.update(target, serving, now_ms, exact=bool(split))
 
     def _plan(
         self, name: tuple[str, frozenset[str]], service: routing_table.Service | None
     ) -> region_plan.RegionPlan:
         plan = self._placer.plans.get(name)
         if plan is None:
-            plan = region_plan.RegionPlan()
+            own = self._settings.region
+            plan = region_plan.RegionPlan(own)
             if service is not None:
-                plan = region_plan.RegionPlan(service.shift_cap_ratio, service.shift_window_ms)
+                cap, window_ms = service.shift_cap_ratio, service.shift_window_ms
+                plan = region_plan.RegionPlan(own, cap, window_ms)
             self._placer.plans[name] = plan
         return plan
 
     def _facts(
         self, service: str, allowed: frozenset[str], now_ms: int
     ) -> dict[str, region_plan.RegionFacts]:
-        demand = self._demand_by_region(service, now_ms)
-        total = sum(demand.values())
+        shares = self._demand_shares(service, now_ms)
         found = {
-            region: region_plan.RegionFacts(0.0, busy / total)
-            for region, busy in demand.items()
+            region: region_plan.RegionFacts(0.0, share)
+            for region, share in shares.items()
             if not allowed or region in allowed
         }
         for server in self._placer.registry.usable(service):
@@ -114,6 +116,20 @@
                 found[server.region].capacity += server.report.slots * part
         return found
 
+    def _demand_shares(self, service: str, now_ms: int) -> dict[str, float]:
+        """Return the part of all demand that each region asks for at its peak.
+
+        The own region's peak is set against what all ask for now, since the others' peaks may
+        be those of clients that have come here.
+        """
+        demand = self._demand_by_region(service, now_ms)
+        peaks = {r: self._peaks.note(service, r, busy, now_ms) for r, busy in demand.items()}
+        total, all_peaks = sum(demand.values()), sum(peaks.values())
+        shares = {region: peak / all_peaks for region, peak in peaks.items()}
+        own = self._settings.region
+        shares[own] = min(1.0, peaks[own] / total)
+        return shares
+
     def _demand_by_region(self, service: str, now_ms: int) -> dict[str, float]:
         members = self._roster.live(now_ms)
         regions = {self._settings.region, *(m.record.region for m in members)}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -122,7 +122,7 @@
 
 def test_the_plan_divides_objects_between_regions():
     placer = build({"x": "a-1", "y": "b-1"})
-    plan = region_plan.RegionPlan()
+    plan = region_plan.RegionPlan("a")
     plan.update({"a": 0.3, "b": 0.7}, {"a", "b"}, 0)
     placer.plans[("s", frozenset())] = plan
     counts = collections.Counter(placer.place(wanted(str(n)), 0).server.region for n in range(1000))
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -62,3 +62,26 @@
     one._placer.registry.note_removed("a", 100, 0)
     one.update(200)
     assert weights(one) == {"b": 1.0}
+
+
+def test_a_region_whose_clients_leave_for_a_while_is_not_overloaded_when_they_return():
+    """Pattern: most clients of a small region go elsewhere for some seconds and come back.
+
+    A plan that follows them gives the region all of its few requests, and needs many seconds to
+    take that back. Found on a played day: 27 % of the region's requests timed out.
+    """
+    one, members = build({"a": 10, "b": 50})
+    demand_slots, most = 20.0, 0.0
+    for now_ms in range(0, 36_000, 500):
+        away = 12_000 <= now_ms < 24_000
+        here = demand_slots / 20 if away else demand_slots
+        there = 2 * demand_slots - here
+        one.note_work("s", int(500 * here), now_ms)
+        record = roster.MemberRecord(
+            "x", 1, 1 + now_ms, "b", "b-1", "h:3", "h:4", demand={"s": there}
+        )
+        members.note(record, now_ms)
+        one.update(now_ms)
+        if now_ms >= 24_000:
+            most = max(most, weights(one)["a"])
+    assert most * demand_slots <= 1.2 * 10
--- a/tests/test_region_plan.py
+++ b/tests/test_region_plan.py
@@ -28,7 +28,7 @@
 
 
 def test_a_plan_moves_in_steps_and_leaves_a_dead_region_at_once():
-    plan = region_plan.RegionPlan()
+    plan = region_plan.RegionPlan("a")
     plan.update({"a": 1.0}, {"a", "b"}, 0)
     now_ms, before = 0, plan.weights
     for _ in range(100):
@@ -42,12 +42,38 @@
     assert plan.weights == {"a": 1.0}
 
 
+def test_a_target_that_wavers_moves_nothing():
+    """Pattern: demand that comes and goes in waves; each object that moves is new to its server."""
+    plan, weights = region_plan.RegionPlan("a"), []
+    for number in range(100):
+        waver = 0.06 if number % 10 < 5 else 0.0
+        plan.update({"a": 0.4 + waver, "b": 0.6 - waver}, {"a", "b"}, number * 500)
+        weights.append(plan.weights["a"])
+    assert len(set(weights[20:])) == 1
+
+
+def test_an_own_region_with_too_much_is_relieved_and_one_with_room_waits():
+    for now, target, moved in ((0.5, 0.4, True), (0.4, 0.5, False), (0.4, 0.6, True)):
+        plan = region_plan.RegionPlan("a")
+        plan.update({"a": now, "b": 1 - now}, {"a", "b"}, 0)
+        plan.update({"a": target, "b": 1 - target}, {"a", "b"}, 10_000)
+        assert (plan.weights["a"] != now) is moved
+
+
+def test_an_operators_split_is_reached_exactly():
+    plan, wanted = region_plan.RegionPlan("a"), {"a": 0.45, "b": 0.55}
+    plan.update({"a": 0.4, "b": 0.6}, {"a", "b"}, 0)
+    for now_ms in range(500, 5_000, 500):
+        plan.update(wanted, {"a", "b"}, now_ms, exact=True)
+    assert plan.weights == pytest.approx(wanted)
+
+
 SHARES = st.dictionaries(st.sampled_from("abc"), st.floats(0.01, 1.0), min_size=1)
 
 
 @hypothesis.given(st.lists(SHARES, min_size=1, max_size=20))
 def test_weights_always_sum_to_one(targets):
-    plan, now_ms = region_plan.RegionPlan(), 0
+    plan, now_ms = region_plan.RegionPlan("a"), 0
     for target in targets:
         total = sum(target.values())
         now_ms += 700
