--- /dev/null
+++ b/tests/edge_world.py
@@ -0,0 +1,147 @@
+"""A whole entry on loopback with servers that answer as told, for tests of what callers see."""
+
+import collections
+import dataclasses
+
+import anyio
+import msgspec
+
+from sassafraslock import (
+    edge,
+    edge_settings,
+    header_names,
+    http_messages,
+    kernel,
+)
+from sassafraslock.decisions import placement
+from sassafraslock.services import http_server, log_writer, operator_api
+from tests import fact_source
+
+HOST, FIRST_PORT = "127.0.0.1", 24_400
+NAMES = header_names.HeaderNames(signature=b"x-signature", echoed=True)
+
+
+@dataclasses.dataclass
+class Backend:
+    """Answers as told: ``ok``, ``shed``, ``fail``, ``misdirect``, ``silent``, ``unsigned``."""
+
+    server_id: str
+    port: int
+    mode: str = "ok"
+    ran: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    seen: list = dataclasses.field(default_factory=list)
+    cancelled: int = 0
+
+    async def __call__(self, request):
+        self.seen.append(request)
+        request_id = request.header(NAMES.request_id).encode()
+        headers = [(NAMES.request_id, request_id), (NAMES.load, b"1,0,3")]
+        if self.mode == "misdirect" or request.header(NAMES.target_server) != self.server_id:
+            return http_messages.Response(421, headers)
+        if self.mode == "shed":
+            return http_messages.Response(503, [*headers, (NAMES.not_run, b"1")])
+        self.ran[request_id] += 1
+        if self.mode == "silent":
+            try:
+                await anyio.sleep_forever()
+            finally:
+                self.cancelled += 1
+        if self.mode == "unsigned":
+            return http_messages.Response(200, headers, b"?")
+        status = 500 if self.mode == "fail" else 200
+        signature = (NAMES.signature, self.server_id.encode())
+        return http_messages.Response(status, [*headers, signature], request.body or b"read")
+
+
+class Interfaces:
+    def client_handler(self, entry):
+        return entry.line
+
+    def directory_handler(self, entry):
+        async def handle(request):
+            named = entry.directory.resolve(request.parameter("zone"), request.parameter("region"))
+            return http_messages.Response(200, [], msgspec.json.encode(named))
+
+        return handle
+
+    def readiness_handler(self, entry):
+        async def handle(request):
+            return http_messages.Response(200 if entry.serves else 503)
+
+        return handle
+
+    def operator_handler(self, entry):
+        return operator_api.OperatorApi(entry, None, "")
+
+
+class World:
+    """One entry, two servers and a source of facts."""
+
+    def __init__(self, modes):
+        self.source = fact_source.FakeSource()
+        ports = range(FIRST_PORT, FIRST_PORT + 20)
+        self.backends = {
+            f"i-{n}": Backend(f"i-{n}", ports[n], mode) for n, mode in enumerate(modes)
+        }
+        client, named, ready, peers, operators = (f"{HOST}:{p}" for p in ports[10:15])
+        bounds = edge_settings.Bounds(grace_ms=1_500, retry_slack=100.0)
+        self.settings = edge_settings.EdgeSettings(
+            "e-1", "a-1", "a", client, named, ready, peers, operators, bounds=bounds
+        )
+        self.log = log_writer.BulkHandler()
+        self.edge = edge.Edge(self.settings, self.source, Interfaces(), NAMES, self.log)
+
+    async def ask(self, method="GET", path="/x/1", body=b"", limit_ms=1500, address=""):
+        address = address or self.settings.client_address
+        host, _, port = address.rpartition(":")
+        head = [(b"host", b"h"), (NAMES.request_id, f"q{id(object())}-{path}".encode())]
+        head += [(NAMES.object_key, b"k"), (NAMES.deadline_ms, str(limit_ms).encode())]
+        head.append((b"connection", b"close"))
+        raw = http_messages.encode_request(method, path, head, body)
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(raw)
+            found = b""
+            while True:
+                try:
+                    found += await stream.receive()
+                except anyio.EndOfStream:
+                    break
+        top, _, rest = found.partition(b"\r\n\r\n")
+        lines = top.split(b"\r\n")
+        headers = [tuple(line.split(b": ", 1)) for line in lines[1:]]
+        return http_messages.Response(int(lines[0].split()[1]), headers, rest)
+
+    @property
+    def runs(self):
+        return sum(sum(b.ran.values()) for b in self.backends.values())
+
+    def home(self):
+        """Return the server that is asked first for the object, and the other one."""
+        placer = self.edge.line.placer
+        order = sorted(self.backends, key=lambda i: placer.registry.servers[i].first_seen_ms)
+        order.sort(
+            key=lambda i: placement.home_score("k", placer.registry.servers[i]), reverse=True
+        )
+        return [self.backends[i] for i in order]
+
+
+def running(scenario, modes=("ok", "ok"), routes=None):
+    async def main():
+        world = World(modes)
+        core = kernel.Kernel()
+        for name, backend in world.backends.items():
+            core.register(name, http_server.HttpServer(backend, HOST, backend.port))
+            world.source.put_server(name, f"{HOST}:{backend.port}")
+        unsafe = fact_source.route("w", "/w/", idempotent=False)
+        world.source.put_intents(1, routes or [fact_source.route(), unsafe])
+        async with anyio.create_task_group() as group:
+            group.start_soon(core.run, 100)
+            group.start_soon(world.edge.kernel.run, 1_300)
+            with anyio.fail_after(20):
+                while not world.edge.serves:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.1)
+                await scenario(world)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
--- /dev/null
+++ b/tests/test_fault_pairs.py
@@ -0,0 +1,114 @@
+"""Two faults at a time at a whole entry: what holds whatever comes together."""
+
+import itertools
+
+import anyio
+import pytest
+
+from sassafraslock import facts
+from tests import edge_world, fact_source
+
+SETTLE_S = 0.08
+LIMIT_MS = 250
+STATUSES = {200, 500, 502, 503, 504}
+
+
+def server(mode):
+    def strike(world):
+        sound = next(backend for backend in world.home() if backend.mode == "ok")
+        sound.mode = mode
+
+    return strike
+
+
+def store_away(world):
+    world.source.away = True
+    world.source.changed.set()
+
+
+def store_forgets(world):
+    world.source.put_server("passing", "127.0.0.1:9")
+    world.source.drop_server("passing")
+    world.source.forget()
+
+
+def store_hangs(world):
+    world.source.hanging.update(facts.Topic)
+
+
+def home_drains(world):
+    home = world.home()[0]
+    address = f"{edge_world.HOST}:{home.port}"
+    world.source.put_server(home.server_id, address, state="draining")
+
+
+def zone_empties(world):
+    world.source.put(facts.Topic.INTENTS, "a-1", evacuation=facts.Evacuation("a-1"))
+
+
+def intents_change(world):
+    unsafe = fact_source.route("w", "/w/", idempotent=False)
+    world.source.put_intents(9, [fact_source.route(), unsafe])
+
+
+def entry_leaves(world):
+    world.edge.begin_leaving()
+
+
+FAULTS = {
+    "a server sheds": server("shed"),
+    "a server is another one": server("misdirect"),
+    "a server fails": server("fail"),
+    "a server spoils": server("unsigned"),
+    "a server is silent": server("silent"),
+    "store away": store_away,
+    "store forgets": store_forgets,
+    "store hangs": store_hangs,
+    "home drains": home_drains,
+    "zone empties": zone_empties,
+    "intents change": intents_change,
+    "entry leaves": entry_leaves,
+}
+
+
+@pytest.mark.parametrize("pair", list(itertools.combinations(FAULTS, 2)), ids=" and ".join)
+def test_two_faults_together_break_no_promise(pair):
+    """Filings run once at most, refusals are true, answers are whole and the caller's own."""
+
+    async def scenario(world):
+        answers = {}
+
+        async def ask(method, path, body):
+            answers[path] = await world.ask(method, path, body, limit_ms=LIMIT_MS)
+
+        for fault in pair:
+            FAULTS[fault](world)
+        for wave in ("early", "late"):
+            async with anyio.create_task_group() as group:
+                for number in range(2):
+                    name = f"{wave}{number}"
+                    group.start_soon(ask, "POST", f"/w/{name}", name.encode())
+                    group.start_soon(ask, "GET", f"/x/{name}", b"")
+            await anyio.sleep(SETTLE_S)
+        assert len(answers) == 8
+        for path, answer in answers.items():
+            check(world, path, answer)
+
+    edge_world.running(scenario)
+
+
+def check(world, path, answer):
+    runs = [
+        request_id
+        for backend in world.backends.values()
+        for request_id, count in backend.ran.items()
+        for _ in range(count)
+        if request_id.endswith(path.encode())
+    ]
+    assert answer.status in STATUSES
+    if path.startswith("/w/"):
+        assert len(runs) <= 1
+    if answer.status == 503:
+        assert runs == []
+    if answer.status == 200:
+        assert answer.body == (path[3:].encode() if path.startswith("/w/") else b"read")
