--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,6 +5,8 @@
 import os
 import pathlib
 import re
+import subprocess
+import sys
 
 import anyio
 import msgspec
@@ -231,6 +233,17 @@
     assert refusal.kind is errors.ErrorKind.INVALID_SETTINGS and missing in refusal.reason
 
 
+@pytest.mark.parametrize("missing, code", [("", 0), ("graceS", 2)])
+def test_the_adapters_check_tells_of_a_file_without_serving(tmp_path, missing, code):
+    path = tmp_path / "settings.toml"
+    path.write_text(re.sub(rf"(?m)^{missing or '#'} = .*$", "", SETTINGS))
+    command = [sys.executable, str(ROOT / "platform" / "main.py"), "check", str(path)]
+    found = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    said = found.stdout + found.stderr
+    assert (found.returncode == 0) is (code == 0)
+    assert (missing or "valid") in said
+
+
 def test_a_changed_file_is_read_again_and_a_faulty_one_left_out(tmp_path):
     path = tmp_path / "settings.toml"
     path.write_text(SETTINGS)
