A copy tells in whole what it cannot tell by changes, so that rows which left before its start leave others too

Cause, found on reading: an entry that started, or read all rows again, after a row had left has no removal of it. Another entry, behind that version, which then takes over the copy's changes and version (as a follower of the zone's reader, or from a peer while the store is away) kept the row for good: a server that is leaving would get work, an emptied zone never be taken back.

Change: a copy knows since which version its changes are complete, by topic; to an entry behind that it tells all rows, and says so; what is missing there is taken for gone.

Tests first: two copies that began at unlike versions, one that dropped old removals, one that is behind. One test of exports now puts its second row after the first read, since before it both rows are told.

--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -64,11 +64,15 @@
 
 
 class Export(msgspec.Struct, frozen=True, array_like=True):
-    """Changes as one entry passes them to another, and how old its knowledge of the store is."""
+    """Changes as one entry passes them to another, and how old its knowledge of the store is.
+
+    Of the topics in ``whole`` all rows are told: what is missing there has left the store.
+    """
 
     positions: dict[str, int]
     changes: list[facts.Change]
     age_ms: int = 0
+    whole: list[facts.Topic] = []
 
 
 class Replica:
@@ -87,6 +91,7 @@
         "_complete",
         "_calls",
         "_changed_versions",
+        "_complete_since",
         "_answered_ms",
         "_news",
         "_direct",
@@ -106,6 +111,7 @@
         self._complete: set[facts.Topic] = set()
         self._calls: dict[facts.Topic, anyio.CancelScope] = {}
         self._changed_versions: dict[tuple[facts.Topic, str], int] = {}
+        self._complete_since: dict[facts.Topic, int] = {}
         self._answered_ms: dict[facts.Topic, int] = {}
         self._news = anyio.Event()
         self._direct = anyio.Event()
@@ -164,9 +170,16 @@
 
         :param positions: the version reached, by topic.
         """
-        changed = self._changed_versions
-        changes = [c for n, c in self.rows.items() if changed[n] > positions.get(c.topic, 0)]
-        return Export(dict(self.positions), changes, self._age_ms(clock.monotonic_ms()))
+        since = self._complete_since
+        whole = [topic for topic in since if positions.get(topic, 0) < since[topic]]
+        changes = [
+            change
+            for name, change in self.rows.items()
+            if change.topic in whole
+            or self._changed_versions[name] > positions.get(change.topic, 0)
+        ]
+        age_ms = self._age_ms(clock.monotonic_ms())
+        return Export(dict(self.positions), changes, age_ms, whole)
 
     def _age_ms(self, now_ms: int) -> int:
         """Return how long ago the store last answered for the topic that waits longest."""
@@ -285,6 +298,7 @@
         first_read = topic not in self.positions
         if topic not in self._complete:
             self._complete.add(topic)
+            self._complete_since[topic] = batch.version
             self._remove_missing(topic, batch, now_ms)
         for change in batch.changes:
             self._apply(change, first_read, now_ms)
@@ -299,6 +313,7 @@
             if name[0] is topic:
                 del self.rows[name]
                 del self._changed_versions[name]
+                self._complete_since[topic] = oldest
 
     def _remove_missing(self, topic: facts.Topic, batch: facts.Batch, now_ms: int) -> None:
         """Find the rows that left while no history tells of it."""
@@ -334,11 +349,15 @@
             self._take_in_export(export, not self.positions, clock.monotonic_ms())
 
     def _take_in_export(self, export: Export, first_read: bool, now_ms: int) -> None:
+        for topic in export.whole:
+            told = tuple(c for c in export.changes if c.topic is topic)
+            batch = facts.Batch(told, export.positions.get(topic, 0))
+            self._remove_missing(topic, batch, now_ms)
         for change in sorted(export.changes, key=lambda c: c.version):
             self._apply(change, first_read, now_ms)
-        for topic, version in export.positions.items():
-            if version > self.positions.get(topic, 0):
-                self.positions[topic] = version
+        for reached, version in export.positions.items():
+            if version > self.positions.get(reached, 0):
+                self.positions[reached] = version
 
     def dump(self) -> dict[str, object]:
         """Return how far each topic is known."""
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -217,8 +217,60 @@
 def test_an_export_holds_what_is_newer():
     async def scenario(source, copy, believed):
         source.put_server("x")
+        await until(lambda: len(known(believed)) == 1)
         source.put_server("y")
         await until(lambda: len(known(believed)) == 2)
         assert [c.key for c in copy.export({"servers": 1}).changes] == ["y"]
 
     following(scenario)
+
+
+def copy_of(rows, version, topic=SERVERS):
+    """Return an entry's copy after one full read, with its beliefs."""
+    believed = belief.Belief(registry.Registry(), roster.Roster("e"))
+    copy = replica.Replica(fact_source.FakeSource(), believed)
+    copy._take_in(topic, facts.Batch(tuple(rows), version), 0)
+    return copy, believed
+
+
+def server_row(name, version):
+    return facts.Change(SERVERS, name, version, report=fact_source.report(name))
+
+
+def test_a_copy_that_began_late_tells_of_rows_that_left_before_it_began():
+    """It has no removals to tell, so an entry behind it would keep those rows for good."""
+
+    async def scenario():
+        early, believed = copy_of([server_row("x", 1), server_row("gone", 2)], 2)
+        late, _ = copy_of([server_row("x", 1), server_row("new", 3)], 4)
+        raw = msgspec.msgpack.encode(late.export(early.positions))
+        early.take_in_relayed(msgspec.msgpack.decode(raw, type=replica.Export), 0)
+        assert known(believed) == {"x", "new"}
+        assert early.positions == {SERVERS: 4}
+
+    anyio.run(scenario)
+
+
+def test_a_copy_that_dropped_old_removals_tells_what_is_there(monkeypatch):
+    monkeypatch.setattr(replica, "REMOVALS_KEPT_VERSIONS", 3)
+
+    async def scenario():
+        early, believed = copy_of([server_row("x", 1), server_row("gone", 2)], 2)
+        other, _ = copy_of([server_row("x", 1), server_row("gone", 2)], 2)
+        other._take_in(SERVERS, facts.Batch((facts.Change(SERVERS, "gone", 3),), 3), 0)
+        other._take_in(SERVERS, facts.Batch((server_row("x", 9),), 9), 0)
+        early.take_in_relayed(other.export(early.positions), 0)
+        assert known(believed) == {"x"}
+
+    anyio.run(scenario)
+
+
+def test_a_copy_behind_another_one_removes_nothing_from_it():
+    async def scenario():
+        ahead, believed = copy_of([server_row("x", 1), server_row("y", 5)], 6)
+        behind, _ = copy_of([server_row("x", 1)], 3)
+        ahead.take_in_relayed(behind.export(ahead.positions), 0)
+        ahead.take_in_relayed(behind.export({}), 0)
+        assert known(believed) == {"x", "y"}
+
+    anyio.run(scenario)
