--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -353,6 +353,7 @@
             told = tuple(c for c in export.changes if c.topic is topic)
             batch = facts.Batch(told, export.positions.get(topic, 0))
             self._remove_missing(topic, batch, now_ms)
+            self._complete_since[topic] = max(self._complete_since.get(topic, 0), batch.version)
         for change in sorted(export.changes, key=lambda c: c.version):
             self._apply(change, first_read, now_ms)
         for reached, version in export.positions.items():
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -247,6 +247,7 @@
         early.take_in_relayed(msgspec.msgpack.decode(raw, type=replica.Export), 0)
         assert known(believed) == {"x", "new"}
         assert early.positions == {SERVERS: 4}
+        assert early.export({SERVERS: 3}).whole == [SERVERS]
 
     anyio.run(scenario)
 
