--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,13 +9,14 @@
 import click
 import msgspec
 
-from benchmarks import gossip, latency, placement, slopes
+from benchmarks import gossip, latency, limits, placement, slopes
 
 Rows = typing.Sequence[typing.Any]
 
 PARTS: dict[str, tuple[str, typing.Callable[[], Rows]]] = {
     "latency": ("Latency through an entry, loopback, work of 20 ms", latency.measure),
     "placement": ("Choice of servers by policy, virtual time", placement.measure),
+    "limits": ("Limits kept in parts: the most used of each whole, virtual time", limits.measure),
     "gossip": ("Gossip by the number of entries, virtual time", gossip.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
