--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -49,3 +49,32 @@
         within = sum(now_ms - 1000 < at for at in kept)
         longer = sum(now_ms - 1100 <= at for at in kept)
         assert within <= count.total(now_ms) <= longer
+
+
+@pytest.mark.parametrize("entries", [3, 9, 12, 68, 300])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_entries_that_restart_in_turn_or_join_keep_the_budget_too(entries, seed):
+    """Each entry starts anew once, with nothing counted, and a quarter more join unknown to it.
+
+    A process that starts knows the others by their registrations, not those that join later.
+    """
+    source = random.Random(seed)
+    budgets = [retry_budget.RetryBudget(RATIO, SLACK, WINDOW_MS) for _ in range(entries)]
+    restarts = {20_000 + 10_000 * n // entries: n for n in range(entries)}
+    joined_at_ms = 20_000
+    requests, retries = [], []
+    for now_ms in range(0, 40_000, 5):
+        if now_ms == joined_at_ms:
+            more = max(1, entries // 4)
+            budgets += [retry_budget.RetryBudget(RATIO, SLACK, WINDOW_MS) for _ in range(more)]
+        for at_ms in [at for at in restarts if at <= now_ms]:
+            budgets[restarts.pop(at_ms)] = retry_budget.RetryBudget(RATIO, SLACK, WINDOW_MS)
+        budget = source.choice(budgets)
+        budget.note_request("s", now_ms)
+        requests.append(now_ms)
+        if source.choice(budgets).take("s", entries, now_ms):
+            retries.append(now_ms)
+        if now_ms % 100 == 0:
+            asked = sum(now_ms - WINDOW_MS < at <= now_ms for at in requests[-2_500:])
+            again = sum(now_ms - WINDOW_MS < at <= now_ms for at in retries[-2_500:])
+            assert again <= RATIO * asked + SLACK
