--- a/sassafraslock/services/peer_copies.py
+++ b/sassafraslock/services/peer_copies.py
@@ -20,6 +20,15 @@
 COPY_PATH = "/copy"
 OK = 200
 
+_FAILURES = (
+    OSError,
+    TimeoutError,
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    msgspec.DecodeError,
+)
+
 
 class CopyRequest(msgspec.Struct, frozen=True, array_like=True):
     """Asks for what is known beyond some versions.
@@ -63,9 +72,7 @@
             if answer.status == OK and opened is not None:
                 return self._decoder.decode(opened)
             reason = f"status {answer.status}"
-        except (OSError, TimeoutError, httpcore.NetworkError, httpcore.TimeoutException) as error:
-            reason = repr(error)
-        except (httpcore.ProtocolError, msgspec.DecodeError) as error:
+        except _FAILURES as error:
             reason = repr(error)
         events.log(events.Event.PEER_MESSAGE_REJECTED, f"no copy from {address}: {reason}")
         await self._drop_connections()
