Answers and requests without end are cut; what all connections of an entry hold is bounded

Cause: heads of answers had no bound, bodies 64 MB for each connection, so one server that sends header lines or a body without end took an entry's memory (VMs have 200 MB and more). Trailers became headers of the message, on both sides. A client that reads no answers kept them all in memory, and one piece of 256 KB could hold thousands of pipelined requests, all started at once.

Now: heads are bounded by the intents' limit and what servers may add, one message by half of the quota, bytes beside bodies by the head's bound and the body's size, and all together by an eighth of the process's memory; when that is full the connection that holds most is cut. A cut answer is a broken one (it may have run). Answers of peers and of the store, datagrams, members and suspects are bounded too.

--- /dev/null
+++ b/sassafraslock/decisions/message_quota.py
@@ -0,0 +1,77 @@
+"""Bounds the memory of messages that an entry has received and not yet passed on."""
+
+from __future__ import annotations
+
+import typing
+
+DEFAULT_MEMORY_BYTES = 256 << 20
+HELD_RATIO = 0.125  # a body is copied once or twice on its way, and the entry itself needs memory
+ONE_MESSAGE_RATIO = 0.5
+HEADER_OVERHEAD_BYTES = 128  # what the objects of one header take beside its text
+
+
+class Reader(typing.Protocol):
+    """A connection that holds parts of messages."""
+
+    held_bytes: int
+
+    def cut(self, reason: str) -> None:
+        """Give up what is being received.
+
+        :param reason: which bound was reached.
+        """
+
+
+class MessageQuota:
+    """Sums what all connections of an entry hold, and cuts the one that holds most when full.
+
+    A peer that sends without end holds most before long, so that it goes and the others stay.
+    """
+
+    __slots__ = ("limit_bytes", "held_bytes", "_readers")
+
+    def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES) -> None:
+        self.limit_bytes = 0
+        self.held_bytes = 0
+        self._readers: dict[int, Reader] = {}
+        self.resize(memory_bytes)
+
+    def resize(self, memory_bytes: int) -> None:
+        """Set the limit from the memory that the entry's process may use.
+
+        :param memory_bytes: the process's memory.
+        """
+        self.limit_bytes = int(HELD_RATIO * memory_bytes)
+
+    @property
+    def message_limit_bytes(self) -> int:
+        """The most that one message may hold."""
+        return int(ONE_MESSAGE_RATIO * self.limit_bytes)
+
+    def hold(self, reader: Reader, held_bytes: int) -> None:
+        """Note how much a connection holds now, and cut the largest ones while it is too much.
+
+        :param reader: the connection.
+        :param held_bytes: all that it holds.
+        """
+        self.held_bytes += held_bytes - reader.held_bytes
+        reader.held_bytes = held_bytes
+        if held_bytes:
+            self._readers[id(reader)] = reader
+        else:
+            self._readers.pop(id(reader), None)
+        while self.held_bytes > self.limit_bytes:
+            self._cut_largest()
+
+    def _cut_largest(self) -> None:
+        largest = max(self._readers.values(), key=lambda r: r.held_bytes)
+        held_bytes = largest.held_bytes
+        self.hold(largest, 0)
+        largest.cut(
+            f"this entry holds more than {self.limit_bytes} bytes of messages,"
+            f" and this connection the most of them, {held_bytes}"
+        )
+
+    def dump(self) -> dict[str, object]:
+        """Return how much is held."""
+        return {"held_bytes": self.held_bytes, "limit_bytes": self.limit_bytes}
--- a/sassafraslock/decisions/quarantine.py
+++ b/sassafraslock/decisions/quarantine.py
@@ -8,6 +8,9 @@
 import xxhash
 
 MAX_BROKEN_SERVERS = 2
+MAX_BROKEN_SERVERS_KEPT = 16
+MAX_SUSPECTS = 4_096
+SWEEP_MS = 1_000
 QUARANTINE_MS = 600_000
 SUSPECT_MS = 60_000
 MASS_FAILURE_MS = 1_000
@@ -47,11 +50,12 @@
     and not the requests, so those breaks do not count.
     """
 
-    __slots__ = ("_suspects", "_breaks")
+    __slots__ = ("_suspects", "_breaks", "_swept_ms")
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
         self._breaks: collections.deque[_Break] = collections.deque(maxlen=256)
+        self._swept_ms = 0
 
     def note_break(self, mark: str, server_id: str, now_ms: int) -> bool:
         """Note that a server's connection broke while it ran a request.
@@ -77,8 +81,13 @@
         :param now_ms: the present time.
         """
         self._forget(now_ms)
-        suspect = self._suspects.setdefault(mark, _Suspect(set(), now_ms))
-        suspect.server_ids.update(server_ids)
+        suspect = self._suspects.get(mark)
+        if suspect is None:
+            if len(self._suspects) >= MAX_SUSPECTS:
+                return
+            suspect = self._suspects[mark] = _Suspect(set(), now_ms)
+        room = MAX_BROKEN_SERVERS_KEPT - len(suspect.server_ids)
+        suspect.server_ids.update(server_ids[: max(0, room)])
         suspect.last_ms = now_ms
 
     def broken_servers(self, mark: str) -> list[str]:
@@ -110,6 +119,9 @@
             del self._suspects[mark]
 
     def _forget(self, now_ms: int) -> None:
+        if now_ms - self._swept_ms < SWEEP_MS:
+            return
+        self._swept_ms = now_ms
         for mark, suspect in list(self._suspects.items()):
             quarantined = len(suspect.server_ids) >= MAX_BROKEN_SERVERS
             if now_ms - suspect.last_ms >= (QUARANTINE_MS if quarantined else SUSPECT_MS):
--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -9,6 +9,7 @@
 SILENT_AFTER_MS = 3_000
 SILENT_PER_MEMBER_MS = 15
 FORGET_AFTER_MS = 60_000
+MAX_MEMBERS = 8_192
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -77,14 +78,19 @@
             return False
         known = self._members.get(record.entry_id)
         if known is None:
-            self._members[record.entry_id] = Member(record, now_ms, record.order)
-            return True
+            return self._add(record, now_ms)
         if record.order <= known.record.order:
             return False
         known.record = record
         self.note_beat(Beat(record.entry_id, *record.order), now_ms)
         return True
 
+    def _add(self, record: MemberRecord, heard_ms: int) -> bool:
+        if len(self._members) >= MAX_MEMBERS:
+            return False
+        self._members[record.entry_id] = Member(record, heard_ms, record.order)
+        return True
+
     def note_beat(self, beat: Beat, now_ms: int) -> None:
         """Take in a counter of an entry whose record is known.
 
@@ -103,9 +109,7 @@
         :param now_ms: the present time.
         """
         if record.entry_id != self.own_id and record.entry_id not in self._members:
-            self._members[record.entry_id] = Member(
-                record, now_ms - FORGET_AFTER_MS // 2, record.order
-            )
+            self._add(record, now_ms - FORGET_AFTER_MS // 2)
 
     def live(self, now_ms: int) -> list[Member]:
         """Return the members heard of lately.
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -20,7 +20,14 @@
     logs,
     routing_table,
 )
-from sassafraslock.decisions import cold_start, placement, registry, retry_budget, roster
+from sassafraslock.decisions import (
+    cold_start,
+    message_quota,
+    placement,
+    registry,
+    retry_budget,
+    roster,
+)
 from sassafraslock.path import journey_log, line, send
 from sassafraslock.services import (
     belief,
@@ -37,6 +44,7 @@
     poison_watch,
     registrar,
     replica,
+    server_connection,
     upstream,
     zone_feed,
 )
@@ -101,7 +109,8 @@
         self.kernel = kernel.Kernel()
         self.log_lines = log_lines
         self._source = source
-        self.upstream = upstream.Upstream(names.request_id if names.echoed else b"")
+        self.quota = message_quota.MessageQuota(settings.memory_bytes)
+        self.upstream = upstream.Upstream(names.request_id if names.echoed else b"", self.quota)
         self.poison = poison_watch.PoisonWatch(self.upstream)
         self.gossip = gossip.GossipService(
             settings.entry_id,
@@ -124,7 +133,7 @@
         self.planner = planner.Planner(settings, self.belief, self.line.placer, self.gossip.roster)
         self.line.learner.note_work = self.planner.note_work
         self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.serves)
-        self.front = _server(
+        self.front = self._server(
             interfaces.client_handler(self), settings.client_address, self.line.may_overlap
         )
         self._register(interfaces)
@@ -166,13 +175,14 @@
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self.log_lines))
         self.kernel.register("beliefs", kernel.Still(self.belief))
+        self.kernel.register("messages", kernel.Still(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
         self.kernel.register("poison", self.poison)
         copies = peer_copies.PeerApi(self.replica, settings.peer_token)
-        self.kernel.register("copies", _server(copies, settings.gossip_address))
+        self.kernel.register("copies", self._server(copies, settings.gossip_address))
         client = peer_copies.CopyClient(settings.peer_token)
         feed = zone_feed.ZoneFeed(settings.zone, self.gossip.roster, self.replica, client)
         self.kernel.register("zone feed", feed)
@@ -184,10 +194,19 @@
         }
         for name, (address, handler_for) in addresses.items():
             if address:
-                self.kernel.register(name, _server(handler_for(self), address))
+                self.kernel.register(name, self._server(handler_for(self), address))
         self.kernel.register("front", self.front)
         self.kernel.register("departure", departure.Departure(self))
 
+    def _server(
+        self,
+        handler: http_messages.Handler,
+        address: str,
+        ordering: http_messages.Ordering | None = None,
+    ) -> http_server.HttpServer:
+        host, _, port = address.rpartition(":")
+        return http_server.HttpServer(handler, host, int(port), ordering, self.quota)
+
     def _region_entries(self) -> int:
         """Return the number of live entries of the own region, this one included."""
         live = self.gossip.roster.live(clock.monotonic_ms())
@@ -267,6 +286,9 @@
 
     def _note_table(self, table: routing_table.RoutingTable) -> None:
         self.front.limits = table.limits
+        self.upstream.limits.max_head_bytes = (
+            table.limits.max_header_bytes + server_connection.SERVER_HEADERS_BYTES
+        )
         self.line.links.limits = table.link_limits(self.settings.region)
         self.planner.update(clock.monotonic_ms())
         self.line.splitter.forget()
@@ -287,10 +309,14 @@
         :param settings: the settings as read again.
         """
         self.settings = dataclasses.replace(
-            self.settings, bounds=settings.bounds, seeds=settings.seeds
+            self.settings,
+            bounds=settings.bounds,
+            seeds=settings.seeds,
+            memory_bytes=settings.memory_bytes,
         )
         bounds = settings.bounds
         self.directory.settings = self.settings
+        self.quota.resize(settings.memory_bytes)
         self.line.budget.set_bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms)
         self.line.placer.cold.set_bounds(bounds.cold_overage, bounds.cold_slack)
         self.gossip.seeds = list(settings.seeds)
@@ -348,12 +374,3 @@
     handler.setFormatter(logs.formatter(log_format))
     logs.install(handler, level)
     return handler
-
-
-def _server(
-    handler: http_messages.Handler,
-    address: str,
-    ordering: http_messages.Ordering | None = None,
-) -> http_server.HttpServer:
-    host, _, port = address.rpartition(":")
-    return http_server.HttpServer(handler, host, int(port), ordering)
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -4,6 +4,10 @@
 
 import dataclasses
 
+from sassafraslock.decisions import message_quota
+
+DEFAULT_MEMORY_BYTES = message_quota.DEFAULT_MEMORY_BYTES
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Bounds:
@@ -23,7 +27,8 @@
 class EdgeSettings:
     """Where an entry stands and listens. Addresses are ``IP:PORT``.
 
-    ``peer_token`` proves that gossip comes from an entry; without one it is taken from anybody.
+    ``memory_bytes`` is what this process may use. ``peer_token`` proves that gossip comes from an
+    entry; without one it is taken from anybody.
     """
 
     entry_id: str
@@ -36,4 +41,5 @@
     operator_address: str = ""
     seeds: tuple[str, ...] = ()
     peer_token: str = ""
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -113,6 +113,7 @@
         operator_address=f"{process.operator.host}:{process.operator.port}",
         seeds=tuple(str(peer) for peer in process.peers),
         peer_token=process.peer_token,
+        memory_bytes=process.memory_mib << 20,
         bounds=bounds,
     )
 
--- a/sassafraslock/path/judge.py
+++ b/sassafraslock/path/judge.py
@@ -6,7 +6,7 @@
 
 from sassafraslock import header_names, http_messages
 from sassafraslock.path import send
-from sassafraslock.services import upstream
+from sassafraslock.services import server_connection
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
@@ -41,9 +41,9 @@
     exchange = attempt.exchange
     if exchange is None:
         return Verdict.SILENT
-    if exchange.end is upstream.End.NOT_CONNECTED:
+    if exchange.end is server_connection.End.NOT_CONNECTED:
         return Verdict.NOT_SENT
-    if exchange.end is not upstream.End.ANSWERED or exchange.response is None:
+    if exchange.end is not server_connection.End.ANSWERED or exchange.response is None:
         return Verdict.BROKEN
     return _judge_response(exchange.response, names)
 
--- a/sassafraslock/path/learn.py
+++ b/sassafraslock/path/learn.py
@@ -7,7 +7,7 @@
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, placement, quarantine, server_health
 from sassafraslock.path import judge, route, send
-from sassafraslock.services import poison_watch, upstream
+from sassafraslock.services import poison_watch, server_connection
 
 HEAD_BYTES = 400
 EXPECTED_ANSWER_BYTES = 16 << 10
@@ -68,7 +68,7 @@
             return
         if exchange is None or exchange.response is None:
             health.note_broken(now_ms)
-            if exchange is not None and exchange.end is upstream.End.BROKEN:
+            if exchange is not None and exchange.end is server_connection.End.BROKEN:
                 report = attempt.choice.server.report
                 found = poison_watch.Break(fingerprint(routed), report.server_id, report.address)
                 self._poison.note_broken(found)
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -9,7 +9,7 @@
 from sassafraslock import clock, header_names, http_messages
 from sassafraslock.decisions import candidates, registry, server_health
 from sassafraslock.path import route
-from sassafraslock.services import upstream
+from sassafraslock.services import server_connection, upstream
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,7 +20,7 @@
     """
 
     choice: candidates.Choice
-    exchange: upstream.Exchange | None
+    exchange: server_connection.Exchange | None
     sent_ms: int
     took_ms: int
     abandoned: bool = False
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -19,7 +19,7 @@
 RECORDS_PER_MESSAGE = 12
 BEATS_PER_MESSAGE = 300
 COMPRESSION_LEVEL = 3
-MAX_MESSAGE_BYTES = 1 << 20
+MAX_MESSAGE_BYTES = 256 << 10
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafraslock/services/peer_copies.py
+++ b/sassafraslock/services/peer_copies.py
@@ -9,7 +9,7 @@
 import httpcore
 import msgspec
 
-from sassafraslock import clock, events, http_messages
+from sassafraslock import bounded_call, clock, events, http_messages
 from sassafraslock.decisions import seal
 from sassafraslock.services import gossip, replica
 
@@ -17,6 +17,7 @@
 CONNECT_TIMEOUT_S = 0.5
 ANSWER_MARGIN_S = 0.5
 MAX_WAIT_MS = 2_000
+MAX_COPY_BYTES = 16 << 20
 COPY_PATH = "/copy"
 OK = 200
 
@@ -65,8 +66,13 @@
         timeouts = {"connect": CONNECT_TIMEOUT_S, "read": timeout_s, "write": timeout_s}
         try:
             with anyio.fail_after(timeout_s):
-                answer = await self._pool.request(
-                    "POST", url, content=body, extensions={"timeout": timeouts}
+                answer = await bounded_call.request(
+                    self._pool,
+                    "POST",
+                    url,
+                    MAX_COPY_BYTES,
+                    content=body,
+                    extensions={"timeout": timeouts},
                 )
             opened = seal.unseal(self._token, answer.content)
             if answer.status == OK and opened is not None:
--- a/sassafraslock/services/platform_client.py
+++ b/sassafraslock/services/platform_client.py
@@ -9,11 +9,12 @@
 import httpcore
 import msgspec
 
-from sassafraslock import clock, errors, events, platform, settings
+from sassafraslock import bounded_call, clock, errors, events, platform, settings
 from sassafraslock.decisions import breaker
 
 MAX_CONNECTIONS = 16
 KEEP_ALIVE_S = 5.0
+MAX_ANSWER_BYTES = 32 << 20  # a part of the client blocks, decoded, fits the entry's memory
 
 
 class PlatformClient:
@@ -82,7 +83,9 @@
             return _refusal("the platform did not answer lately")
         try:
             with anyio.fail_after(self._timeout_s):
-                response = await self._pool.request(method, self._base + path, content=body)
+                response = await bounded_call.request(
+                    self._pool, method, self._base + path, MAX_ANSWER_BYTES, content=body
+                )
         except (TimeoutError, httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
             return self._failed(f"the platform call failed: {type(error).__name__}")
         if response.status != 200:
--- a/sassafraslock/settings.py
+++ b/sassafraslock/settings.py
@@ -13,11 +13,13 @@
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+MemoryMib = typing.Annotated[int, msgspec.Meta(ge=64, le=1_048_576)]
 Level = typing.Literal["debug", "info", "warning", "error"]
 
 STOP_BOUND_MS = 30_000
 VALIDITY_MS = 1_000
 POLL_MS = 500
+MEMORY_MIB = 256
 MIN_TOKEN_CHARS = 8
 
 
@@ -76,6 +78,7 @@
     validity_ms: Milliseconds = VALIDITY_MS
     poll_ms: Milliseconds = POLL_MS
     stop_bound_ms: Milliseconds = STOP_BOUND_MS
+    memory_mib: MemoryMib = MEMORY_MIB
 
 
 SettingsResult = Settings | list[settings_check.Problem]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 import anyio
 
 from sassafraslock import clock
-from soak import proxy, stage
+from soak import flood, proxy, stage
 
 MEAN_GAP_S = 1.2
 LONGEST_S = 4.0
@@ -30,6 +30,8 @@
     RESET = "reset"
     SILENCE = "silence"
     ONE_WAY = "one way"
+    ENDLESS = "endless"
+    FLOOD = "flood"
     DRAIN = "drain"
 
 
@@ -38,6 +40,7 @@
     Kind.RESET: proxy.Mode.RESET,
     Kind.SILENCE: proxy.Mode.SILENCE,
     Kind.ONE_WAY: proxy.Mode.ONE_WAY,
+    Kind.ENDLESS: proxy.Mode.ENDLESS,
 }
 
 
@@ -75,6 +78,8 @@
         return proxies
     if kind is Kind.DRAIN:
         return [name for name in processes if name.startswith("server")]
+    if kind is Kind.FLOOD:
+        return [name for name in processes if name.startswith("entry")]
     return processes
 
 
@@ -126,6 +131,9 @@
         if fault.kind is Kind.DRAIN:
             await self._drain(fault)
             return
+        if fault.kind is Kind.FLOOD:
+            await flood.flood(proxy.HOST, self._stage.caller_port(fault.target), fault.for_s)
+            return
         began_ms = clock.monotonic_ms()
         await self._hit(fault)
         self.hits.append(Span(fault.target, began_ms, clock.monotonic_ms()))
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,4 +1,4 @@
-"""Loopback proxy that delays, resets, silences or cuts connections one way."""
+"""Loopback proxy that delays, resets, silences, floods or cuts connections one way."""
 
 from __future__ import annotations
 
@@ -15,6 +15,15 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+ENDLESS_HEADS = (
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nx-filler: ",
+    b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+)
+ENDLESS_LINES = b"x-filler: a\r\n" * 1_000
+
+
 class Mode(enum.StrEnum):
     """What happens to connections now."""
 
@@ -23,6 +32,7 @@
     RESET = "reset"
     SILENCE = "silence"
     ONE_WAY = "one way"
+    ENDLESS = "endless"
 
 
 class Proxy:
@@ -83,10 +93,19 @@
             while True:
                 data = await source.receive(CHUNK_BYTES)
                 await self._hold(back)
+                if back and self.mode is Mode.ENDLESS:
+                    await self._send_without_end(sink)
                 await sink.send(data)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             scope.cancel()
 
+    async def _send_without_end(self, sink: anyio.abc.SocketStream) -> None:
+        """Send what is no answer in place of one, until it is closed or the fault is over."""
+        await sink.send(self._random.choice(ENDLESS_HEADS))
+        while self.mode is Mode.ENDLESS:
+            await sink.send(ENDLESS_LINES)
+        raise OSError("bytes without end were sent in place of an answer")
+
     async def _hold(self, back: bool) -> None:
         if self.mode is Mode.DELAY:
             await anyio.sleep(self._random.uniform(0.02, 0.3))
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 RECOVERY_S = 12.0
 READY_S = 30.0
 FILING_RATIO = 0.4
+MAX_GROWTH_MIB = 60.0  # of an entry's memory, whatever is sent to it
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +30,7 @@
     answered: int = 0
     refused: int = 0
     unknown: int = 0
+    growth_mib: float = 0.0
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -55,16 +57,22 @@
             for process in one.processes.values():
                 process.start()
             await _until_ready(one)
+            idle_mib = max(one.entry_memory_mib("VmRSS").values())
             async with anyio.create_task_group() as calling:
                 for number in range(CALLERS):
                     calling.start_soon(_call, one, journal, seed * 1_000 + number)
                 await injector.run(schedule)
                 recovered = await _recovers(one, journal)
+                peaks_mib = one.entry_memory_mib("VmHWM")
                 calling.cancel_scope.cancel()
             group.cancel_scope.cancel()
     finally:
         one.end()
-    return judge(seed, one, journal, injector, recovered)
+    verdict = judge(seed, one, journal, injector, recovered)
+    verdict.growth_mib = max(peaks_mib.values()) - idle_mib
+    if verdict.growth_mib > MAX_GROWTH_MIB:
+        verdict.broken.append(f"an entry's memory grew by {verdict.growth_mib:.0f} MiB")
+    return verdict
 
 
 async def _until_ready(one: stage.Stage) -> None:
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -47,6 +47,20 @@
         """Whether the program runs."""
         return self._child is not None and self._child.poll() is None
 
+    def memory_mib(self, field: str) -> float:
+        """Return a figure of the program's memory, 0 if it does not run.
+
+        :param field: ``VmRSS`` for the present, ``VmHWM`` for the most since its start.
+        """
+        if self._child is None or not self.running:
+            return 0.0
+        try:
+            lines = pathlib.Path(f"/proc/{self._child.pid}/status").read_text().splitlines()
+        except OSError:
+            return 0.0
+        found = [line for line in lines if line.startswith(f"{field}:")]
+        return int(found[0].split()[1]) / 1024 if found else 0.0
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the program runs.
 
@@ -144,6 +158,21 @@
         """
         return self.folder / f"{name}.runs"
 
+    def caller_port(self, entry: str) -> int:
+        """Return the port of an entry's callers.
+
+        :param entry: the entry's name.
+        """
+        return self.caller_ports[int(entry.rpartition("-")[2])]
+
+    def entry_memory_mib(self, field: str) -> dict[str, float]:
+        """Return a figure of the memory of each entry.
+
+        :param field: as for :meth:`Process.memory_mib`.
+        """
+        entries = (p for name, p in self.processes.items() if name.startswith("entry"))
+        return {entry.name: entry.memory_mib(field) for entry in entries}
+
     def is_ready(self, number: int) -> bool:
         """Tell whether an entry takes callers.
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -5,20 +5,20 @@
 from sassafraslock import header_names, http_messages
 from sassafraslock.decisions import candidates, registry
 from sassafraslock.path import judge, send
-from sassafraslock.services import upstream
+from sassafraslock.services import server_connection
 from tests import fact_source
 
 NAMES = header_names.HeaderNames(signature=b"x-signature", echoed=True)
 SIGNED = [(b"x-signature", b"s")]
 NOT_RUN = [(NAMES.not_run, b"1")]
-End, Verdict = upstream.End, judge.Verdict
+End, Verdict = server_connection.End, judge.Verdict
 
 
 def attempt(end=End.ANSWERED, status=200, headers=SIGNED, exchange=True):
     server = registry.Server(fact_source.report("i-1"), 0)
     choice = candidates.Choice(server, 1.0, True, 0.0, True, False)
     response = http_messages.Response(status, list(headers)) if end is End.ANSWERED else None
-    found = upstream.Exchange(end, response) if exchange else None
+    found = server_connection.Exchange(end, response) if exchange else None
     return send.Attempt(choice, found, 0, 10)
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,11 +6,11 @@
 import anyio
 import pytest
 
-from sassafraslock.services import upstream
+from sassafraslock.services import server_connection, upstream
 
 HOST, PORT = "127.0.0.1", 24_320
 ID = b"r-1"
-End = upstream.End
+End = server_connection.End
 
 
 def answer(body=b"ok", request_id=ID, status=b"200 OK", head=b""):
@@ -147,7 +147,7 @@
 
     async def scenario(connections):
         await ask(connections)
-        connections.sweep(upstream.clock.monotonic_ms() + upstream.MAX_IDLE_MS)
+        connections.sweep(upstream.clock.monotonic_ms() + server_connection.MAX_IDLE_MS)
         await ask(connections)
 
     anyio.run(serving, [answer()], scenario, accepted)
