Entries know how busy servers are that they seldom meet; demand counts what is asked for

It sent on what could only time out, and runs cut by a timeout teach the server nothing, so the first seconds stayed slow for six. And a plan between regions counted only answered work as demand: a region that refused or timed out looked idle and was given more of its own.

Now: where nothing was heard lately the mean of the service's servers in that region is expected; loads told by servers pass in gossip between the entries of a region (128 newest, at most 1.5 s old, 5 bytes or so each); requests count as demand when they come, whatever becomes of them; the first answers of a route weigh more.

--- /dev/null
+++ b/benchmarks/cold_restart.py
@@ -0,0 +1,224 @@
+"""Servers that know no object yet, asked by many entries at once, on virtual time.
+
+Pattern: cold restart. A request at a server that knows its object takes a quarter of the time,
+so the first seconds ask for more than the servers carry. A route's timeout cancels what runs too
+long, and a server learns nothing of what was cancelled.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+
+from sassafraslock import errors, routing_table
+from sassafraslock.decisions import (
+    candidates,
+    cold_start,
+    placement,
+    registry,
+    route_speed,
+    server_health,
+)
+
+SLOTS, QUEUE = 3, 9
+ENTRIES, SEED = 24, 5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shape:
+    """A service: its servers, its requests, and the parts of the time that are looked at."""
+
+    servers: int
+    kept_objects: int
+    cold_ms: float
+    known_ms: float
+    target_ms: int
+    timeout_ms: int
+    objects: int
+    rate_per_s: float
+    parts_s: tuple[tuple[int, int], ...]
+
+
+MANY_OBJECTS = Shape(30, 26, 528, 132, 300, 800, 180, 260, ((0, 2), (2, 4), (4, 6), (6, 12)))
+FEW_SLOW_OBJECTS = Shape(22, 15, 1_296, 324, 800, 1_460, 46, 79, ((0, 4), (4, 10), (10, 20)))
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    placer: placement.Placer
+    wanted: candidates.Wanted
+    choice: candidates.Choice
+    at_ms: float
+    started_ms: float = -1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Server:
+    running: set[int] = dataclasses.field(default_factory=set)
+    waiting: collections.deque[int] = dataclasses.field(default_factory=collections.deque)
+    known: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Row:
+    """What became of the requests that came in a part of the time."""
+
+    from_s: int
+    until_s: int
+    in_target_ratio: float
+    late_ratio: float
+    refused_ratio: float
+    failed_ratio: float
+    new_ratio: float
+
+
+class _Entries:
+    def live_ids(self, region: str = "") -> list[str]:
+        return [f"e{number}" for number in range(ENTRIES)]
+
+
+class Simulation:
+    """Entries, each with its own knowledge, before servers that begin without any."""
+
+    def __init__(self, seed: int = SEED, shape: Shape = MANY_OBJECTS) -> None:
+        self.shape = shape
+        self.random = random.Random(seed)
+        self.servers = {f"s{n}": _Server() for n in range(shape.servers)}
+        self.placers = [self._placer(n) for n in range(ENTRIES)]
+        self.route = routing_table.Route(
+            "r",
+            "h",
+            "/",
+            idempotent=True,
+            max_attempts=1,
+            destinations=(),
+            target_latency_ms=shape.target_ms,
+            timeout_ms=shape.timeout_ms,
+            sticky=True,
+            priority=2,
+        )
+        self.service = routing_table.Service("s", 1_000, 3_000, 4.4)
+        self.jobs: dict[int, _Job] = {}
+        self.events: list[tuple[float, int, int]] = []
+        self.numbers = itertools.count()
+        self.outcomes: list[tuple[float, str, bool]] = []
+
+    def _placer(self, number: int) -> placement.Placer:
+        known = registry.Registry()
+        for name in self.servers:
+            report = registry.ServerReport(
+                name, "s", f"h:{name}", "a", "a-1", SLOTS, registry.ServerState.READY
+            )
+            known.note_report(report, 0, False, 0)
+        cold = cold_start.ColdStart(f"e{number}", 1.5, 5.0)
+        return placement.Placer("a", known, _Entries(), cold)
+
+    def run(self) -> None:
+        """Play the whole time."""
+        now_ms = 0.0
+        while now_ms < self.shape.parts_s[-1][1] * 1_000:
+            now_ms += self.random.expovariate(self.shape.rate_per_s / 1_000)
+            self._settle(now_ms)
+            self.arrive(now_ms)
+        self._settle(float("inf"))
+
+    def arrive(self, now_ms: float) -> None:
+        """Let an entry place a request.
+
+        :param now_ms: the present time.
+        """
+        placer = self.random.choice(self.placers)
+        key = f"k{self.random.randrange(self.shape.objects)}"
+        wanted = candidates.Wanted(self.route, self.service, key, self.shape.timeout_ms, True)
+        wanted.entries = ENTRIES
+        choice = placer.place(wanted, int(now_ms))
+        if isinstance(choice, errors.Refusal):
+            self.outcomes.append((now_ms, "refused", False))
+            return
+        server = self.servers[choice.server.server_id]
+        if len(server.running) >= SLOTS and len(server.waiting) >= QUEUE:
+            self.outcomes.append((now_ms, "refused", False))
+            return
+        number = next(self.numbers)
+        self.jobs[number] = _Job(placer, wanted, choice, now_ms)
+        placer.health_of(choice.server).in_flight += 1
+        heapq.heappush(self.events, (now_ms + self.shape.timeout_ms, number, 1))
+        server.waiting.append(number)
+        self._start_next(choice.server.server_id, now_ms)
+
+    def _start_next(self, name: str, now_ms: float) -> None:
+        server = self.servers[name]
+        while server.waiting and len(server.running) < SLOTS:
+            number = server.waiting.popleft()
+            job = self.jobs[number]
+            job.started_ms = now_ms
+            server.running.add(number)
+            known = job.wanted.key in server.known
+            base_ms = self.shape.known_ms if known else self.shape.cold_ms
+            end_ms = now_ms + base_ms * self.random.uniform(0.85, 1.15)
+            heapq.heappush(self.events, (end_ms, number, 0))
+
+    def _settle(self, until_ms: float) -> None:
+        while self.events and self.events[0][0] <= until_ms:
+            at_ms, number, timed_out = heapq.heappop(self.events)
+            job = self.jobs.pop(number, None)
+            if job is not None:
+                self._end(job, number, at_ms, bool(timed_out))
+
+    def _end(self, job: _Job, number: int, at_ms: float, timed_out: bool) -> None:
+        name = job.choice.server.server_id
+        server, health = self.servers[name], job.placer.health_of(job.choice.server)
+        took_ms, new = at_ms - job.at_ms, job.choice.familiarity is route_speed.Familiarity.NEW
+        health.in_flight -= 1
+        server.running.discard(number)
+        if number in server.waiting:
+            server.waiting.remove(number)
+        if timed_out:
+            health.note_broken(int(at_ms))
+            self.outcomes.append((job.at_ms, "failed", new))
+        else:
+            self._learn(job, server, health, at_ms)
+            outcome = "in target" if took_ms <= self.shape.target_ms else "late"
+            self.outcomes.append((job.at_ms, outcome, new))
+        self._start_next(name, at_ms)
+
+    def _learn(
+        self, job: _Job, server: _Server, health: server_health.ServerHealth, at_ms: float
+    ) -> None:
+        key, placer = job.wanted.key, job.placer
+        server.known[key] = None
+        server.known.move_to_end(key)
+        if len(server.known) > self.shape.kept_objects:
+            server.known.popitem(last=False)
+        told = server_health.ReportedLoad(len(server.running), len(server.waiting), SLOTS)
+        placer.loads.note(job.choice.server, told, int(at_ms))
+        health.note_answer(False, int(at_ms))
+        if job.choice.load + 1 <= SLOTS:
+            speed, familiarity = placer.speed_of(self.route), job.choice.familiarity
+            took_ms = at_ms - job.at_ms
+            health.note_speed(took_ms / speed.expected_ms(familiarity), int(at_ms))
+            if health.slow_factor(int(at_ms)) < 1.5:
+                speed.note(familiarity, took_ms)
+        placer.objects.note(job.wanted.object_name, job.choice.server.server_id, int(at_ms))
+
+    def rows(self) -> list[Row]:
+        """Return what became of requests, by when they came."""
+        return [self._row(*part) for part in self.shape.parts_s]
+
+    def _row(self, from_s: int, until_s: int) -> Row:
+        found = [o for o in self.outcomes if from_s * 1_000 <= o[0] < until_s * 1_000]
+        counts = collections.Counter(outcome for _, outcome, _ in found)
+        shares = [counts[name] / len(found) for name in ("in target", "late", "refused", "failed")]
+        return Row(from_s, until_s, *shares, sum(new for _, _, new in found) / len(found))
+
+
+def measure() -> list[Row]:
+    """Return what became of requests in the first seconds and after."""
+    simulation = Simulation()
+    simulation.run()
+    return simulation.rows()
--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -64,9 +64,8 @@
     started_s = time.process_time()
     for now_ms in range(0, END_MS, ROUND_MS):
         for own, one in entries.items():
-            raw = one.encode(now_ms)
-            size = max(size, len(raw))
-            for address in one.targets(now_ms):
+            for address, raw in one.datagrams(now_ms):
+                size = max(size, len(raw))
                 sent += len(raw)
                 zone_sent += len(raw) * (by_address[address].zone != by_address[own].zone)
                 region_sent += len(raw) * (by_address[address].region != by_address[own].region)
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -94,7 +94,7 @@
             health.in_flight -= 1
             running = self.loads[server_id]
             told = server_health.ReportedLoad(min(running, SLOTS), max(0, running - SLOTS), SLOTS)
-            health.note_load(told, at_ms)
+            job.placer.loads.note(job.choice.server, told, at_ms)
             if job.choice.load + 1 <= SLOTS:
                 speed = job.placer.speed_of(job.wanted.route)
                 speed.note(job.choice.familiarity, job.worked_ms)
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -9,6 +9,7 @@
     candidates,
     cold_start,
     hashing,
+    load_view,
     object_memory,
     region_plan,
     registry,
@@ -50,6 +51,7 @@
         "_entries",
         "cold",
         "_speeds",
+        "loads",
         "_ranks",
         "_generation",
         "_placed",
@@ -73,6 +75,7 @@
         self._entries = entries
         self.cold = cold
         self._speeds: dict[str, route_speed.RouteSpeed] = {}
+        self.loads = load_view.LoadView(servers, self.health_of)
         self._ranks: dict[tuple[str, str, str], list[registry.Server]] = {}
         self._generation = -1
         self._turns: dict[str, int] = {}
@@ -85,7 +88,7 @@
 
         :param server: the server.
         """
-        name = start_name(server)
+        name = registry.start_name(server)
         found = self.health.get(name)
         if found is None:
             found = self.health[name] = server_health.ServerHealth()
@@ -104,7 +107,7 @@
 
     def forget_gone(self) -> None:
         """Drop what is kept of servers that left the registry."""
-        names = {start_name(s) for s in self.registry.servers.values()}
+        names = {registry.start_name(s) for s in self.registry.servers.values()}
         self.health = {k: v for k, v in self.health.items() if k in names or v.in_flight}
         self.cold.forget(names)
 
@@ -233,7 +236,7 @@
         familiarity = self._familiarity(wanted, server, home, now_ms)
         cold = server.is_cold(now_ms)
         slots = max(1, server.report.slots)
-        load = health.load(now_ms)
+        load = self.loads.load(server, health, now_ms)
         known_ms = speed.expected_ms(route_speed.Familiarity.KNOWN)
         new_ms = speed.expected_ms(route_speed.Familiarity.NEW)
         mean_ms = QUEUED_KNOWN_RATIO * known_ms + (1 - QUEUED_KNOWN_RATIO) * new_ms
@@ -284,7 +287,7 @@
         return best
 
     def _take_cold(self, chosen: candidates.Choice, wanted: candidates.Wanted, now_ms: int) -> bool:
-        name = start_name(chosen.server)
+        name = registry.start_name(chosen.server)
         near = self._near(chosen.server)
         return self.cold.take(name, wanted.service.cold_per_s, near, now_ms)
 
@@ -327,14 +330,6 @@
         return errors.Refusal(errors.ErrorKind.NO_SERVER, reason, 300)
 
 
-def start_name(server: registry.Server) -> str:
-    """Return a name for one start of a server.
-
-    :param server: the server.
-    """
-    return f"{server.server_id}@{server.report.born_ms}"
-
-
 def _allowed(route: routing_table.Route, server: registry.Server) -> bool:
     return not route.regions or server.region in route.regions
 
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -74,6 +74,14 @@
     return report.service, report.address, report.zone
 
 
+def start_name(server: Server) -> str:
+    """Return a name for one start of a server.
+
+    :param server: the server.
+    """
+    return f"{server.server_id}@{server.report.born_ms}"
+
+
 class Registry:
     """Servers by id and service, evacuated zones, and entries that lapsed with the store."""
 
--- a/sassafraslock/decisions/route_speed.py
+++ b/sassafraslock/decisions/route_speed.py
@@ -6,6 +6,7 @@
 import enum
 
 WEIGHT = 0.08
+PRIOR_SAMPLES = 1  # what the first guess counts for
 KNOWN_START_RATIO = 0.4
 NEW_START_RATIO = 1.2
 MIN_NEW_RATIO = 1.2
@@ -30,6 +31,7 @@
     known_ms: float
     home_ms: float
     new_ms: float
+    samples: dict[Familiarity, int] = dataclasses.field(default_factory=dict)
 
     @classmethod
     def guess(cls, target_latency_ms: int) -> RouteSpeed:
@@ -58,9 +60,12 @@
         :param familiarity: what was known of the server and the object.
         :param took_ms: the time taken.
         """
+        count = self.samples.get(familiarity, 0) + 1
+        self.samples[familiarity] = count
+        weight = max(WEIGHT, 1 / (count + PRIOR_SAMPLES))
         if familiarity is Familiarity.KNOWN:
-            self.known_ms += WEIGHT * (took_ms - self.known_ms)
+            self.known_ms += weight * (took_ms - self.known_ms)
         elif familiarity is Familiarity.HOME:
-            self.home_ms += WEIGHT * (took_ms - self.home_ms)
+            self.home_ms += weight * (took_ms - self.home_ms)
         else:
-            self.new_ms += WEIGHT * (took_ms - self.new_ms)
+            self.new_ms += weight * (took_ms - self.new_ms)
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+NEVER_MS = -1_000_000_000
 LOAD_HALF_LIFE_MS = 1_500.0
 SPEED_HALF_LIFE_MS = 4_000.0
 SPEED_WEIGHT = 0.25
@@ -31,7 +32,7 @@
 
     in_flight: int = 0
     others_load: float = 0.0
-    others_at_ms: int = 0
+    others_at_ms: int = NEVER_MS
     slowness: float = 1.0
     slowness_at_ms: int = 0
     failure_ratio: float = 0.0
@@ -42,22 +43,25 @@
     rtt_ms: float = 0.0
     answers: int = 0
 
-    def load(self, now_ms: int) -> float:
+    def load(self, now_ms: int, typical: float = 0.0) -> float:
         """Return the requests that run or wait at the server, as far as known.
 
         :param now_ms: the present time.
+        :param typical: the load by other entries where the server told nothing lately.
         """
-        age_ms = now_ms - self.others_at_ms
-        return self.in_flight + self.others_load * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
+        known = 0.5 ** ((now_ms - self.others_at_ms) / LOAD_HALF_LIFE_MS)
+        return self.in_flight + known * self.others_load + (1.0 - known) * typical
 
-    def note_load(self, told: ReportedLoad, now_ms: int) -> None:
-        """Take in the load told with an answer to a request that has just ended.
+    def note_load(self, load: int, at_ms: int) -> None:
+        """Take in the load that the server told of itself, to this entry or to another one.
 
-        :param told: the server's figures.
-        :param now_ms: the present time.
+        :param load: the requests that ran or waited.
+        :param at_ms: when it was so.
         """
-        self.others_load = max(0.0, told.running + told.waiting - self.in_flight)
-        self.others_at_ms = now_ms
+        if at_ms < self.others_at_ms:
+            return
+        self.others_load = float(max(0, load - self.in_flight))
+        self.others_at_ms = at_ms
 
     def slow_factor(self, now_ms: int) -> float:
         """Return how many times as long as usual the server takes, 1 where nothing is known.
--- a/sassafraslock/path/learn.py
+++ b/sassafraslock/path/learn.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import typing
-
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, placement, quarantine, server_health
 from sassafraslock.path import judge, route, send
@@ -16,9 +14,9 @@
 
 
 class Learner:
-    """Takes in each attempt; ``note_work`` hears how long a service's servers were kept busy."""
+    """Takes in each attempt."""
 
-    __slots__ = ("note_work", "_placer", "_names", "_poison", "_answer_bytes")
+    __slots__ = ("_placer", "_names", "_poison", "_answer_bytes")
 
     def __init__(
         self,
@@ -26,7 +24,6 @@
         names: header_names.HeaderNames,
         poison: poison_watch.PoisonWatch,
     ) -> None:
-        self.note_work: typing.Callable[[str, int, int], None] = lambda name, busy_ms, now_ms: None
         self._placer = placer
         self._names = names
         self._poison = poison
@@ -78,7 +75,7 @@
         self._learn_size(routed.route, exchange.response)
         told = _told_load(exchange.response.header(self._names.load))
         if told is not None:
-            health.note_load(told, now_ms)
+            self._placer.loads.note(attempt.choice.server, told, now_ms)
         if verdict is judge.Verdict.MISDIRECTED:
             health.note_replaced(now_ms)
             self._log_ejection(attempt, health, now_ms)
@@ -111,7 +108,6 @@
         now_ms = attempt.sent_ms + attempt.took_ms
         connect_ms = max(0, attempt.exchange.connect_ms) if attempt.exchange else 0
         took_ms = max(1.0, attempt.took_ms - health.rtt_ms - connect_ms)
-        self.note_work(routed.service.name, int(took_ms), now_ms)
         slots = choice.server.report.slots
         speed = self._placer.speed_of(routed.route)
         if choice.load + 1 <= slots and not choice.cold:
--- a/sassafraslock/path/line.py
+++ b/sassafraslock/path/line.py
@@ -6,7 +6,14 @@
 import typing
 
 from sassafraslock import clock, errors, header_names, http_messages
-from sassafraslock.decisions import candidates, link_share, placement, retry_budget, split
+from sassafraslock.decisions import (
+    candidates,
+    link_share,
+    placement,
+    retry_budget,
+    route_speed,
+    split,
+)
 from sassafraslock.path import answer, judge, learn, read, route, send
 from sassafraslock.services import belief, claims, poison_watch
 
@@ -41,9 +48,14 @@
 
 
 class RequestLine:
-    """Passes requests from stage to stage. State changes between awaits only."""
+    """Passes requests from stage to stage. State changes between awaits only.
+
+    ``note_demand`` hears of each request, whatever becomes of it, how long it should keep a server
+    of its service busy.
+    """
 
     __slots__ = (
+        "note_demand",
         "in_flight",
         "leaving",
         "closed",
@@ -75,6 +87,9 @@
         neighbours: typing.Callable[[], int],
         keys: claims.Claims | None = None,
     ) -> None:
+        self.note_demand: typing.Callable[[str, int, int], None] = (
+            lambda name, busy_ms, now_ms: None
+        )
         self.in_flight = 0
         self.leaving = False
         self.closed = False
@@ -150,6 +165,8 @@
             reason = "servers crashed while they ran this request"
             return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
         self.budget.note_request(routed.service.name, now_ms)
+        busy_ms = self.placer.speed_of(routed.route).expected_ms(route_speed.Familiarity.KNOWN)
+        self.note_demand(routed.service.name, int(busy_ms), now_ms)
         key = journey.incoming.key or journey.incoming.request_id.decode("latin-1")
         left_ms = routed.left_ms(now_ms)
         wanted = candidates.Wanted(routed.route, routed.service, key, left_ms, routed.idempotent)
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from sassafraslock import clock, events
-from sassafraslock.decisions import gossip_targets, roster, seal
+from sassafraslock.decisions import gossip_targets, load_reports, roster, seal
 from sassafraslock.services import poison_watch
 
 INTERVAL_S = 0.5
@@ -23,11 +23,32 @@
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Records of the sender, first, and some others, counters of all, and what crashes servers."""
+    """Records of the sender, first, and some others, counters of all, and what crashes servers.
+
+    Entries of the same region hear of servers' loads as well.
+    """
 
     records: list[roster.MemberRecord]
     beats: list[roster.Beat] = []
     suspects: list[poison_watch.Suspect] = []
+    loads: list[load_reports.LoadReport] = []
+
+
+class Loads(typing.Protocol):
+    """Knows servers' loads, and learns what other entries heard of them."""
+
+    def told_loads(self, now_ms: int) -> list[load_reports.LoadReport]:
+        """Return the loads that other entries of the region should hear of.
+
+        :param now_ms: the present time.
+        """
+
+    def merge_loads(self, reports: list[load_reports.LoadReport], now_ms: int) -> None:
+        """Take in what another entry heard.
+
+        :param reports: the loads.
+        :param now_ms: the present time.
+        """
 
 
 class SelfDescription(typing.Protocol):
@@ -54,6 +75,7 @@
         "_live",
         "_poison",
         "_chance",
+        "loads",
         "token",
     )
 
@@ -74,6 +96,7 @@
         self._poison = poison
         self.token = token
         self._chance = chance or random.Random()
+        self.loads: Loads | None = None
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -99,15 +122,30 @@
 
         :param bound: the socket.
         """
-        now_ms = clock.monotonic_ms()
-        payload = self.encode(now_ms)
-        for address in self.targets(now_ms):
+        for address, payload in self.datagrams(clock.monotonic_ms()):
             host, _, port = address.rpartition(":")
             try:
                 await bound.sendto(payload, host, int(port))
             except OSError:
                 continue
 
+    def datagrams(self, now_ms: int) -> list[tuple[str, bytes]]:
+        """Return this round's datagrams with the addresses that they go to.
+
+        :param now_ms: the present time.
+        """
+        message = self.message(now_ms)
+        loads = self.loads.told_loads(now_ms) if self.loads is not None else []
+        plain = self.pack(message)
+        with_loads = self.pack(msgspec.structs.replace(message, loads=loads)) if loads else plain
+        own_region = message.records[0].region
+        near = {
+            m.record.gossip_address
+            for m in self.roster.live(now_ms)
+            if m.record.region == own_region
+        }
+        return [(a, with_loads if a in near else plain) for a in self.targets(now_ms)]
+
     def live_ids(self, region: str = "") -> list[str]:
         """Return the ids of the live entries, this one included.
 
@@ -131,12 +169,12 @@
         beats = [m.beat() for m in others]
         return Message([own, *records], beats, self._poison.told(now_ms))
 
-    def encode(self, now_ms: int) -> bytes:
-        """Return this round's datagram.
+    def pack(self, message: Message) -> bytes:
+        """Return a message's datagram.
 
-        :param now_ms: the present time.
+        :param message: the message.
         """
-        plain = self._encoder.encode(self.message(now_ms))
+        plain = self._encoder.encode(message)
         return seal.seal(self.token, zlib.compress(plain, COMPRESSION_LEVEL))
 
     def targets(self, now_ms: int) -> list[str]:
@@ -182,6 +220,8 @@
         for beat in message.beats:
             self.roster.note_beat(beat, now_ms)
         self._poison.merge(message.suspects, now_ms)
+        if self.loads is not None:
+            self.loads.merge_loads(message.loads, now_ms)
 
     def _note_losses(self, now_ms: int) -> None:
         live = {m.record.entry_id for m in self.roster.live(now_ms)}
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -46,11 +46,11 @@
             self.update(now_ms)
             await anyio.sleep(INTERVAL_S)
 
-    def note_work(self, service: str, busy_ms: int, now_ms: int) -> None:
-        """Count the time that a client's request kept a server busy.
+    def note_demand(self, service: str, busy_ms: int, now_ms: int) -> None:
+        """Count a client's request, also one that is refused or fails.
 
-        :param service: the service that it asked for.
-        :param busy_ms: the time.
+        :param service: the service that it asks for.
+        :param busy_ms: how long it should keep a server busy.
         :param now_ms: the present time.
         """
         count = self._counts.get(service)
@@ -59,7 +59,7 @@
         count.add(now_ms, busy_ms)
 
     def demand(self, now_ms: int) -> dict[str, float]:
-        """Return the slots that requests of this entry's clients keep busy, by service.
+        """Return the slots that requests of this entry's clients need, by service.
 
         :param now_ms: the present time.
         """
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sassafraslock import (
+    clock,
     edge_settings,
     facts,
 )
@@ -79,6 +80,21 @@
     edge_world.running(scenario, modes=("shed", "shed"))
 
 
+@pytest.mark.parametrize("mode", ["ok", "shed", "silent"])
+def test_requests_count_as_demand_whatever_becomes_of_them(mode):
+    """Pattern: metastable overload. What is refused or times out is asked for all the same.
+
+    If it did not count, a region that refuses much would look idle and be planned more work.
+    """
+
+    async def scenario(world):
+        for number in range(5):
+            await world.ask("POST", f"/w/{number}", limit_ms=100)
+        assert world.edge.planner.demand(clock.monotonic_ms())["s"] > 0
+
+    edge_world.running(scenario, modes=(mode, mode))
+
+
 def test_a_request_past_its_routes_time_gets_its_last_answer_then():
     async def scenario(world):
         started = anyio.current_time()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -112,7 +112,7 @@
     for server in ("s-1", "s-2"):
         one._poison.quarantine.note_break("mark", server, 100)
     one._poison._told["mark"] = 100
-    raw = one.encode(100)
+    raw = one.pack(one.message(100))
     other.take_in(raw, 200)
     assert other._poison.quarantine.is_quarantined("mark", 200)
     assert [s.mark for s in other._poison.told(200)] == ["mark"]
@@ -153,8 +153,7 @@
     ages = []
     for now_ms in range(0, seconds * 1_000, 500):
         for name, entry in entries.items():
-            raw = entry.encode(now_ms)
-            for address in entry.targets(now_ms):
+            for address, raw in entry.datagrams(now_ms):
                 target = by_address[address]
                 if source.random() >= loss(zones[name], zones[target]):
                     entries[target].take_in(raw, now_ms)
@@ -195,4 +194,4 @@
         one.roster.note(record(f"e{number}", zone=ZONES[number % 6]), 0)
     message = one.message(0)
     assert len(message.beats) == gossip.BEATS_PER_MESSAGE
-    assert len(one.encode(0)) < 10_000
+    assert len(one.pack(one.message(0))) < 10_000
