--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,7 +9,7 @@
 import click
 import msgspec
 
-from benchmarks import endless, gossip, latency, limits, placement, slopes
+from benchmarks import cold_restart, endless, gossip, latency, limits, placement, slopes
 
 Rows = typing.Sequence[typing.Any]
 
@@ -18,6 +18,10 @@
     "placement": ("Choice of servers by policy, virtual time", placement.measure),
     "limits": ("Limits kept in parts: the most used of each whole, virtual time", limits.measure),
     "gossip": ("Gossip by the number of entries, virtual time", gossip.measure),
+    "cold-restart": (
+        "Servers that know no object yet, 24 entries, virtual time",
+        cold_restart.measure,
+    ),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from sassafraslock.decisions import roster
+from sassafraslock.decisions import load_reports, roster
 from sassafraslock.services import gossip, poison_watch, upstream
 
 COUNTS = (9, 68, 300, 1_000)
@@ -31,6 +31,23 @@
     cpu_ms_per_s: float
 
 
+class _ManyLoads:
+    """As many loads as a message holds, other ones each time."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
+
+    def told_loads(self, now_ms: int) -> list[load_reports.LoadReport]:
+        marks = (self._chance.getrandbits(32) for _ in range(load_reports.MAX_TOLD))
+        return [
+            load_reports.LoadReport(mark, self._chance.randrange(8), self._chance.randrange(1_500))
+            for mark in marks
+        ]
+
+    def merge_loads(self, reports: list[load_reports.LoadReport], now_ms: int) -> None:
+        pass
+
+
 def _record(number: int, beat: int) -> roster.MemberRecord:
     zone = ZONES[number % len(ZONES)]
     name = f"front-{zone}-{number}"
@@ -41,14 +58,17 @@
 def _service(number: int) -> gossip.GossipService:
     own = _record(number, 0)
     poison = poison_watch.PoisonWatch(upstream.Upstream(b""))
-    return gossip.GossipService(
+    chance = random.Random(number)
+    service = gossip.GossipService(
         own.entry_id,
         own.gossip_address,
         [],
         lambda beat: _record(number, beat),
         poison,
-        chance=random.Random(number),
+        chance=chance,
     )
+    service.loads = _ManyLoads(chance)
+    return service
 
 
 def _measure(count: int) -> Row:
--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -243,7 +243,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print the summary as one JSON line.")
 @click.option("--log", default="critical", help="The lowest log level shown.")
 def demo_command(as_json: bool, log: str) -> None:
-    """Run both firms' smallest shape in one process, with faults on the way.
+    """Run all users' smallest shape in one process, with faults on the way.
     \f
 
     :param as_json: whether the last line is JSON.
--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -45,7 +45,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Choice:
-    """The server for a request and what spoke for it."""
+    """The server for a request and what spoke for it.
+
+    ``queue_ms`` is the part of ``expected_ms`` for which the request would wait.
+    """
 
     server: registry.Server
     expected_ms: float
@@ -53,6 +56,7 @@
     load: float
     home: bool
     cold: bool
+    queue_ms: float = 0.0
 
 
 def best(choices: list[Choice], shed: bool) -> Choice | None:
@@ -103,11 +107,13 @@
 def too_late(chosen: Choice, wanted: Wanted) -> errors.Refusal:
     """Return the refusal of a request for which even the best server is too late.
 
+    The client should come back when the present queue is done: sooner it would only be refused
+    again, and many clients do not come back twice.
+
     :param chosen: the best server.
     :param wanted: the request.
     """
-    over_ms = int(chosen.expected_ms - wanted.left_ms / 2)
-    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, over_ms))
+    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, int(chosen.queue_ms)))
     reason = (
         f"the best server would answer in {chosen.expected_ms:.0f} ms,"
         f" {wanted.left_ms} ms are left"
--- a/sassafraslock/decisions/gossip_targets.py
+++ b/sassafraslock/decisions/gossip_targets.py
@@ -8,6 +8,22 @@
 
 ZONE_TARGETS = 3
 FAR_SENDERS = 8.0  # entries of a zone, or of a region, that send beyond it in one round
+MIN_ZONE_ENTRIES = 4  # fewer hear too little among themselves
+
+
+def sharing_loads(own: roster.MemberRecord, live: list[roster.MemberRecord]) -> set[str]:
+    """Return the gossip addresses of the entries that this one shares servers' loads with.
+
+    They are those of its availability zone, since bytes between zones are dear, or those of its
+    region where the zone has few.
+
+    :param own: this entry's record.
+    :param live: the live entries, this one left out.
+    """
+    in_zone = {r.gossip_address for r in live if r.zone == own.zone}
+    if 1 + len(in_zone) >= MIN_ZONE_ENTRIES:
+        return in_zone
+    return {r.gossip_address for r in live if r.region == own.region}
 
 
 def choose(
--- a/sassafraslock/decisions/load_reports.py
+++ b/sassafraslock/decisions/load_reports.py
@@ -1,4 +1,4 @@
-"""What servers told entries of their load, passed on between the entries of a region."""
+"""What servers told entries of their load, passed on between entries nearby."""
 
 from __future__ import annotations
 
--- a/sassafraslock/decisions/load_view.py
+++ b/sassafraslock/decisions/load_view.py
@@ -53,7 +53,7 @@
         self._learn(server, load, now_ms, now_ms)
 
     def told_loads(self, now_ms: int) -> list[load_reports.LoadReport]:
-        """Return the loads that other entries of the region should hear of.
+        """Return the loads that entries nearby should hear of.
 
         :param now_ms: the present time.
         """
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -243,7 +243,9 @@
         queue_ms = max(0.0, load + 1 - slots) / slots * mean_ms
         factor = health.slow_factor(now_ms) * (2.0 if cold else 1.0)
         expected_ms = factor * (speed.expected_ms(familiarity) + queue_ms) + health.rtt_ms
-        return candidates.Choice(server, expected_ms, familiarity, load, home, cold)
+        return candidates.Choice(
+            server, expected_ms, familiarity, load, home, cold, factor * queue_ms
+        )
 
     def _familiarity(
         self, wanted: candidates.Wanted, server: registry.Server, home: bool, now_ms: int
--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -1,4 +1,4 @@
-"""The demonstration: both firms' smallest shape in one process, with faults on the way."""
+"""The demonstration: all users' smallest shape in one process, with faults on the way."""
 
 from __future__ import annotations
 
@@ -41,7 +41,12 @@
 TOKEN = "demo-token"
 REGIONS = ("gorenjska", "stajerska")
 ENTRIES = (("gorenjska", "a"), ("gorenjska", "b"), ("stajerska", "a"))
-SERVICES = {"kocar/logbook": 3, "kocar/ledger": 3, "pryce/notice-desk": 6}
+SERVICES = {
+    "kocar/logbook": 3,
+    "kocar/ledger": 3,
+    "pryce/notice-desk": 6,
+    "ridewell/busboard": 3,
+}
 SERVERS_PER_REGION = 2
 SHIFTED = "pryce/notice-desk"
 DRAINED = "kocar/logbook"
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -25,7 +25,7 @@
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """Records of the sender, first, and some others, counters of all, and what crashes servers.
 
-    Entries of the same region hear of servers' loads as well.
+    Entries nearby hear of servers' loads as well.
     """
 
     records: list[roster.MemberRecord]
@@ -38,7 +38,7 @@
     """Knows servers' loads, and learns what other entries heard of them."""
 
     def told_loads(self, now_ms: int) -> list[load_reports.LoadReport]:
-        """Return the loads that other entries of the region should hear of.
+        """Return the loads that entries nearby should hear of.
 
         :param now_ms: the present time.
         """
@@ -138,12 +138,9 @@
         loads = self.loads.told_loads(now_ms) if self.loads is not None else []
         plain = self.pack(message)
         with_loads = self.pack(msgspec.structs.replace(message, loads=loads)) if loads else plain
-        own_region = message.records[0].region
-        near = {
-            m.record.gossip_address
-            for m in self.roster.live(now_ms)
-            if m.record.region == own_region
-        }
+        near = gossip_targets.sharing_loads(
+            message.records[0], [m.record for m in self.roster.live(now_ms)]
+        )
         return [(a, with_loads if a in near else plain) for a in self.targets(now_ms)]
 
     def live_ids(self, region: str = "") -> list[str]:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -195,3 +195,19 @@
     message = one.message(0)
     assert len(message.beats) == gossip.BEATS_PER_MESSAGE
     assert len(one.pack(one.message(0))) < 10_000
+
+
+@pytest.mark.parametrize(
+    ("zone_size", "shared_with"), [(2, {"a1", "b0", "b1"}), (5, {"a1", "a2", "a3", "a4"})]
+)
+def test_loads_are_told_within_the_zone_or_the_region_where_the_zone_is_small(
+    zone_size, shared_with
+):
+    def named(zone, number):
+        name = f"{zone}{number}"
+        region = "far" if zone == "c" else "near"
+        return roster.MemberRecord(name, 1, 1, region, zone, name, f"{name}:1")
+
+    live = [named(zone, n) for zone in "abc" for n in range(zone_size)]
+    found = gossip_targets.sharing_loads(live[0], live[1:])
+    assert found == shared_with
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -84,6 +84,20 @@
         assert found.answer.not_run and found.wait_ms > 0
 
 
+def test_a_refused_client_is_told_to_come_back_when_the_queue_is_done():
+    """Pattern: retry storm. Who comes back into the same queue is refused once more."""
+    waits_ms = []
+    for queued in (8, 16):
+        placer = build(SERVERS)
+        for server in placer.registry.usable("s"):
+            placer.health_of(server).in_flight = queued
+        choice = min(placer._choices(wanted(priority=2), "a", "a", 4, 0), key=lambda c: c.queue_ms)
+        found = placer.place(wanted(priority=2), 0)
+        assert found.wait_ms == min(candidates.MAX_RETRY_AFTER_MS, int(choice.queue_ms))
+        waits_ms.append(found.wait_ms)
+    assert waits_ms[0] < waits_ms[1]
+
+
 def test_what_cannot_be_answered_in_its_time_is_refused_where_it_would_queue():
     placer = build(SERVERS)
     assert not isinstance(placer.place(wanted(left_ms=30), 0), errors.Refusal)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -32,6 +32,9 @@
         ("kocar-dnevniki/shared/kocar", "ledger", 12, 3, 330),
         ("pryce-morgan/shared/pryce", "notice-desk", 34, 6, 390),
         ("pryce-morgan/shared/pryce", "withdrawal-desk", 12, 3, 390),
+        ("ridewell/shared/ridewell", "stopfinder", 16, 3, 390),
+        ("ridewell/shared/ridewell", "seatdesk", 12, 3, 390),
+        ("ridewell/shared/ridewell", "busboard", 14, 3, 390),
     ],
 )
 def test_examples_have_the_sizes_of_the_firms(firm, service, servers, slots, connections):
