--- a/sassafraslock/services/client_connection.py
+++ b/sassafraslock/services/client_connection.py
@@ -25,6 +25,7 @@
 JOINED_BODY_BYTES = 64 << 10  # larger bodies are written apart from their head, not copied
 REQUEST_OVERHEAD_BYTES = 2 << 10  # headers, task and bookkeeping of one request
 FRAMING_RATIO = 8  # a chunk of one byte takes six
+UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(slots=True)
@@ -196,7 +197,7 @@
         if self._exchanges or self._blocked_since_ms is not None or self._refused:
             self.abort()
             return
-        self._refuse(503)
+        self._refuse(UNAVAILABLE)
 
     def pause_writing(self) -> None:
         """Read no more from a client that does not read its answers."""
