--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from sassafraslock.decisions import gossip_targets, roster
+from sassafraslock.decisions import gossip_targets, load_reports, roster
 from sassafraslock.services import gossip, poison_watch, upstream
 
 
@@ -211,3 +211,21 @@
     live = [named(zone, n) for zone in "abc" for n in range(zone_size)]
     found = gossip_targets.sharing_loads(live[0], live[1:])
     assert found == shared_with
+
+
+class FormerMessage(msgspec.Struct, frozen=True, array_like=True):
+    """A message as entries wrote it before loads were told."""
+
+    records: list[roster.MemberRecord]
+    beats: list[roster.Beat] = []
+    suspects: list[poison_watch.Suspect] = []
+
+
+def test_entries_of_the_former_version_and_of_this_one_understand_each_other():
+    """Pattern: rolling upgrade. Entries are replaced one after the other."""
+    own = roster.MemberRecord("x", 1, 7, "a", "a-1", "h:1", "h:2")
+    loads = [load_reports.LoadReport(1, 2, 3)]
+    new = msgspec.msgpack.encode(gossip.Message([own], [], [], loads))
+    assert msgspec.msgpack.decode(new, type=FormerMessage).records == [own]
+    former = msgspec.msgpack.encode(FormerMessage([own]))
+    assert msgspec.msgpack.decode(former, type=gossip.Message) == gossip.Message([own])
