The soak gives no port twice, and its entries have the memory of the smallest VMs

Two processes of its stage had been given one port (entry-0's operators' address was entry-3's callers' address), since ports were free again once probed.

--- a/soak/stage.py
+++ b/soak/stage.py
@@ -19,10 +19,12 @@
 SERVERS = 4
 SLOTS = 3
 WORK_MS = 15
+MEMORY_MIB = 200  # the smallest entry VMs have no more
 TOKEN = "soak-operators"
 PEER_TOKEN = "soak-peers"
 REGION = "gorenjska"
 SERVICE = "kocar/logbook"
+_given_ports: set[int] = set()
 
 
 class Process:
@@ -127,6 +129,7 @@
                 "peers": [{"host": proxy.HOST, "port": p} for p in self._peer_ports],
                 "poll_ms": 100,
                 "stop_bound_ms": 5_000,
+                "memory_mib": MEMORY_MIB,
                 "caller": {"host": proxy.HOST, "port": self.caller_ports[number]},
                 "peer": {"host": proxy.HOST, "port": self._peer_ports[number]},
                 "operator": {
@@ -204,11 +207,13 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((proxy.HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return ports that are free now and were not returned before."""
+    found: list[int] = []
+    while len(found) < count:
+        with socket.socket() as probe:
+            probe.bind((proxy.HOST, 0))
+            port = probe.getsockname()[1]
+        if port not in _given_ports:
+            _given_ports.add(port)
+            found.append(port)
+    return found
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from soak import faults, run
+from soak import faults, run, stage
 
 SEEDS = tomllib.loads((pathlib.Path(__file__).parent.parent / "soak" / "seeds.toml").read_text())
 SECONDS = 4.0
@@ -21,6 +21,11 @@
     )
 
 
+def test_no_port_is_given_twice():
+    ports = [port for _ in range(500) for port in stage._free_ports(2)]
+    assert len(set(ports)) == len(ports)
+
+
 @pytest.mark.parametrize("seed", [SEEDS["short"], *(entry["seed"] for entry in SEEDS["failed"])])
 def test_the_promises_hold_while_processes_and_connections_fail(seed):
     verdict = run.play_seed(seed, SECONDS)
