Calls to the store and to peers hold 8 MiB each at most

Its store sent without end, and each of several calls at once held up to 32 MiB, outside of the quota. The largest answers to expect: twenty seconds of reports of a thousand servers, some 5 MB (worked out).

--- a/sassafraslock/services/platform_client.py
+++ b/sassafraslock/services/platform_client.py
@@ -14,7 +14,7 @@
 
 MAX_CONNECTIONS = 16
 KEEP_ALIVE_S = 5.0
-MAX_ANSWER_BYTES = 32 << 20  # a part of the client blocks, decoded, fits the entry's memory
+MAX_ANSWER_BYTES = 8 << 20  # several calls may be under way at once
 
 
 class PlatformClient:
