Bounded calls return the project's own response

Cause: bounded_call brought a second response type and a second name for headers beside http_messages. Behaviour as before; the tests of calls to peers and to both stores pass unchanged.

--- a/sassafraslock/bounded_call.py
+++ b/sassafraslock/bounded_call.py
@@ -2,20 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
 import httpcore
 
-Headers = list[tuple[bytes, bytes]]
-
-
-@dataclasses.dataclass(slots=True)
-class Answer:
-    """A whole answer."""
-
-    status: int
-    content: bytes
+from sassafraslock import http_messages
 
 
 async def request(
@@ -23,10 +14,10 @@
     method: str,
     url: str,
     max_bytes: int,
-    headers: Headers | None = None,
+    headers: http_messages.Headers | None = None,
     content: bytes | None = None,
     extensions: dict[str, typing.Any] | None = None,
-) -> Answer:
+) -> http_messages.Response:
     """Call a peer or the store; httpcore itself bounds the head.
 
     :param pool: the connections.
@@ -45,4 +36,4 @@
             body += part
             if len(body) > max_bytes:
                 raise httpcore.RemoteProtocolError(f"the answer is larger than {max_bytes} bytes")
-        return Answer(response.status, bytes(body))
+        return http_messages.Response(response.status, response.headers, bytes(body))
--- a/sassafraslock/services/peer_copies.py
+++ b/sassafraslock/services/peer_copies.py
@@ -74,7 +74,7 @@
                     content=body,
                     extensions={"timeout": timeouts},
                 )
-            opened = seal.unseal(self._token, answer.content)
+            opened = seal.unseal(self._token, answer.body)
             if answer.status == OK and opened is not None:
                 return self._decoder.decode(opened)
             reason = f"status {answer.status}"
--- a/sassafraslock/services/platform_client.py
+++ b/sassafraslock/services/platform_client.py
@@ -92,7 +92,7 @@
             return self._failed(f"the platform answered {response.status}")
         if self._breaker.note_success(clock.monotonic_ms()):
             events.log(events.Event.STORE_UP, "the platform answers again")
-        return msgspec.msgpack.decode(response.content, type=answer)
+        return msgspec.msgpack.decode(response.body, type=answer)
 
     def _failed(self, reason: str) -> errors.Refusal:
         if self._breaker.note_failure():
