A round of gossip packs only the datagrams that it sends

Cause: since loads are told, each round encoded and compressed two datagrams, also where nobody far was chosen. Same messages to the same entries. make bench ARGS=gossip, virtual time, processor time of an entry before and after, same machine, minutes apart: 9 entries 1.35, 1.00 ms/s; 68 entries 2.53, 1.96; 300 entries 5.86, 4.63.

--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -134,14 +134,22 @@
 
         :param now_ms: the present time.
         """
-        message = self.message(now_ms)
+        message, targets = self.message(now_ms), self.targets(now_ms)
         loads = self.loads.told_loads(now_ms) if self.loads is not None else []
-        plain = self.pack(message)
-        with_loads = self.pack(msgspec.structs.replace(message, loads=loads)) if loads else plain
-        near = gossip_targets.sharing_loads(
-            message.records[0], [m.record for m in self.roster.live(now_ms)]
-        )
-        return [(a, with_loads if a in near else plain) for a in self.targets(now_ms)]
+        if not loads:
+            return self._addressed(message, targets)
+        live = [m.record for m in self.roster.live(now_ms)]
+        sharing = gossip_targets.sharing_loads(message.records[0], live)
+        near = [address for address in targets if address in sharing]
+        far = [address for address in targets if address not in sharing]
+        with_loads = msgspec.structs.replace(message, loads=loads)
+        return self._addressed(with_loads, near) + self._addressed(message, far)
+
+    def _addressed(self, message: Message, addresses: list[str]) -> list[tuple[str, bytes]]:
+        if not addresses:
+            return []
+        packed = self.pack(message)
+        return [(address, packed) for address in addresses]
 
     def live_ids(self, region: str = "") -> list[str]:
         """Return the ids of the live entries, this one included.
