Free ports are handed out in one place

Cause: the soak's mended port allocation was the demonstration's, written again. Both use standin/free_ports.py; the test that no port is given twice holds as it was.

--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import random
-import socket
 import typing
 
 import anyio
@@ -25,7 +24,7 @@
 )
 from sassafraslock.decisions import revisions
 from sassafraslock.services import log_writer, platform_client, settings_store
-from sassafraslock.standin import backend, caller, platform_api
+from sassafraslock.standin import backend, caller, free_ports, platform_api
 from sassafraslock.standin import platform as standin_platform
 
 HOST = "127.0.0.1"
@@ -52,7 +51,6 @@
 DRAINED = "kocar/logbook"
 
 Progress = typing.Callable[[str], None]
-_given: set[int] = set()
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,17 +68,6 @@
     drained_at_ms: int = 0
 
 
-def _ports() -> typing.Iterator[int]:
-    """Return ports that are free now, so that two runs on one machine do not meet."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _given:
-            _given.add(port)
-            yield port
-
-
 def _build(ports: typing.Iterator[int]) -> Stage:
     memory = standin_platform.MemoryPlatform()
     faulty = standin_platform.FaultyPlatform(memory, standin_platform.Faults(), seed=1)
@@ -236,7 +223,7 @@
 
     :param scenario: gets the stage once all serve.
     """
-    ports = _ports()
+    ports = free_ports.free_ports(HOST)
     stage = _build(ports)
     platform_port = next(ports)
     _entry_settings(stage, platform_port, ports)
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import urllib.error
@@ -13,6 +13,7 @@
 import tomli_w
 
 from sassafraslock import client, errors
+from sassafraslock.standin import free_ports
 from soak import proxy
 
 ENTRIES = 5  # so many in a zone that one reads the store for the others
@@ -24,7 +25,6 @@
 PEER_TOKEN = "soak-peers"
 REGION = "gorenjska"
 SERVICE = "kocar/logbook"
-_given_ports: set[int] = set()
 
 
 class Process:
@@ -207,13 +207,4 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Return ports that are free now and were not returned before."""
-    found: list[int] = []
-    while len(found) < count:
-        with socket.socket() as probe:
-            probe.bind((proxy.HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _given_ports:
-            _given_ports.add(port)
-            found.append(port)
-    return found
+    return list(itertools.islice(free_ports.free_ports(proxy.HOST), count))
