One place for what both ends bound alike, a mean of its own for route speeds, and smaller tidying

Cause: the size of a slice and the framing ratio stood in both connections; a route's three means kept their counts in a separate map; the default memory was written twice; a large answer to HEAD wrote an empty body; the soak's endless mode ended a pump by raising. A doc line of LoadReports promised more than it does.

--- a/sassafraslock/decisions/load_reports.py
+++ b/sassafraslock/decisions/load_reports.py
@@ -35,7 +35,7 @@
 
 
 class LoadReports:
-    """The newest load heard of each server, by its mark; old ones are neither told nor taken."""
+    """The newest load heard of each server, by its mark; old ones are not told."""
 
     __slots__ = ("_heard",)
 
--- a/sassafraslock/decisions/route_speed.py
+++ b/sassafraslock/decisions/route_speed.py
@@ -24,14 +24,26 @@
     NEW = "new"
 
 
+@dataclasses.dataclass(slots=True)
+class _Mean:
+    """A moving mean that follows its first samples faster than later ones."""
+
+    mean_ms: float
+    samples: int = 0
+
+    def note(self, took_ms: float) -> None:
+        self.samples += 1
+        weight = max(WEIGHT, 1 / (self.samples + PRIOR_SAMPLES))
+        self.mean_ms += weight * (took_ms - self.mean_ms)
+
+
 @dataclasses.dataclass(slots=True)
 class RouteSpeed:
     """Moving means of a route's time at a server, without queues, in milliseconds."""
 
-    known_ms: float
-    home_ms: float
-    new_ms: float
-    samples: dict[Familiarity, int] = dataclasses.field(default_factory=dict)
+    known: _Mean
+    home: _Mean
+    new: _Mean
 
     @classmethod
     def guess(cls, target_latency_ms: int) -> RouteSpeed:
@@ -40,19 +52,20 @@
         :param target_latency_ms: the route's target.
         """
         new_ms = NEW_START_RATIO * target_latency_ms
-        return cls(KNOWN_START_RATIO * target_latency_ms, new_ms, new_ms)
+        return cls(_Mean(KNOWN_START_RATIO * target_latency_ms), _Mean(new_ms), _Mean(new_ms))
 
     def expected_ms(self, familiarity: Familiarity) -> float:
         """Return the time that a request takes once a server works on it.
 
         :param familiarity: what is known of the server and the object.
         """
+        known_ms = self.known.mean_ms
         if familiarity is Familiarity.KNOWN:
-            return self.known_ms
-        new_ms = max(self.new_ms, MIN_NEW_RATIO * self.known_ms)
+            return known_ms
+        new_ms = max(self.new.mean_ms, MIN_NEW_RATIO * known_ms)
         if familiarity is Familiarity.NEW:
             return new_ms
-        return min(new_ms, max(self.home_ms, self.known_ms))
+        return min(new_ms, max(self.home.mean_ms, known_ms))
 
     def note(self, familiarity: Familiarity, took_ms: float) -> None:
         """Take in an answer from a server that was not busy.
@@ -60,12 +73,9 @@
         :param familiarity: what was known of the server and the object.
         :param took_ms: the time taken.
         """
-        count = self.samples.get(familiarity, 0) + 1
-        self.samples[familiarity] = count
-        weight = max(WEIGHT, 1 / (count + PRIOR_SAMPLES))
         if familiarity is Familiarity.KNOWN:
-            self.known_ms += weight * (took_ms - self.known_ms)
+            self.known.note(took_ms)
         elif familiarity is Familiarity.HOME:
-            self.home_ms += weight * (took_ms - self.home_ms)
+            self.home.note(took_ms)
         else:
-            self.new_ms += weight * (took_ms - self.new_ms)
+            self.new.note(took_ms)
--- a/sassafraslock/services/client_connection.py
+++ b/sassafraslock/services/client_connection.py
@@ -21,10 +21,8 @@
 MAX_HEADERS = 256
 LINGER_S = 1.0
 IDLE_MARGIN_MS = 1_000
-SLICE_BYTES = 16 << 10
 JOINED_BODY_BYTES = 64 << 10  # larger bodies are written apart from their head, not copied
 REQUEST_OVERHEAD_BYTES = 2 << 10  # headers, task and bookkeeping of one request
-FRAMING_RATIO = 8  # a chunk of one byte takes six
 UNAVAILABLE = 503
 
 
@@ -132,7 +130,7 @@
         """
         if self._finished or self._refused:
             return
-        if not self._unparsed and len(data) <= SLICE_BYTES and self._may_parse():
+        if not self._unparsed and len(data) <= message_quota.SLICE_BYTES and self._may_parse():
             self._feed(data)
         else:
             self._unparsed += data
@@ -141,8 +139,8 @@
     def _parse(self) -> None:
         """Parse piece by piece, as long as not too many requests wait for their answers."""
         while self._unparsed and self._may_parse():
-            piece = bytes(self._unparsed[:SLICE_BYTES])
-            del self._unparsed[:SLICE_BYTES]
+            piece = bytes(self._unparsed[: message_quota.SLICE_BYTES])
+            del self._unparsed[: message_quota.SLICE_BYTES]
             self._feed(piece)
         self._note_held()
         if self._transport is None or self._transport.is_closing():
@@ -173,9 +171,14 @@
         """Refuse a message that goes on without end, in whichever of its parts."""
         max_header_bytes = self._server.limits.max_header_bytes
         framing_bytes = self._received_bytes - len(self._body)
-        if not self._head_done and framing_bytes > max_header_bytes + SLICE_BYTES:
+        if not self._head_done and framing_bytes > max_header_bytes + message_quota.SLICE_BYTES:
             self._refuse(431)
-        elif framing_bytes > 2 * max_header_bytes + SLICE_BYTES + FRAMING_RATIO * len(self._body):
+        elif (
+            framing_bytes
+            > 2 * max_header_bytes
+            + message_quota.SLICE_BYTES
+            + message_quota.FRAMING_RATIO * len(self._body)
+        ):
             self._refuse(413)
 
     def _note_held(self) -> None:
@@ -311,11 +314,10 @@
         asked = any(n == b"connection" and v == b"close" for n, v in exchange.request.headers)
         close = response.close or (last and (asked or self._server.closing))
         head_only = exchange.request.method == "HEAD"
-        if len(response.body) < JOINED_BODY_BYTES:
-            self._transport.write(http_messages.encode_response(response, head_only, close))
-        else:
-            self._transport.write(http_messages.encode_response(response, True, close))
-            self._transport.write(b"" if head_only else response.body)
+        apart = not head_only and len(response.body) >= JOINED_BODY_BYTES
+        self._transport.write(http_messages.encode_response(response, head_only or apart, close))
+        if apart:
+            self._transport.write(response.body)
         self._since_ms = clock.monotonic_ms()
         if close:
             self._finish()
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -18,9 +18,7 @@
 
 MAX_IDLE_MS = 8_000
 IDLE_MARGIN_MS = 1_000
-SLICE_BYTES = 16 << 10
 SERVER_HEADERS_BYTES = 32 << 10  # what servers may add to the headers of the request
-FRAMING_RATIO = 8  # a chunk of one byte takes six
 
 
 class End(enum.Enum):
@@ -121,11 +119,11 @@
         if self._future is None:
             self.close()
             return
-        for start in range(0, len(data), SLICE_BYTES):
+        for start in range(0, len(data), message_quota.SLICE_BYTES):
             if self._future.done():
                 self._reusable = False
                 return
-            self._parse(data[start : start + SLICE_BYTES])
+            self._parse(data[start : start + message_quota.SLICE_BYTES])
 
     def _parse(self, data: bytes) -> None:
         self._received_bytes += len(data)
@@ -152,7 +150,7 @@
             self.cut(f"the answer is larger than {max_bytes} bytes")
             return
         framing_bytes = self._received_bytes - self._bodies_bytes
-        if framing_bytes > 2 * max_head_bytes + FRAMING_RATIO * self._bodies_bytes:
+        if framing_bytes > 2 * max_head_bytes + message_quota.FRAMING_RATIO * self._bodies_bytes:
             self.cut(f"{framing_bytes} bytes came beside {self._bodies_bytes} bytes of a body")
             return
         self._limits.quota.hold(self, head_bytes + len(self._body))
--- a/sassafraslock/settings.py
+++ b/sassafraslock/settings.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from sassafraslock import logs, settings_check
+from sassafraslock import edge_settings, logs, settings_check
 
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
@@ -19,7 +19,7 @@
 STOP_BOUND_MS = 30_000
 VALIDITY_MS = 1_000
 POLL_MS = 500
-MEMORY_MIB = 256
+MEMORY_MIB = edge_settings.DEFAULT_MEMORY_BYTES >> 20
 MIN_TOKEN_CHARS = 8
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -95,6 +95,8 @@
                 await self._hold(back)
                 if back and self.mode is Mode.ENDLESS:
                     await self._send_without_end(sink)
+                    scope.cancel()
+                    return
                 await sink.send(data)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             scope.cancel()
@@ -104,7 +106,6 @@
         await sink.send(self._random.choice(ENDLESS_HEADS))
         while self.mode is Mode.ENDLESS:
             await sink.send(ENDLESS_LINES)
-        raise OSError("bytes without end were sent in place of an answer")
 
     async def _hold(self, back: bool) -> None:
         if self.mode is Mode.DELAY:
