--- a/benchmarks/cold_restart.py
+++ b/benchmarks/cold_restart.py
@@ -13,15 +13,9 @@
 import itertools
 import random
 
+from benchmarks import servers
 from sassafraslock import errors, routing_table
-from sassafraslock.decisions import (
-    candidates,
-    cold_start,
-    placement,
-    registry,
-    route_speed,
-    server_health,
-)
+from sassafraslock.decisions import candidates, placement, route_speed, server_health
 
 SLOTS, QUEUE = 3, 9
 ENTRIES, SEED = 24, 5
@@ -52,16 +46,13 @@
     wanted: candidates.Wanted
     choice: candidates.Choice
     at_ms: float
-    started_ms: float = -1.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Server:
+    known: servers.KeptObjects
     running: set[int] = dataclasses.field(default_factory=set)
     waiting: collections.deque[int] = dataclasses.field(default_factory=collections.deque)
-    known: collections.OrderedDict[str, None] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,19 +68,17 @@
     new_ratio: float
 
 
-class _Entries:
-    def live_ids(self, region: str = "") -> list[str]:
-        return [f"e{number}" for number in range(ENTRIES)]
-
-
 class Simulation:
     """Entries, each with its own knowledge, before servers that begin without any."""
 
     def __init__(self, seed: int = SEED, shape: Shape = MANY_OBJECTS) -> None:
         self.shape = shape
         self.random = random.Random(seed)
-        self.servers = {f"s{n}": _Server() for n in range(shape.servers)}
-        self.placers = [self._placer(n) for n in range(ENTRIES)]
+        self.placers = [servers.placer(shape.servers, SLOTS) for _ in range(ENTRIES)]
+        self.servers = {
+            name: _Server(servers.KeptObjects(shape.kept_objects))
+            for name in self.placers[0].registry.servers
+        }
         self.route = routing_table.Route(
             "r",
             "h",
@@ -108,16 +97,6 @@
         self.numbers = itertools.count()
         self.outcomes: list[tuple[float, str, bool]] = []
 
-    def _placer(self, number: int) -> placement.Placer:
-        known = registry.Registry()
-        for name in self.servers:
-            report = registry.ServerReport(
-                name, "s", f"h:{name}", "a", "a-1", SLOTS, registry.ServerState.READY
-            )
-            known.note_report(report, 0, False, 0)
-        cold = cold_start.ColdStart(f"e{number}", 1.5, 5.0)
-        return placement.Placer("a", known, _Entries(), cold)
-
     def run(self) -> None:
         """Play the whole time."""
         now_ms = 0.0
@@ -156,7 +135,6 @@
         while server.waiting and len(server.running) < SLOTS:
             number = server.waiting.popleft()
             job = self.jobs[number]
-            job.started_ms = now_ms
             server.running.add(number)
             known = job.wanted.key in server.known
             base_ms = self.shape.known_ms if known else self.shape.cold_ms
@@ -190,11 +168,8 @@
     def _learn(
         self, job: _Job, server: _Server, health: server_health.ServerHealth, at_ms: float
     ) -> None:
-        key, placer = job.wanted.key, job.placer
-        server.known[key] = None
-        server.known.move_to_end(key)
-        if len(server.known) > self.shape.kept_objects:
-            server.known.popitem(last=False)
+        placer = job.placer
+        server.known.note(job.wanted.key)
         told = server_health.ReportedLoad(len(server.running), len(server.waiting), SLOTS)
         placer.loads.note(job.choice.server, told, int(at_ms))
         health.note_answer(False, int(at_ms))
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -12,12 +12,11 @@
 import itertools
 import random
 
+from benchmarks import servers
 from sassafraslock import errors, routing_table
 from sassafraslock.decisions import (
     candidates,
-    cold_start,
     placement,
-    registry,
     route_speed,
     server_health,
 )
@@ -59,27 +58,14 @@
     p99_ms: float
 
 
-class _Entries:
-    """The view of an entry that is alone."""
-
-    def live_ids(self, region: str = "") -> list[str]:
-        """Return the one entry's id.
-
-        :param region: no matter here.
-        """
-        return ["e"]
-
-
 class _World:
     """Servers with slots, a bounded queue and a memory of the last objects, and their entries."""
 
     def __init__(self, placers: list[placement.Placer]) -> None:
         self.placers = placers
-        servers = list(placers[0].registry.servers)
-        self.free_at = {s: [0.0] * SLOTS for s in servers}
-        self.known: dict[str, collections.OrderedDict[str, None]] = {
-            s: collections.OrderedDict() for s in servers
-        }
+        names = list(placers[0].registry.servers)
+        self.free_at = {name: [0.0] * SLOTS for name in names}
+        self.known = {name: servers.KeptObjects(KEPT) for name in names}
         self.loads: collections.Counter[str] = collections.Counter()
         self.jobs: list[_Job] = []
         self.numbers = itertools.count()
@@ -113,10 +99,7 @@
             return -1.0
         known = self.known[server_id]
         worked_ms = WORK_MS * (KNOWN_RATIO if wanted.key in known else 1.0)
-        known[wanted.key] = None
-        known.move_to_end(wanted.key)
-        if len(known) > KEPT:
-            known.popitem(last=False)
+        known.note(wanted.key)
         slots = self.free_at[server_id]
         slot = min(range(SLOTS), key=lambda n: slots[n])
         end_ms = max(now_ms, slots[slot]) + worked_ms
@@ -128,16 +111,6 @@
         return end_ms - now_ms
 
 
-def _placer() -> placement.Placer:
-    servers = registry.Registry()
-    for number in range(SERVERS):
-        report = registry.ServerReport(
-            f"s{number}", "s", f"h:{number}", "a", "a-1", SLOTS, registry.ServerState.READY
-        )
-        servers.note_report(report, 0, False, 0)
-    return placement.Placer("a", servers, _Entries(), cold_start.ColdStart("e", 1.5, 5.0))
-
-
 def _choose(
     policy: str,
     placer: placement.Placer,
@@ -145,13 +118,13 @@
     source: random.Random,
     number: int,
 ) -> candidates.Choice | None:
-    servers = list(placer.registry.servers.values())
+    known = list(placer.registry.servers.values())
     if policy == "round robin":
-        server = servers[number % len(servers)]
+        server = known[number % len(known)]
     elif policy == "two choices":
-        server = min(source.sample(servers, 2), key=lambda s: placer.health_of(s).in_flight)
+        server = min(source.sample(known, 2), key=lambda s: placer.health_of(s).in_flight)
     else:
-        server = max(servers, key=lambda s: placement.home_score(wanted.key, s))
+        server = max(known, key=lambda s: placement.home_score(wanted.key, s))
     return candidates.Choice(server, 0.0, route_speed.Familiarity.HOME, 0.0, True, False)
 
 
@@ -162,7 +135,9 @@
     :param entries: the entries that divide the requests between them.
     :param load: the work asked for where servers know all objects, by what all slots can do.
     """
-    source, world = random.Random(SEED), _World([_placer() for _ in range(entries)])
+    source, world = random.Random(SEED), _World(
+        [servers.placer(SERVERS, SLOTS) for _ in range(entries)]
+    )
     destinations = (routing_table.Destination("s", 1.0),)
     route = routing_table.Route(
         "r", "h", "/", True, TIMEOUT_MS, TARGET_MS, 2, 2, destinations, sticky=True
--- /dev/null
+++ b/benchmarks/servers.py
@@ -0,0 +1,56 @@
+"""Parts of modelled servers and entries that several benches share."""
+
+from __future__ import annotations
+
+import collections
+
+from sassafraslock.decisions import cold_start, placement, registry
+
+
+class LoneEntry:
+    """The view of an entry that knows no other one; servers that start cold are no matter here."""
+
+    def live_ids(self, region: str = "") -> list[str]:
+        """Return the one entry's id.
+
+        :param region: no matter here.
+        """
+        return ["e"]
+
+
+class KeptObjects:
+    """A server's memory of the objects that it handled last."""
+
+    __slots__ = ("_limit", "_objects")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._objects: collections.OrderedDict[str, None] = collections.OrderedDict()
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._objects
+
+    def note(self, key: str) -> None:
+        """Remember an object, and forget the one not handled for longest where it is too many.
+
+        :param key: the object.
+        """
+        self._objects[key] = None
+        self._objects.move_to_end(key)
+        if len(self._objects) > self._limit:
+            self._objects.popitem(last=False)
+
+
+def placer(servers: int, slots: int) -> placement.Placer:
+    """Return what places an entry's requests at servers ``s0``, ``s1`` and so on of one service.
+
+    :param servers: how many servers there are.
+    :param slots: the slots of each.
+    """
+    known = registry.Registry()
+    for number in range(servers):
+        report = registry.ServerReport(
+            f"s{number}", "s", f"h:{number}", "a", "a-1", slots, registry.ServerState.READY
+        )
+        known.note_report(report, 0, False, 0)
+    return placement.Placer("a", known, LoneEntry(), cold_start.ColdStart("e", 1.5, 5.0))
