An entry counts as ready only once all of its services run, its clients' address included

An entry counted as ready as soon as it knew intents and servers, while its clients' address may start to listen later; gossip and the readiness probe named it all the same. Ruled out: an address in use (no service failed, no log line), a fault of the pair.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -264,7 +264,7 @@
     def serves(self) -> bool:
         """Whether this entry takes clients."""
         known = self.belief.table is not None and bool(self.belief.registry.servers)
-        return known and not self.leaving
+        return known and self.kernel.all_ready and not self.leaving
 
     def describe(self, beat: int) -> roster.MemberRecord:
         """Return what this entry says of itself.
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -11,6 +11,7 @@
     edge_settings,
     facts,
 )
+from sassafraslock.services import http_server
 from tests import edge_world, fact_source
 
 
@@ -271,6 +272,32 @@
     edge_world.running(scenario)
 
 
+def test_an_entry_is_not_ready_before_clients_can_connect(monkeypatch):
+    """Pattern: slow start. A client named to an entry that does not listen yet is refused."""
+    started, run = [], http_server.HttpServer.run
+
+    async def start_late(server, ready):
+        if server is started[0].edge.front:
+            await anyio.sleep(0.3)
+        await run(server, ready)
+
+    monkeypatch.setattr(http_server.HttpServer, "run", start_late)
+    monkeypatch.setattr(edge_world.World, "__init__", noted(edge_world.World.__init__, started))
+
+    async def scenario(world):
+        assert (await world.ask()).status == 200
+
+    edge_world.running(scenario)
+
+
+def noted(create, created):
+    def init(world, *arguments):
+        created.append(world)
+        create(world, *arguments)
+
+    return init
+
+
 def test_metrics_and_dump_are_shown():
     async def scenario(world):
         await world.ask()
