Log why a server was selected, what a refused request was expected to take, and region plans

The access log names the target, the entry's region, and for each server its slots, the expected wait and why it was selected; a refusal for a queue names the best server and the limit it missed. E4006 tells a plan's weights, target, demand and slots, at most once in two seconds for a service.

--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from sassafraslock import errors, routing_table
 from sassafraslock.decisions import registry, route_latency
@@ -16,6 +17,16 @@
 MAX_RETRY_AFTER_MS = 1_000
 
 
+class Selection(enum.Enum):
+    """Why a server was selected, as the access log shows it."""
+
+    HOME = "home"
+    SOONER = "sooner than home"
+    OTHER_REGION = "other region"
+    JOIN_PROBE = "join probe"
+    COLD_LIMIT = "cold limit of the home"
+
+
 @dataclasses.dataclass(slots=True)
 class PlacementRequest:
     """A request that needs a server, with the state of its attempts.
@@ -61,6 +72,7 @@
     :param is_home: whether the server is the object's home.
     :param is_cold: whether the server takes few requests only, for example after its start.
     :param queue_ms: the time that the request is expected to wait for a slot.
+    :param selection: why the server was selected, if it was.
     """
 
     server: registry.Server
@@ -70,6 +82,24 @@
     is_home: bool
     is_cold: bool
     queue_ms: float = 0.0
+    selection: Selection = Selection.HOME
+
+    @property
+    def slots(self) -> int:
+        """The concurrency limit of the server, at least 1."""
+        return max(1, self.server.report.slots)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueueRefusal(errors.Refusal):
+    """The refusal of a request that even the best server would answer too late.
+
+    :param choice: the best server.
+    :param limit_ms: the expected time up to which the request would have been sent there.
+    """
+
+    choice: Choice | None = None
+    limit_ms: float = 0.0
 
 
 def best_choice(choices: list[Choice], shed: bool) -> Choice | None:
@@ -101,7 +131,7 @@
 
     :param choice: the candidate server.
     """
-    return choice.load + 1 <= SPARE_ROOM_RATIO * max(1, choice.server.report.slots)
+    return choice.load + 1 <= SPARE_ROOM_RATIO * choice.slots
 
 
 def is_too_late(choice: Choice, request: PlacementRequest) -> bool:
@@ -116,12 +146,16 @@
     """
     if choice.load < choice.server.report.slots:
         return False
+    return choice.expected_ms > _latency_limit_ms(request)
+
+
+def _latency_limit_ms(request: PlacementRequest) -> float:
     index = min(request.route.priority, len(QUEUE_LIMIT_BY_PRIORITY) - 1)
     limit_ms = QUEUE_LIMIT_BY_PRIORITY[index] * request.route.target_latency_ms
-    return choice.expected_ms > min(limit_ms, request.remaining_ms)
+    return min(limit_ms, request.remaining_ms)
 
 
-def too_late_refusal(chosen: Choice, request: PlacementRequest) -> errors.Refusal:
+def too_late_refusal(chosen: Choice, request: PlacementRequest) -> QueueRefusal:
     """Return the refusal of a request that even the best server would answer too late.
 
     Its retry-after time, within bounds, is the time that the current queue takes. A client that
@@ -135,4 +169,5 @@
         f"the best server is expected to answer in {chosen.expected_ms:.0f} ms;"
         f" the request has {request.remaining_ms} ms left"
     )
-    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, wait_ms)
+    limit_ms = _latency_limit_ms(request)
+    return QueueRefusal(errors.ErrorKind.NO_CAPACITY, reason, wait_ms, chosen, limit_ms)
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -9,6 +9,7 @@
     candidates,
     cold_start,
     hashing,
+    join_probes,
     load_view,
     object_memory,
     region_plan,
@@ -24,7 +25,6 @@
 MAX_CACHED_RANKINGS = 16_384
 # Share of queued requests whose object is assumed to be in the server's memory.
 QUEUED_KNOWN_SHARE = 0.7
-JOIN_PROBE_MS = 15_000  # how long after it joined a server may get a first probe
 CONNECTION_RATIO = 0.5  # share of a server's connections that all entries together may use
 MIN_CONNECTIONS = 2
 GOLDEN_RATIO = 0.618033988749895  # its multiples modulo 1 are evenly distributed
@@ -57,7 +57,7 @@
         "_ranked_generation",
         "_placed_count",
         "_spilled_count",
-        "_joined_ms",
+        "_join_probes",
         "_turn_numbers",
     )
 
@@ -80,7 +80,7 @@
         self._rankings: dict[tuple[str, str, str], list[registry.Server]] = {}
         self._ranked_generation = -1
         self._turn_numbers: dict[str, int] = {}
-        self._joined_ms: dict[str, int] = {}
+        self._join_probes = join_probes.JoinProbes(servers, self.health_of)
         self._placed_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
         self._spilled_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
 
@@ -126,6 +126,8 @@
         planned = self._planned_region(request)
         choices = self._choices(request, planned, planned, CANDIDATES, now_ms)
         chosen = candidates.best_choice(choices, request.shed)
+        if chosen is not None and chosen is not choices[0]:
+            chosen.selection = candidates.Selection.SOONER
         if chosen is not None and request.idempotent and not request.attempts:
             chosen = self._join_probe(request, now_ms) or chosen
         self._placed_count.add(now_ms)
@@ -168,25 +170,12 @@
     def _join_probe(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> candidates.Choice | None:
-        """Return a recently joined server that has not answered this entry yet, if there is one.
-
-        A single early request reveals a faulty server before many requests are sent to it.
-        """
-        for server_id, joined_ms in list(self._joined_ms.items()):
-            server = self.registry.servers.get(server_id)
-            is_late = now_ms - joined_ms > JOIN_PROBE_MS
-            if server is None or self.health_of(server).answers or is_late:
-                del self._joined_ms[server_id]
-                continue
-            fits = server.report.service == request.service.name and not server.draining
-            if not fits or not _is_allowed(request.route, server):
-                continue
-            health = self.health_of(server)
-            evacuated = server.report.zone in self.registry.evacuated_zones
-            if server.is_cold(now_ms) or evacuated or health.in_flight:
-                continue
-            if health.is_available(now_ms):
-                return self._evaluate(request, server, health, False, now_ms)
+        """Return a recently joined server that has not answered this entry yet, if there is one."""
+        for server in self._join_probes.due(request.service.name, now_ms):
+            if _is_allowed(request.route, server):
+                probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
+                probe.selection = candidates.Selection.JOIN_PROBE
+                return probe
         return None
 
     def record_join(self, server_id: str, now_ms: int) -> None:
@@ -202,7 +191,7 @@
             return
         entry_ids = self._responsible_entries(server)
         if self.cold_limiter.own_id in cold_start.assigned_entries(server_id, entry_ids):
-            self._joined_ms[server_id] = now_ms
+            self._join_probes.record(server_id, now_ms)
 
     def _responsible_entries(self, server: registry.Server) -> list[str]:
         """Return the entries from which a server's assigned entries are chosen.
@@ -328,6 +317,7 @@
         if best is None or (chosen is not None and best.expected_ms >= chosen.expected_ms):
             return None
         self._spilled_count.add(now_ms)
+        best.selection = candidates.Selection.OTHER_REGION
         return best
 
     def _try_acquire_cold(
@@ -351,6 +341,7 @@
             fallback = candidates.best_choice(warm, request.shed) or warm[0]
             if candidates.is_too_late(fallback, request):
                 return candidates.too_late_refusal(fallback, request)
+            fallback.selection = candidates.Selection.COLD_LIMIT
             return fallback
         for choice in choices:
             if self._try_acquire_cold(choice, request, now_ms):
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -163,7 +163,9 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
         log = access_log.AccessLog(
-            self.metrics, lambda now_ms: now_ms - self.replica.last_answer_ms
+            self.settings.region,
+            self.metrics,
+            lambda now_ms: now_ms - self.replica.last_answer_ms,
         )
         return pipeline.RequestPipeline(
             self.routing_state,
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -6,6 +6,7 @@
 import typing
 
 from sassafraslock import events
+from sassafraslock.decisions import candidates
 from sassafraslock.path import judge, pipeline, send
 from sassafraslock.services import metrics
 
@@ -13,14 +14,19 @@
 class AccessLog:
     """Logs each request with its attempts, the reasons for their servers and the age of the facts.
 
-    ``replica_age_ms`` returns, for a monotonic time, the milliseconds since the store answered.
+    ``region`` is that of this entry. ``replica_age_ms`` returns, for a monotonic time, the
+    milliseconds since the store answered.
     """
 
-    __slots__ = ("_metrics", "_replica_age_ms")
+    __slots__ = ("_region", "_metrics", "_replica_age_ms")
 
     def __init__(
-        self, counters: metrics.Metrics, replica_age_ms: typing.Callable[[int], int]
+        self,
+        region: str,
+        counters: metrics.Metrics,
+        replica_age_ms: typing.Callable[[int], int],
     ) -> None:
+        self._region = region
         self._metrics = counters
         self._replica_age_ms = replica_age_ms
 
@@ -61,6 +67,7 @@
             "path": context.incoming.request.target,
             "client": context.incoming.request.client,
             "object": context.incoming.object_key,
+            "entry_region": self._region,
             "took_ms": took_ms,
             "facts_age_ms": self._replica_age_ms(now_ms),
         }
@@ -68,28 +75,41 @@
             fields["route"] = context.routed.route.name
             fields["service"] = context.routed.service.name
             fields["revision"] = context.routed.revision
+            fields["target_ms"] = context.routed.route.target_latency_ms
         if context.response is not None:
             fields["status"] = context.response.status
         if context.refusal is not None:
             fields["kind"] = context.refusal.kind
+        if isinstance(context.refusal, candidates.QueueRefusal) and context.refusal.choice:
+            fields["limit_ms"] = round(context.refusal.limit_ms)
+            fields["best"] = _choice_fields(context.refusal.choice)
         fields["attempts"] = [_attempt_fields(a, v) for a, v in context.attempts]
         return fields
 
 
-def _attempt_fields(attempt: send.Attempt, verdict: judge.Verdict) -> dict[str, object]:
-    choice = attempt.choice
+def _choice_fields(choice: candidates.Choice) -> dict[str, object]:
     fields: dict[str, object] = {
         "server": choice.server.server_id,
         "region": choice.server.region,
         "expected_ms": round(choice.expected_ms),
+        "queue_ms": round(choice.queue_ms),
         "load": round(choice.load, 1),
+        "slots": choice.slots,
         "home": choice.is_home,
         "object_is": choice.affinity.value,
-        "took_ms": attempt.took_ms,
-        "verdict": verdict,
     }
     if choice.is_cold:
         fields["cold"] = True
+    return fields
+
+
+def _attempt_fields(attempt: send.Attempt, verdict: judge.Verdict) -> dict[str, object]:
+    fields = {
+        **_choice_fields(attempt.choice),
+        "selection": attempt.choice.selection,
+        "took_ms": attempt.took_ms,
+        "verdict": verdict,
+    }
     if attempt.exchange is not None and attempt.exchange.reason:
         fields["reason"] = attempt.exchange.reason
     return fields
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import anyio
 
-from sassafraslock import clock, edge_settings, routing_table
+from sassafraslock import clock, edge_settings, events, routing_table
 from sassafraslock.decisions import demand_peaks, placement, region_plan, roster, windows
 from sassafraslock.services import routing_state
 
@@ -12,6 +14,17 @@
 RATE_WINDOW_MS = 10_000
 PRIOR_SLOTS_PER_REGION = 1.0
 COLD_CAPACITY_RATIO = 0.3
+LOG_INTERVAL_MS = 2_000
+
+
+@dataclasses.dataclass(slots=True)
+class _LoggedPlan:
+    weights: dict[str, float]
+    at_ms: int
+
+
+def _rounded(values: dict[str, float]) -> dict[str, float]:
+    return {name: round(value, 2) for name, value in values.items()}
 
 
 class Planner:
@@ -21,7 +34,15 @@
     :data:`COLD_CAPACITY_RATIO` of its slots.
     """
 
-    __slots__ = ("_settings", "_routing_state", "_placer", "_roster", "_counts", "_peaks")
+    __slots__ = (
+        "_settings",
+        "_routing_state",
+        "_placer",
+        "_roster",
+        "_counts",
+        "_peaks",
+        "_logged",
+    )
 
     def __init__(
         self,
@@ -36,6 +57,7 @@
         self._roster = members
         self._counts: dict[str, windows.SlidingCount] = {}
         self._peaks = demand_peaks.DemandPeaks()
+        self._logged: dict[tuple[str, frozenset[str]], _LoggedPlan] = {}
 
     async def run(self, ready: anyio.Event) -> None:
         """Remove expired servers and update the plans every :data:`INTERVAL_S` until cancelled.
@@ -94,6 +116,34 @@
             target = region_plan.operator_weights(split, regions) if split else {}
             target = target or region_plan.target_weights(self._settings.region, regions)
             plan.update(target, serving, now_ms, exact=bool(split))
+            self._log_plan(key, plan, target, regions, now_ms)
+
+    def _log_plan(
+        self,
+        key: tuple[str, frozenset[str]],
+        plan: region_plan.RegionPlan,
+        target: dict[str, float],
+        regions: dict[str, region_plan.RegionStats],
+        now_ms: int,
+    ) -> None:
+        """Log the weights of a plan if they changed, at most once per :data:`LOG_INTERVAL_MS`."""
+        logged = self._logged.get(key)
+        weights = _rounded(plan.weights)
+        if logged is not None and (
+            logged.weights == weights or now_ms - logged.at_ms < LOG_INTERVAL_MS
+        ):
+            return
+        self._logged[key] = _LoggedPlan(weights, now_ms)
+        events.log(
+            events.Event.REGION_PLAN_CHANGED,
+            "shares of the regions changed",
+            service=key[0],
+            allowed_regions=sorted(key[1]),
+            weights=weights,
+            target=_rounded(target),
+            demand_shares=_rounded({r: s.demand_share for r, s in regions.items()}),
+            slots=_rounded({r: s.capacity for r, s in regions.items()}),
+        )
 
     def _plan(
         self, key: tuple[str, frozenset[str]], service: routing_table.Service | None
