--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -12,6 +12,7 @@
 from sassafraslock import (
     cli_changes,
     cli_options,
+    cli_report,
     client,
     clock,
     commands,
@@ -269,14 +270,19 @@
 @main.command(name="demo")
 @click.option("--json", "as_json", is_flag=True, help="Print the summary as one JSON line.")
 @click.option("--log", default="critical", help="The lowest log level shown.")
-def demo_command(as_json: bool, log: str) -> None:
+@click.option(
+    "--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True,
+    help="The format of the log on standard error; report and explain read json.",
+)  # fmt: skip
+def demo_command(as_json: bool, log: str, log_format: logs.LogFormat) -> None:
     """Run a small deployment in one process, with faults injected.
     \f
 
     :param as_json: whether the summary is printed as JSON.
     :param log: the lowest log level shown.
+    :param log_format: the format of the log.
     """
-    logs.configure("text", log)
+    logs.configure(log_format, log)
     raise SystemExit(demo.main(as_json))
 
 
@@ -285,5 +291,6 @@
     cli_changes.drain,
     cli_changes.undrain,
     cli_changes.shift,
+    cli_report.report_command,
 ):
     main.add_command(_command)
--- /dev/null
+++ b/sassafraslock/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on what became of requests, from the log lines of entries."""
