Metrics at an address of their own on the firm's platform, with names that Prometheus users expect

deploy/system.toml names port 9464; a test compares it with the adapter's. facts_age_ms and in_flight become facts_age_seconds and requests_in_flight.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -200,6 +200,7 @@
             "operators": (settings.operator_address, handlers.operator_handler),
             "directory": (settings.directory_address, handlers.directory_handler),
             "readiness": (settings.readiness_address, handlers.readiness_handler),
+            "metrics": (settings.metrics_address, _metrics_handler),
         }
         for name, (address, create_handler) in addresses.items():
             if address:
@@ -254,13 +255,13 @@
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format, with the gauges brought up to date."""
         status = self.status(clock.monotonic_ms())
-        labels = {"entry": self.settings.entry_id}
-        self.metrics.set_gauge("ready", "1 if the entry takes clients.", labels, status.ready)
-        self.metrics.set_gauge(
-            "facts_age_ms", "Time since the store answered.", labels, status.facts_age_ms
+        self.metrics.set_status(
+            self.settings.entry_id,
+            status.ready,
+            status.facts_age_ms,
+            status.servers,
+            status.in_flight,
         )
-        self.metrics.set_gauge("servers", "Servers known.", labels, status.servers)
-        self.metrics.set_gauge("in_flight", "Requests being answered.", labels, status.in_flight)
         return self.metrics.render()
 
     @property
@@ -391,3 +392,7 @@
     handler.setFormatter(logs.formatter(log_format))
     logs.install_handler(handler, level)
     return handler
+
+
+def _metrics_handler(entry: Edge) -> http_messages.Handler:
+    return metrics.MetricsHandler(entry.render_metrics)
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -36,7 +36,8 @@
 
     With an empty ``directory_address``, ``readiness_address`` or ``operator_address`` the entry
     does not listen for these requests. ``seeds`` are the gossip addresses that an entry contacts
-    first. ``peer_token`` authenticates gossip between entries; if it is empty, gossip from any
+    first. ``metrics_address`` serves metrics only; without it they are at the operator address.
+    ``peer_token`` authenticates gossip between entries; if it is empty, gossip from any
     sender is accepted. ``memory_bytes`` is the memory that this process may use.
     """
 
@@ -49,6 +50,7 @@
     gossip_address: str
     operator_address: str = ""
     seeds: tuple[str, ...] = ()
+    metrics_address: str = ""
     peer_token: str = ""
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -2,16 +2,31 @@
 
 from __future__ import annotations
 
+import typing
+
 import aioprometheus
 import aioprometheus.renderer
 
+from sassafraslock import http_messages
+
+METRICS_PATH = "/metrics"
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
 LATENCY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0]
 
 
 class Metrics:
     """The process's counters, gauges and histograms."""
 
-    __slots__ = ("registry", "_requests", "_latency", "_gauges")
+    __slots__ = (
+        "registry",
+        "_requests",
+        "_latency",
+        "_ready",
+        "_facts_age",
+        "_servers",
+        "_in_flight",
+    )
 
     def __init__(self) -> None:
         self.registry = aioprometheus.Registry()
@@ -26,7 +41,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._ready = self._gauge("ready", "1 if the entry takes clients.")
+        self._facts_age = self._gauge("facts_age_seconds", "Time since the store answered.")
+        self._servers = self._gauge("servers", "Servers known.")
+        self._in_flight = self._gauge("requests_in_flight", "Requests being answered.")
+
+    def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
 
     def record_request(self, service: str, result: str, seconds: float) -> None:
         """Count a request and record its duration.
@@ -38,21 +59,42 @@
         self._requests.inc({"service": service, "result": result})
         self._latency.observe({"service": service}, seconds)
 
-    def set_gauge(self, name: str, text: str, labels: dict[str, str], value: float) -> None:
-        """Set a gauge, which is registered on first use.
+    def set_status(
+        self, entry_id: str, ready: bool, facts_age_ms: int, servers: int, in_flight: int
+    ) -> None:
+        """Set the gauges of the entry's state.
 
-        :param name: the metric's name without the prefix ``sassafraslock_``.
-        :param text: the help text; only that of the first call is used.
-        :param labels: the labels of the time series.
-        :param value: the new value.
+        :param entry_id: the entry.
+        :param ready: whether it takes clients.
+        :param facts_age_ms: the time since the store answered.
+        :param servers: the number of registered servers.
+        :param in_flight: the number of requests that are not answered yet.
         """
-        if name not in self._gauges:
-            self._gauges[name] = aioprometheus.Gauge(
-                f"sassafraslock_{name}", text, registry=self.registry
-            )
-        self._gauges[name].set(labels, value)
+        labels = {"entry": entry_id}
+        self._ready.set(labels, int(ready))
+        self._facts_age.set(labels, facts_age_ms / 1000)
+        self._servers.set(labels, servers)
+        self._in_flight.set(labels, in_flight)
 
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
         return content
+
+
+class MetricsHandler:
+    """Answers ``GET /metrics`` at an address that serves nothing else."""
+
+    __slots__ = ("_render",)
+
+    def __init__(self, render: typing.Callable[[], bytes]) -> None:
+        self._render = render
+
+    async def __call__(self, request: http_messages.Request) -> http_messages.Response:
+        """Return all metrics, or 404 for any other path.
+
+        :param request: the request.
+        """
+        if request.path != METRICS_PATH:
+            return http_messages.Response(404)
+        return http_messages.Response(200, [(b"content-type", CONTENT_TYPE)], self._render())
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -90,9 +90,19 @@
             f"i-{n}": Backend(f"i-{n}", ports[n], mode) for n, mode in enumerate(modes)
         }
         client, directory, ready, peers, operators = (f"{HOST}:{p}" for p in ports[10:15])
+        metrics = f"{HOST}:{ports[15]}"
         bounds = edge_settings.Bounds(grace_ms=1_500, retry_slack=100.0)
         self.settings = edge_settings.EdgeSettings(
-            "e-1", "a-1", "a", client, directory, ready, peers, operators, bounds=bounds
+            "e-1",
+            "a-1",
+            "a",
+            client,
+            directory,
+            ready,
+            peers,
+            operators,
+            metrics_address=metrics,
+            bounds=bounds,
         )
         self.log = log_writer.BufferedLogHandler()
         self.edge = edge.Edge(self.settings, self.source, HandlerFactory(), NAMES, self.log)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -318,6 +318,12 @@
         operators = world.settings.operator_address
         metrics = await world.send(path="/metrics", address=operators)
         assert b"sassafraslock_requests_total" in metrics.body
+        alone = world.settings.metrics_address
+        metrics = await world.send(path="/metrics", address=alone)
+        assert metrics.header(b"content-type").startswith(b"text/plain")
+        assert b"sassafraslock_request_seconds_bucket" in metrics.body
+        assert b"sassafraslock_facts_age_seconds" in metrics.body
+        assert (await world.send(path="/dump", address=alone)).status == 404
         dump = msgspec.json.decode((await world.send(path="/dump", address=operators)).body)
         assert dump["replica"]["state"]["positions"]["servers"] > 0
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 import re
 import subprocess
 import sys
+import tomllib
 
 import anyio
 import msgspec
@@ -17,7 +18,7 @@
 
 from sassafraslock import errors, facts
 from sassafraslock.decisions import registry
-from sassafraslock.services import replica
+from sassafraslock.services import metrics, replica
 from tests import platform_standin
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -239,6 +240,10 @@
     assert loaded.store_address == "10.200.1.7:8169"
     assert loaded.edge.gossip_address == "10.1.0.10:7720"
     assert loaded.edge.seeds == ("10.1.0.10:7720", "10.2.0.40:7720")
+    deployment = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    port, _, metrics_path = deployment["roles"]["entry"]["metrics"].partition("/")
+    assert loaded.edge.metrics_address == f"10.1.0.10:{port}"
+    assert f"/{metrics_path}" == metrics.METRICS_PATH
     assert loaded.edge.bounds.drain_ms == 2500 and loaded.edge.bounds.grace_ms == 6000
 
 
