The load that a server reports no longer counts the request that it has just answered

Each estimate was one request too high, and with it the mean load of servers not heard of. Ruled out: entries' own requests in flight counted twice (they are subtracted). A rejected request is not counted by the server, so nothing is subtracted there.

--- a/benchmarks/cold_restart.py
+++ b/benchmarks/cold_restart.py
@@ -172,8 +172,8 @@
     ) -> None:
         placer = job.placer
         server.known.note(job.wanted.key)
-        told = server_health.ReportedLoad(len(server.running), len(server.waiting), SLOTS)
-        placer.loads.record(job.choice.server, told, int(at_ms))
+        load = len(server.running) + len(server.waiting)
+        placer.loads.record(job.choice.server, load, int(at_ms))
         health.record_answer(False, int(at_ms))
         if job.choice.load + 1 <= SLOTS:
             speed, affinity = placer.latency_of(self.route), job.choice.affinity
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -18,7 +18,6 @@
     candidates,
     placement,
     route_latency,
-    server_health,
 )
 
 SERVERS, SLOTS, QUEUE, KEPT = 10, 3, 9, 28
@@ -78,9 +77,7 @@
             self.loads[server_id] -= 1
             health = job.placer.health_of(job.choice.server)
             health.in_flight -= 1
-            running = self.loads[server_id]
-            told = server_health.ReportedLoad(min(running, SLOTS), max(0, running - SLOTS), SLOTS)
-            job.placer.loads.record(job.choice.server, told, at_ms)
+            job.placer.loads.record(job.choice.server, self.loads[server_id], at_ms)
             if job.choice.load + 1 <= SLOTS:
                 speed = job.placer.latency_of(job.wanted.route)
                 speed.record(job.choice.affinity, job.worked_ms)
--- a/sassafraslock/decisions/load_view.py
+++ b/sassafraslock/decisions/load_view.py
@@ -51,16 +51,13 @@
         """
         return health.load(now_ms, self._typical_load(server).mean(now_ms))
 
-    def record(
-        self, server: registry.Server, reported: server_health.ReportedLoad, now_ms: int
-    ) -> None:
+    def record(self, server: registry.Server, load: int, now_ms: int) -> None:
         """Record the load that a server reported with an answer to this entry.
 
         :param server: the server.
-        :param reported: the load.
+        :param load: the requests that run or wait there, without the answered one.
         :param now_ms: the current monotonic time.
         """
-        load = reported.running + reported.waiting
         self._reports.record(_start_hash(server), load, now_ms)
         self._update(server, load, now_ms, now_ms)
 
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -19,12 +19,23 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportedLoad:
-    """The load that a server reports in a response header: requests and its slots."""
+    """The load that a server reports in a response header: requests and its slots.
+
+    A server that answers a request counts it as running.
+    """
 
     running: int
     waiting: int
     slots: int
 
+    def remaining(self, was_run: bool) -> int:
+        """Return the requests that run or wait at the server after its answer.
+
+        :param was_run: whether the server ran the request that it answered, rather than rejecting
+            it.
+        """
+        return max(0, self.running + self.waiting - int(was_run))
+
 
 @dataclasses.dataclass(slots=True)
 class ServerHealth:
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -83,7 +83,8 @@
         self._record_size(routed.route, exchange.response)
         reported = _parse_load(exchange.response.header(self._names.load))
         if reported is not None:
-            self._placer.loads.record(attempt.choice.server, reported, now_ms)
+            load = reported.remaining(was_run=not verdict.certainly_not_run)
+            self._placer.loads.record(attempt.choice.server, load, now_ms)
         if verdict is judge.Verdict.MISDIRECTED:
             health.record_replaced(now_ms)
             self._log_ejection(attempt, health, now_ms)
--- a/sassafraslock/standin/backend.py
+++ b/sassafraslock/standin/backend.py
@@ -153,18 +153,19 @@
         finally:
             self.stats.waiting -= 1
         try:
-            await self._run_request(request)
+            load = await self._run_request(request)
         finally:
             self._free_slots.release()
         headers = [
             (b"x-server", self.server_id.encode()),
             (b"x-echo", request.header(b"x-echo").encode()),
-            (NAMES.load, self._load_header()),
+            (NAMES.load, load),
         ]
         filler = b"." * max(0, self.behaviour.response_bytes - len(body))
         await asgi.send_response(send, 200, headers, body + filler)
 
-    async def _run_request(self, request: asgi.Request) -> None:
+    async def _run_request(self, request: asgi.Request) -> bytes:
+        """Run a request and return the load at its end, which counts the request itself."""
         stats = self.stats
         stats.runs += 1
         stats.last_start_ms = clock.monotonic_ms()
@@ -176,6 +177,7 @@
         self.region_in_flight.add_running(1)
         try:
             await anyio.sleep(self.behaviour.work_ms / 1000)
+            return self._load_header()
         finally:
             stats.in_flight.add_running(-1)
             self.region_in_flight.add_running(-1)
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -27,7 +27,7 @@
 
 def test_a_load_reported_to_one_entry_reaches_another_with_its_age():
     one, other = build(), build()
-    one[0].record(one[1]["x"], server_health.ReportedLoad(3, 4, 3), 1_000)
+    one[0].record(one[1]["x"], 7, 1_000)
     reports = one[0].recent_reports(1_400)
     assert [(r.load, r.age_ms) for r in reports] == [(7, 400)]
     other[0].merge_reports(reports, 5_000)
@@ -38,7 +38,7 @@
 def test_an_older_load_does_not_replace_a_newer_one():
     view, servers, health = built = build()
     start_hash = load_reports.hash_start_id(registry.start_id(servers["x"]))
-    view.record(servers["x"], server_health.ReportedLoad(1, 0, 3), 1_000)
+    view.record(servers["x"], 1, 1_000)
     view.merge_reports([load_reports.LoadReport(start_hash, 9, 500)], 1_100)
     assert load(built, "x", 1_100) < 2
     # A negative age counts as 0, so that no load is from the future.
@@ -55,14 +55,14 @@
 def test_own_requests_are_not_counted_twice():
     view, servers, health = built = build()
     health["x"].in_flight = 2
-    view.record(servers["x"], server_health.ReportedLoad(3, 0, 3), 1_000)
+    view.record(servers["x"], 3, 1_000)
     assert load(built, "x", 1_000) == 3
 
 
 def test_a_server_without_recent_reports_is_assumed_to_have_the_mean_load():
     built = build()
     for number in range(20):
-        built[0].record(built[1]["x"], server_health.ReportedLoad(3, 6, 3), 10 * number)
+        built[0].record(built[1]["x"], 9, 10 * number)
     assert load(built, "y", 200) == pytest.approx(9, rel=0.1)
     assert load(built, "y", 60_000) < 0.1
 
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -88,3 +88,12 @@
     assert not memory.has_handled("0", "s", 0) and memory.has_handled("3", "s", 0)
     assert not memory.has_handled("3", "other", 0)
     assert not memory.has_handled("3", "s", object_memory.RETENTION_MS)
+
+
+@pytest.mark.parametrize(
+    ("running", "waiting", "was_run", "remaining"),
+    [(1, 0, True, 0), (3, 2, True, 4), (3, 9, False, 12), (0, 0, True, 0)],
+)
+def test_a_server_counts_the_request_that_it_answers(running, waiting, was_run, remaining):
+    reported = server_health.ReportedLoad(running, waiting, 3)
+    assert reported.remaining(was_run) == remaining
