Entries of a region tell each other which servers have handled which objects

What each learns is worth little alone, and is what a choice among several servers needs. Sightings go into gossip when they are new or ten seconds old, for two seconds: 128 at most in a message. Entries of the former version ignore the field.

--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -6,7 +6,7 @@
 import enum
 
 from sassafraslock import errors, routing_table
-from sassafraslock.decisions import registry, route_latency
+from sassafraslock.decisions import object_memory, registry, route_latency
 
 # Another server must be expected to answer within this share of the home's time, less the margin.
 LEAVE_HOME_RATIO = 0.75
@@ -57,9 +57,9 @@
     replacement: Choice | None = None
 
     @property
-    def object_name(self) -> str:
-        """The object's key, qualified by its service."""
-        return f"{self.service.name}|{self.key}"
+    def object_hash(self) -> int:
+        """The hash of the object's key, qualified by its service."""
+        return object_memory.hash_object(f"{self.service.name}|{self.key}")
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/decisions/gossip_targets.py
+++ b/sassafraslock/decisions/gossip_targets.py
@@ -23,6 +23,15 @@
     in_zone = {r.gossip_address for r in live if r.zone == own.zone}
     if 1 + len(in_zone) >= MIN_ZONE_ENTRIES:
         return in_zone
+    return region_peers(own, live)
+
+
+def region_peers(own: roster.MemberRecord, live: list[roster.MemberRecord]) -> set[str]:
+    """Return the gossip addresses of the other entries of this entry's region.
+
+    :param own: this entry's record.
+    :param live: the records of the live entries without this one.
+    """
     return {r.gossip_address for r in live if r.region == own.region}
 
 
--- a/sassafraslock/decisions/load_reports.py
+++ b/sassafraslock/decisions/load_reports.py
@@ -6,7 +6,6 @@
 import heapq
 
 import msgspec
-import xxhash
 
 MAX_AGE_MS = 1_500
 MAX_REPORTS = 128  # per gossip message
@@ -25,14 +24,6 @@
     age_ms: int
 
 
-def hash_start_id(start_id: str) -> int:
-    """Return the 32-bit hash that identifies a start of a server in load reports.
-
-    :param start_id: the id of the start.
-    """
-    return xxhash.xxh32_intdigest(start_id.encode())
-
-
 @dataclasses.dataclass(slots=True)
 class _TimedLoad:
     load: int
--- a/sassafraslock/decisions/load_view.py
+++ b/sassafraslock/decisions/load_view.py
@@ -58,7 +58,7 @@
         :param load: the requests that run or wait there, without the answered one.
         :param now_ms: the current monotonic time.
         """
-        self._reports.record(_start_hash(server), load, now_ms)
+        self._reports.record(registry.start_hash(server), load, now_ms)
         self._update(server, load, now_ms, now_ms)
 
     def recent_reports(self, now_ms: int) -> list[load_reports.LoadReport]:
@@ -98,9 +98,7 @@
     def _servers_by_start_hash(self) -> dict[int, registry.Server]:
         if self._indexed_generation != self._registry.generation:
             self._indexed_generation = self._registry.generation
-            self._by_start_hash = {_start_hash(s): s for s in self._registry.servers.values()}
+            self._by_start_hash = {
+                registry.start_hash(s): s for s in self._registry.servers.values()
+            }
         return self._by_start_hash
-
-
-def _start_hash(server: registry.Server) -> int:
-    return load_reports.hash_start_id(registry.start_id(server))
--- a/sassafraslock/decisions/object_memory.py
+++ b/sassafraslock/decisions/object_memory.py
@@ -1,42 +1,128 @@
-"""Which servers are likely to have an object in memory, by the requests of this entry."""
+"""Which servers are likely to have an object in memory, by the answers to entries nearby."""
 
 from __future__ import annotations
 
 import collections
+import dataclasses
+import heapq
+
+import msgspec
+import xxhash
 
 MAX_OBJECTS = 8_192  # beyond this, the least recently used object is evicted
 RETENTION_MS = 30_000
+# A sighting is sent to peers again only if the last one is this old, so that messages stay small.
+RENEWAL_MS = 10_000
+SHARED_FOR_MS = 2_000  # long enough for several gossip rounds, since datagrams may be lost
+MAX_SERVERS_PER_OBJECT = 16  # beyond this, the server that handled it longest ago is forgotten
+MAX_REPORTS = 128  # per gossip message
+
+
+class ObjectReport(msgspec.Struct, frozen=True, array_like=True):
+    """A server that handled an object, as entries send it to each other.
+
+    :param object_hash: the hash of the object's name.
+    :param start_hash: the hash of the id of the server's start.
+    :param age_ms: how long ago the server answered a request for the object.
+    """
+
+    object_hash: int
+    start_hash: int
+    age_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Sighting:
+    """The latest answer of a server for an object.
+
+    ``renewed_ms`` is the time from which on peers are told of it.
+    """
+
+    handled_ms: int
+    renewed_ms: int
+
+
+def hash_object(name: str) -> int:
+    """Return the 32-bit hash that identifies an object.
+
+    :param name: the object's key, qualified by its service.
+    """
+    return xxhash.xxh32_intdigest(name.encode())
 
 
 class ObjectMemory:
-    """The time of the last answer from each server for an object, in least-recently-used order."""
+    """The latest answer of each server for an object, in least-recently-used order.
+
+    Objects and starts of servers are identified by their hashes.
+    """
 
-    __slots__ = ("_objects",)
+    __slots__ = ("_objects", "_renewed")
 
     def __init__(self) -> None:
-        self._objects: collections.OrderedDict[str, dict[str, int]] = collections.OrderedDict()
+        self._objects: collections.OrderedDict[int, dict[int, _Sighting]] = (
+            collections.OrderedDict()
+        )
+        self._renewed: dict[tuple[int, int], _Sighting] = {}
 
-    def record(self, name: str, server_id: str, now_ms: int) -> None:
+    def record(self, object_hash: int, start_hash: int, handled_ms: int, now_ms: int) -> None:
         """Record that a server answered a request for an object.
 
-        :param name: the object's key, qualified by its service.
-        :param server_id: the server.
+        :param object_hash: the hash of the object's name.
+        :param start_hash: the hash of the id of the server's start.
+        :param handled_ms: when it answered.
         :param now_ms: the current monotonic time.
         """
-        self._objects.setdefault(name, {})[server_id] = now_ms
-        self._objects.move_to_end(name)
+        sightings = self._objects.setdefault(object_hash, {})
+        self._objects.move_to_end(object_hash)
         if len(self._objects) > MAX_OBJECTS:
             self._objects.popitem(last=False)
+        sighting = sightings.get(start_hash)
+        if sighting is None:
+            if len(sightings) >= MAX_SERVERS_PER_OBJECT:
+                del sightings[min(sightings, key=lambda s: sightings[s].handled_ms)]
+            sighting = sightings[start_hash] = _Sighting(handled_ms, now_ms)
+            self._renewed[object_hash, start_hash] = sighting
+            return
+        if now_ms - sighting.renewed_ms > RENEWAL_MS and handled_ms > sighting.handled_ms:
+            sighting.renewed_ms = now_ms
+            self._renewed[object_hash, start_hash] = sighting
+        sighting.handled_ms = max(sighting.handled_ms, handled_ms)
 
-    def has_handled(self, name: str, server_id: str, now_ms: int) -> bool:
+    def has_handled(self, object_hash: int, start_hash: int, now_ms: int) -> bool:
         """Return whether a server handled an object within :data:`RETENTION_MS`.
 
-        :param name: the object's key, qualified by its service.
-        :param server_id: the server.
+        :param object_hash: the hash of the object's name.
+        :param start_hash: the hash of the id of the server's start.
         :param now_ms: the current monotonic time.
         """
-        handled_ms = self._objects.get(name)
-        return (
-            handled_ms is not None
-            and now_ms - handled_ms.get(server_id, -RETENTION_MS) < RETENTION_MS
-        )
+        sighting = self._objects.get(object_hash, {}).get(start_hash)
+        return sighting is not None and now_ms - sighting.handled_ms < RETENTION_MS
+
+    def recent_reports(self, now_ms: int) -> list[ObjectReport]:
+        """Return what to send to entries nearby: at most :data:`MAX_REPORTS`, the newest first.
+
+        :param now_ms: the current monotonic time.
+        """
+        oldest_ms = now_ms - SHARED_FOR_MS
+        self._renewed = {k: s for k, s in self._renewed.items() if s.renewed_ms > oldest_ms}
+        newest = heapq.nlargest(MAX_REPORTS, self._renewed.items(), key=_renewed_ms)
+        return [
+            ObjectReport(object_hash, start_hash, max(0, now_ms - sighting.handled_ms))
+            for (object_hash, start_hash), sighting in newest
+        ]
+
+    def merge_reports(self, reports: list[ObjectReport], now_ms: int) -> None:
+        """Merge what another entry knows; reports older than :data:`RETENTION_MS` are ignored.
+
+        :param reports: the reports.
+        :param now_ms: the current monotonic time.
+        """
+        for report in reports:
+            age_ms = max(0, report.age_ms)
+            if age_ms < RETENTION_MS:
+                handled_ms = now_ms - age_ms
+                self.record(report.object_hash, report.start_hash, handled_ms, now_ms)
+
+
+def _renewed_ms(item: tuple[tuple[int, int], _Sighting]) -> int:
+    return item[1].renewed_ms
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -268,7 +268,10 @@
         now_ms: int,
     ) -> route_latency.ObjectAffinity:
         sticky = request.route.sticky and bool(request.key)
-        if not sticky or self.objects.has_handled(request.object_name, server.server_id, now_ms):
+        if not sticky:
+            return route_latency.ObjectAffinity.KNOWN
+        start_hash = registry.start_hash(server)
+        if self.objects.has_handled(request.object_hash, start_hash, now_ms):
             return route_latency.ObjectAffinity.KNOWN
         return route_latency.ObjectAffinity.HOME if is_home else route_latency.ObjectAffinity.NEW
 
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+import xxhash
+
 EVACUATION_COLD_MS = 5_000  # how long servers of a zone count as cold after its evacuation ends
 RESTART_COLD_MS = 4_000  # bounds the cold time assumed after a start
 
@@ -92,6 +94,14 @@
     return f"{server.server_id}@{server.report.born_ms}"
 
 
+def start_hash(server: Server) -> int:
+    """Return the 32-bit hash of :func:`start_id`, which identifies the start in gossip.
+
+    :param server: the server.
+    """
+    return xxhash.xxh32_intdigest(start_id(server).encode())
+
+
 class Registry:
     """Servers by id and by service, and the evacuated zones.
 
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -135,6 +135,7 @@
         self.pipeline = self._build_pipeline(servers, names, keys)
         placer = self.pipeline.placer
         self.gossip.loads = placer.loads
+        self.gossip.objects = placer.objects
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
         self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sassafraslock import events, header_names, http_messages, routing_table
-from sassafraslock.decisions import candidates, placement, quarantine, server_health
+from sassafraslock.decisions import candidates, placement, quarantine, registry, server_health
 from sassafraslock.path import judge, route, send
 from sassafraslock.services import poison_watch, server_connection
 
@@ -123,7 +123,9 @@
             health.record_latency_ratio(took_ms / latency.expected_ms(choice.affinity), now_ms)
             if health.slow_factor(now_ms) < SLOW_RATIO:
                 latency.record(choice.affinity, took_ms)
-        self._placer.objects.record(placement_request.object_name, choice.server.server_id, now_ms)
+        self._placer.objects.record(
+            placement_request.object_hash, registry.start_hash(choice.server), now_ms, now_ms
+        )
 
 
 def fingerprint(routed: route.RoutedRequest) -> str:
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -1,7 +1,7 @@
 """Gossip between entries over UDP.
 
 It spreads which entries are alive and ready, the store version that each has reached, suspected
-poison requests, and servers' reported loads.
+poison requests, servers' reported loads, and which objects they have handled.
 """
 
 from __future__ import annotations
@@ -15,7 +15,13 @@
 import msgspec
 
 from sassafraslock import clock, events
-from sassafraslock.decisions import gossip_targets, load_reports, message_auth, roster
+from sassafraslock.decisions import (
+    gossip_targets,
+    load_reports,
+    message_auth,
+    object_memory,
+    roster,
+)
 from sassafraslock.services import poison_watch
 
 INTERVAL_S = 0.5
@@ -30,13 +36,15 @@
     """One gossip datagram before compression.
 
     ``records`` holds the sender's record, first, and those of some live entries; ``beats`` holds
-    heartbeat counters of other live entries. ``loads`` is sent to entries nearby only.
+    heartbeat counters of other live entries. ``loads`` is sent to entries nearby only, and
+    ``objects`` to entries of the same region.
     """
 
     records: list[roster.MemberRecord]
     beats: list[roster.Heartbeat] = []
     suspects: list[poison_watch.Suspect] = []
     loads: list[load_reports.LoadReport] = []
+    objects: list[object_memory.ObjectReport] = []
 
 
 class LoadExchange(typing.Protocol):
@@ -56,6 +64,23 @@
         """
 
 
+class ObjectExchange(typing.Protocol):
+    """Which servers have handled which objects, by the answers to this entry or to others."""
+
+    def recent_reports(self, now_ms: int) -> list[object_memory.ObjectReport]:
+        """Return the recent reports to send to entries of the region, each with its age.
+
+        :param now_ms: the current monotonic time.
+        """
+
+    def merge_reports(self, reports: list[object_memory.ObjectReport], now_ms: int) -> None:
+        """Merge the reports that another entry sent.
+
+        :param reports: the reports, each with its age.
+        :param now_ms: the current monotonic time.
+        """
+
+
 class RecordBuilder(typing.Protocol):
     """Builds this entry's own record."""
 
@@ -81,6 +106,7 @@
         "_poison",
         "_rng",
         "loads",
+        "objects",
         "token",
     )
 
@@ -102,6 +128,7 @@
         self.token = token
         self._rng = rng or random.Random()
         self.loads: LoadExchange | None = None
+        self.objects: ObjectExchange | None = None
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -140,15 +167,18 @@
         :param now_ms: the current monotonic time.
         """
         message, targets = self.message(now_ms), self.targets(now_ms)
-        loads = self.loads.recent_reports(now_ms) if self.loads is not None else []
-        if not loads:
-            return self._addressed(message, targets)
         live = [m.record for m in self.roster.live(now_ms)]
-        sharing = gossip_targets.load_sharing_peers(message.records[0], live)
-        near = [address for address in targets if address in sharing]
-        far = [address for address in targets if address not in sharing]
-        with_loads = msgspec.structs.replace(message, loads=loads)
-        return self._addressed(with_loads, near) + self._addressed(message, far)
+        near = gossip_targets.load_sharing_peers(message.records[0], live)
+        region = gossip_targets.region_peers(message.records[0], live)
+        objects = self.objects.recent_reports(now_ms) if self.objects is not None else []
+        in_region = msgspec.structs.replace(message, objects=objects)
+        loads = self.loads.recent_reports(now_ms) if self.loads is not None else []
+        nearby = msgspec.structs.replace(in_region, loads=loads)
+        return [
+            *self._addressed(nearby, [a for a in targets if a in near]),
+            *self._addressed(in_region, [a for a in targets if a in region - near]),
+            *self._addressed(message, [a for a in targets if a not in region]),
+        ]
 
     def _addressed(self, message: Message, addresses: list[str]) -> list[tuple[str, bytes]]:
         if not addresses:
@@ -237,6 +267,8 @@
         self._poison.merge(message.suspects, now_ms)
         if self.loads is not None:
             self.loads.merge_reports(message.loads, now_ms)
+        if self.objects is not None:
+            self.objects.merge_reports(message.objects, now_ms)
 
     def _log_liveness_changes(self, now_ms: int) -> None:
         live = {m.record.entry_id for m in self.roster.live(now_ms)}
