A request goes to whichever server that has its object in memory should answer first

Hypothesis: with sightings shared, an object that was moved once is known at two servers, and the less busy one serves it without a first run. Until now a second server was taken only with a third of its slots free and at three quarters of the home's time. Tried on top and reverted: any free slot is room for an object new to the server (SPARE_ROOM_RATIO 1.0).

--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -56,6 +56,11 @@
     entry_count: int = 1
     replacement: Choice | None = None
 
+    @property
+    def is_sticky(self) -> bool:
+        """Whether a server answers faster if it has the request's object in memory."""
+        return self.route.sticky and bool(self.key)
+
     @property
     def object_hash(self) -> int:
         """The hash of the object's key, qualified by its service."""
@@ -103,11 +108,13 @@
 
 
 def best_choice(choices: list[Choice], shed: bool) -> Choice | None:
-    """Return the object's home, or a server with spare room that should answer much sooner.
+    """Return the object's home, or a server that should answer sooner.
 
-    A request takes several times as long at a server that does not have its object in memory. If
-    no server has spare room, leaving the home costs other requests more time than it saves this
-    one, and a busy system would tip into a state in which no object is served at its home.
+    A server that has the object in memory needs to be only a little sooner. At any other server
+    the request takes several times as long, so that one must have spare room and still be much
+    sooner. If no server has spare room, leaving the home costs other requests more time than it
+    saves this one, and a busy system would tip into a state in which no object is served at its
+    home.
 
     :param choices: the candidate servers in rendezvous order, so the home first if it is available.
     :param shed: whether a server has just rejected the request because it was full; then only
@@ -119,11 +126,19 @@
     with_room = [c for c in choices if has_room(c)]
     if shed:
         return min(with_room, key=lambda c: c.expected_ms, default=None)
-    first = choices[0]
-    other = min(with_room, key=lambda c: c.expected_ms, default=first)
-    if other.expected_ms < LEAVE_HOME_RATIO * first.expected_ms - LEAVE_HOME_MARGIN_MS:
+    nearest = _soonest_known(choices)
+    other = min(with_room, key=lambda c: c.expected_ms, default=nearest)
+    if other.expected_ms < LEAVE_HOME_RATIO * nearest.expected_ms - LEAVE_HOME_MARGIN_MS:
         return other
-    return first
+    return nearest
+
+
+def _soonest_known(choices: list[Choice]) -> Choice:
+    """Return the home, or a server that has the object in memory and should answer sooner."""
+    home = choices[0]
+    known = [c for c in choices if c.affinity is route_latency.ObjectAffinity.KNOWN]
+    soonest = min(known, key=lambda c: c.expected_ms, default=home)
+    return soonest if soonest.expected_ms < home.expected_ms - LEAVE_HOME_MARGIN_MS else home
 
 
 def has_room(choice: Choice) -> bool:
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -212,11 +212,14 @@
 
         If the home is unavailable or cold, the next server becomes a home as well, since a cold
         server takes few requests only. All entries agree on that server, so it soon has the object
-        in memory. A home that is full or was tried already has no such substitute.
+        in memory. A home that is full or was tried already has no such substitute. Besides the
+        first servers, the list holds all those known to have the object in memory.
         """
         choices: list[candidates.Choice] = []
         is_home = region == planned
         for server in self._ranking(request, region):
+            if len(choices) >= count and not self._has_handled(request, server, now_ms):
+                continue
             health = self.health_of(server)
             if server.is_expired(now_ms) or not health.is_available(now_ms):
                 continue
@@ -228,8 +231,6 @@
                 continue
             choices.append(self._evaluate(request, server, health, is_home, now_ms))
             is_home = is_home and choices[-1].is_cold
-            if len(choices) >= count:
-                break
         return choices
 
     def _connection_limit(self, request: candidates.PlacementRequest) -> int:
@@ -267,14 +268,18 @@
         is_home: bool,
         now_ms: int,
     ) -> route_latency.ObjectAffinity:
-        sticky = request.route.sticky and bool(request.key)
-        if not sticky:
-            return route_latency.ObjectAffinity.KNOWN
-        start_hash = registry.start_hash(server)
-        if self.objects.has_handled(request.object_hash, start_hash, now_ms):
+        if not request.is_sticky or self._has_handled(request, server, now_ms):
             return route_latency.ObjectAffinity.KNOWN
         return route_latency.ObjectAffinity.HOME if is_home else route_latency.ObjectAffinity.NEW
 
+    def _has_handled(
+        self, request: candidates.PlacementRequest, server: registry.Server, now_ms: int
+    ) -> bool:
+        """Return whether a server recently handled the request's object."""
+        return request.is_sticky and self.objects.has_handled(
+            request.object_hash, registry.start_hash(server), now_ms
+        )
+
     def _ranking(self, request: candidates.PlacementRequest, region: str) -> list[registry.Server]:
         is_stale = self._ranked_generation != self.registry.generation
         if is_stale or len(self._rankings) > MAX_CACHED_RANKINGS:
