Bench of regions under a partial outage, and tests of the load that shared sightings answer

make bench ARGS=regions: three regions of different size, a wave of demand, an evacuation, long and short requests in one service; real placers, planners, rosters and sightings on virtual time.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,7 +9,7 @@
 import click
 import msgspec
 
-from benchmarks import cold_restart, endless, gossip, latency, limits, placement, slopes
+from benchmarks import cold_restart, endless, gossip, latency, limits, placement, regions, slopes
 
 Rows = typing.Sequence[typing.Any]
 
@@ -22,6 +22,10 @@
         "Servers that know no object yet, 24 entries, virtual time",
         cold_restart.measure,
     ),
+    "regions": (
+        "Three regions under a wave of demand and an evacuation, virtual time",
+        regions.measure,
+    ),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -13,6 +13,8 @@
 import itertools
 import math
 import random
+import statistics
+import typing
 
 from benchmarks import servers
 from sassafraslock import edge_settings, errors, routing_table
@@ -248,22 +250,32 @@
         for entry in self.entries:
             for record in records:
                 entry.members.merge_record(record, now_ms)
-            self.share(entry, now_ms)
+            self.share_loads(entry, now_ms)
+            self.share_objects(entry, now_ms)
             entry.planner.update(now_ms)
 
-    def share(self, entry: Entry, now_ms: int) -> None:
-        """Let an entry learn what the other entries of its region know.
+    def share_objects(self, entry: Entry, now_ms: int) -> None:
+        """Let an entry learn which servers have handled which objects.
 
         :param entry: the entry.
         :param now_ms: the present time.
         """
         for other in self.by_region[entry.region]:
             if other is not entry:
-                loads = other.placer.loads.recent_reports(now_ms)
-                entry.placer.loads.merge_reports(loads, now_ms)
                 objects = other.placer.objects.recent_reports(now_ms)
                 entry.placer.objects.merge_reports(objects, now_ms)
 
+    def share_loads(self, entry: Entry, now_ms: int) -> None:
+        """Let an entry learn the loads that the other entries of its region know.
+
+        :param entry: the entry.
+        :param now_ms: the present time.
+        """
+        for other in self.by_region[entry.region]:
+            if other is not entry:
+                loads = other.placer.loads.recent_reports(now_ms)
+                entry.placer.loads.merge_reports(loads, now_ms)
+
     def _arrive(self, request: _Request, now_ms: float) -> None:
         entry = self.random.choice(self.by_region[request.region])
         route = request.flow.route
@@ -414,3 +426,18 @@
 def _shares(counts: collections.Counter[tuple[int, str]], window: int) -> dict[str, float]:
     total = sum(counts[window, r] for r in REGIONS)
     return {r: counts[window, r] / max(1, total) for r in REGIONS}
+
+
+def measure() -> list[Row]:
+    """Return what became of requests, as the mean over several seeds."""
+    simulations = [Simulation(seed) for seed in SEEDS]
+    for simulation in simulations:
+        simulation.run()
+    return [_mean_row(rows) for rows in zip(*(s.rows() for s in simulations), strict=True)]
+
+
+def _mean_row(rows: typing.Sequence[Row]) -> Row:
+    """Return the means of all ratios of rows for the same route and time."""
+    ratios = [f.name for f in dataclasses.fields(Row) if f.name.endswith("_ratio")]
+    means = {name: statistics.mean(getattr(row, name) for row in rows) for name in ratios}
+    return dataclasses.replace(rows[0], asked=sum(row.asked for row in rows), **means)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -350,3 +350,28 @@
     by_time, home_only, *_ = (bench.measure_one(policy, 24, load) for policy in bench.POLICIES[:2])
     assert by_time.in_target_ratio > home_only.in_target_ratio
     assert by_time.turned_away_ratio < home_only.turned_away_ratio / 2
+
+
+def record_sighting(placer, server, key="k"):
+    object_hash = request_for(key).object_hash
+    placer.objects.record(object_hash, registry.start_hash(server), 0, 0)
+
+
+def test_the_less_busy_of_two_servers_that_have_the_object_is_used():
+    """Pattern: hot object, moved once to a second server while its home was busy."""
+    placer = build(SERVERS)
+    home = home_of(placer)
+    last = placer._ranking(request_for(), "a")[-1]
+    for server in (home, last):
+        record_sighting(placer, server)
+        placer.loads.record(server, SLOTS, 0)
+    assert placer.place(request_for(), 0).server is home
+    placer.loads.record(last, SLOTS - 1, 1)
+    chosen = placer.place(request_for(), 1)
+    assert chosen.server is last and chosen.selection is candidates.Selection.SOONER
+
+
+def test_requests_without_an_object_consider_only_the_first_servers():
+    placer = build({f"i-{n}": "a-1" for n in range(20)})
+    request = candidates.PlacementRequest(route(sticky=False), SERVICE, "k", 2000, True)
+    assert len(placer._choices(request, "a", "a", placement.CANDIDATES, 0)) == placement.CANDIDATES
