--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from sassafraslock.decisions import load_reports, roster
+from sassafraslock.decisions import load_reports, object_memory, roster
 from sassafraslock.services import gossip, poison_watch, upstream
 
 COUNTS = (9, 68, 300, 1_000)
@@ -48,6 +48,26 @@
         pass
 
 
+class _ManyObjects:
+    """As many sightings of objects as a message holds, other ones each time."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
+
+    def recent_reports(self, now_ms: int) -> list[object_memory.ObjectReport]:
+        return [
+            object_memory.ObjectReport(
+                self._chance.getrandbits(32),
+                self._chance.getrandbits(32),
+                self._chance.randrange(object_memory.SHARED_FOR_MS),
+            )
+            for _ in range(object_memory.MAX_REPORTS)
+        ]
+
+    def merge_reports(self, reports: list[object_memory.ObjectReport], now_ms: int) -> None:
+        pass
+
+
 def _record(number: int, beat: int) -> roster.MemberRecord:
     zone = ZONES[number % len(ZONES)]
     name = f"front-{zone}-{number}"
@@ -68,6 +88,7 @@
         rng=chance,
     )
     service.loads = _ManyLoads(chance)
+    service.objects = _ManyObjects(chance)
     return service
 
 
