A plan of regions takes over its target at once while no request follows it

Moving weights that no request follows moves no traffic, so the cap on shifts does not bind there: an entry without requests for a service in ten seconds takes the target as it is.

--- a/sassafraslock/decisions/region_plan.py
+++ b/sassafraslock/decisions/region_plan.py
@@ -92,7 +92,12 @@
         self._is_moving = False
 
     def update(
-        self, target: dict[str, float], serving: set[str], now_ms: int, exact: bool = False
+        self,
+        target: dict[str, float],
+        serving: set[str],
+        now_ms: int,
+        exact: bool = False,
+        idle: bool = False,
     ) -> None:
         """Move towards a target by at most one step per :data:`STEP_MS` since the last call.
 
@@ -102,11 +107,14 @@
         :param target: the weights to move to.
         :param serving: the regions that have usable servers.
         :param now_ms: the current monotonic time.
+        :param idle: whether no requests follow the plan yet, so that it may take over the target
+            at once. Otherwise a plan that was made while only some servers were known would take
+            seconds to leave it.
         :param exact: whether the plan must reach the target however close it is, as for a split
             that an operator configured.
         """
         kept = {r: w for r, w in self.weights.items() if r in serving}
-        if not kept or sum(kept.values()) < 0.05:
+        if idle or not kept or sum(kept.values()) < 0.05:
             self.weights = dict(target)
             self._last_step_ms = now_ms
             return
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -115,7 +115,9 @@
             split = service.splits.get(self._settings.region) if service else None
             target = region_plan.operator_weights(split, regions) if split else {}
             target = target or region_plan.target_weights(self._settings.region, regions)
-            plan.update(target, serving, now_ms, exact=bool(split))
+            count = self._counts.get(key[0])
+            idle = count is None or not count.total(now_ms)
+            plan.update(target, serving, now_ms, exact=bool(split), idle=idle)
             self._log_plan(key, plan, target, regions, now_ms)
 
     def _log_plan(
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -86,3 +86,27 @@
         if now_ms >= 24_000:
             max_weight = max(max_weight, weights(region_planner)["a"])
     assert max_weight * demand_slots <= 1.2 * 10
+
+
+def test_a_plan_made_while_only_some_servers_were_known_is_left_before_the_first_request():
+    """Pattern: cold start. Servers are read page by page, and the first page may name one region.
+
+    A plan that then moved by steps would send clients of the other regions there for seconds.
+    """
+    region_planner, _ = build({"b": 10})
+    region_planner.update(0)
+    assert weights(region_planner) == {"b": 1.0}
+    servers = region_planner._placer.registry
+    servers.apply_report(fact_source.report("a", zone="a-1", slots=10), 400, False, 0)
+    region_planner.update(500)
+    assert weights(region_planner) == {"a": 1.0}
+
+
+def test_a_plan_that_requests_follow_moves_by_steps():
+    region_planner, _ = build({"b": 10})
+    region_planner.update(0)
+    region_planner.record_demand("s", 100, 100)
+    servers = region_planner._placer.registry
+    servers.apply_report(fact_source.report("a", zone="a-1", slots=10), 400, False, 0)
+    region_planner.update(500)
+    assert weights(region_planner)["b"] > 0.9
