--- a/benchmarks/cold_restart.py
+++ b/benchmarks/cold_restart.py
@@ -48,13 +48,6 @@
     at_ms: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Server:
-    known: servers.KeptObjects
-    running: set[int] = dataclasses.field(default_factory=set)
-    waiting: collections.deque[int] = dataclasses.field(default_factory=collections.deque)
-
-
 @dataclasses.dataclass(slots=True)
 class Row:
     """What became of the requests that came in a part of the time."""
@@ -76,7 +69,7 @@
         self.random = random.Random(seed)
         self.placers = [servers.placer(shape.servers, SLOTS) for _ in range(ENTRIES)]
         self.servers = {
-            name: _Server(servers.KeptObjects(shape.kept_objects))
+            name: servers.QueueingServer(servers.KeptObjects(shape.kept_objects))
             for name in self.placers[0].registry.servers
         }
         self.route = routing_table.Route(
@@ -138,7 +131,7 @@
             number = server.waiting.popleft()
             job = self.jobs[number]
             server.running.add(number)
-            known = job.wanted.key in server.known
+            known = job.wanted.key in server.kept
             base_ms = self.shape.known_ms if known else self.shape.cold_ms
             end_ms = now_ms + base_ms * self.random.uniform(0.85, 1.15)
             heapq.heappush(self.events, (end_ms, number, 0))
@@ -155,9 +148,7 @@
         server, health = self.servers[name], job.placer.health_of(job.choice.server)
         took_ms, new = at_ms - job.at_ms, job.choice.affinity is route_latency.ObjectAffinity.NEW
         health.in_flight -= 1
-        server.running.discard(number)
-        if number in server.waiting:
-            server.waiting.remove(number)
+        server.remove(number)
         if timed_out:
             health.record_broken_exchange(int(at_ms))
             self.outcomes.append((job.at_ms, "failed", new))
@@ -168,12 +159,15 @@
         self._start_next(name, at_ms)
 
     def _learn(
-        self, job: _Job, server: _Server, health: server_health.ServerHealth, at_ms: float
+        self,
+        job: _Job,
+        server: servers.QueueingServer,
+        health: server_health.ServerHealth,
+        at_ms: float,
     ) -> None:
         placer = job.placer
-        server.known.note(job.wanted.key)
-        load = len(server.running) + len(server.waiting)
-        placer.loads.record(job.choice.server, load, int(at_ms))
+        server.kept.note(job.wanted.key)
+        placer.loads.record(job.choice.server, server.load, int(at_ms))
         health.record_answer(False, int(at_ms))
         if job.choice.load + 1 <= SLOTS:
             speed, affinity = placer.latency_of(self.route), job.choice.affinity
--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -16,22 +16,16 @@
 import statistics
 import typing
 
-from benchmarks import servers
-from sassafraslock import edge_settings, errors, routing_table
+from benchmarks import region_world, servers
+from sassafraslock import errors
 from sassafraslock.decisions import (
     candidates,
-    cold_start,
     placement,
     registry,
-    roster,
     route_latency,
     server_health,
 )
-from sassafraslock.services import planner, routing_state
 
-SLOTS, QUEUE = 3, 9
-REGIONS = ("north", "south", "west")
-ENTRIES_PER_REGION = 4
 GOSSIP_MS = 500
 CLIENT_MS, FAR_MS = 17.0, 40.0  # round trips to the client, and between regions
 WAVE_PERIOD_MS, WAVE_SWING = 36_000.0, 0.55
@@ -44,30 +38,13 @@
 SEEDS = (1, 2, 3)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Flow:
-    """Requests of one route from the clients of one region.
-
-    :param objects: the objects of each region's clients.
-    :param rate_per_s: the mean rate of a region's requests.
-    :param credit: what an answer within the target is worth; a fifth of it where it is late.
-    """
-
-    route: routing_table.Route
-    new_ms: float
-    objects: int
-    rate_per_s: float
-    credit: float
-
-
 @dataclasses.dataclass(slots=True)
 class _Request:
-    flow: Flow
+    flow: region_world.Flow
     region: str
     key: str
     first_ms: float
     tries: int = 0
-    excluded: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,13 +56,6 @@
     sent_ms: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Server:
-    kept: servers.KeptObjects
-    running: set[int] = dataclasses.field(default_factory=set)
-    waiting: collections.deque[int] = dataclasses.field(default_factory=collections.deque)
-
-
 @dataclasses.dataclass(slots=True)
 class Row:
     """What became of the requests of one route that came in a part of the time."""
@@ -101,104 +71,24 @@
     new_ratio: float
 
 
-def _route(
-    name: str, service: str, target_ms: int, timeout_ms: int, priority: int
-) -> routing_table.Route:
-    return routing_table.Route(
-        name,
-        "h",
-        "/",
-        True,
-        timeout_ms,
-        target_ms,
-        priority,
-        2,
-        (routing_table.Destination(service, 1.0),),
-        sticky=True,
-    )
-
-
-KNOWN_RATIO = 0.3
-FLOWS = (
-    Flow(_route("look-up", "finder", 250, 800, 2), 360.0, 39, 57.0, 1.0),
-    Flow(_route("poll", "board", 600, 1_500, 2), 880.0, 24, 20.0, 1.0),
-    Flow(_route("manifest", "board", 150, 800, 1), 144.0, 24, 12.0, 2.0),
-)
-SERVICES = (
-    routing_table.Service("finder", 390, 3_000, 5.3),
-    routing_table.Service("board", 390, 3_000, 5.3),
-)
-SERVERS = {
-    "finder": {"north": 8, "south": 2, "west": 6},
-    "board": {"north": 6, "south": 2, "west": 6},
-}
-KEPT = {"finder": 32, "board": 43}
-
-
-class _Entries:
-    def __init__(self, ids: dict[str, str]) -> None:
-        self._ids = ids
-
-    def live_ids(self, region: str = "") -> list[str]:
-        return [i for i, r in self._ids.items() if not region or r == region]
-
-
-class Entry:
-    """One entry: the real decisions on servers and plans, with its own registry."""
-
-    def __init__(self, entry_id: str, region: str, ids: dict[str, str]) -> None:
-        self.entry_id, self.region = entry_id, region
-        self.registry = registry.Registry()
-        limiter = cold_start.ColdStartLimiter(entry_id, 1.5, 5.0)
-        self.placer = placement.Placer(region, self.registry, _Entries(ids), limiter)
-        self.members = roster.Roster(entry_id)
-        state = routing_state.RoutingState(self.registry, self.members)
-        state.table = routing_table.RoutingTable(
-            routing_table.Intents(1, tuple(f.route for f in FLOWS), SERVICES)
-        )
-        place = edge_settings.EdgeSettings(entry_id, f"{region}-a", region, "h:1", "", "", "h:2")
-        self.planner = planner.Planner(place, state, self.placer, self.members)
-        self.beat = 0
-        for report in _reports():
-            self.registry.apply_report(report, 0, False, 0)
-
-    def record(self, now_ms: int) -> roster.MemberRecord:
-        """Return what this entry tells of itself."""
-        self.beat += 1
-        return roster.MemberRecord(
-            self.entry_id, 1, self.beat, self.region, f"{self.region}-a", "h", "h", True,
-            demand=self.planner.demand(now_ms),
-        )  # fmt: skip
-
-
-def _reports() -> list[registry.ServerReport]:
-    return [
-        registry.ServerReport(
-            f"{service}-{region}-{number}",
-            service,
-            f"{service}-{region}:{number}",
-            region,
-            f"{region}-{'ab'[number % 2]}",
-            SLOTS,
-            registry.ServerState.READY,
-        )
-        for service, regions in SERVERS.items()
-        for region, count in regions.items()
-        for number in range(count)
-    ]
-
-
 class Simulation:
     """Entries of three regions, each with its own knowledge, before their servers."""
 
     def __init__(self, seed: int, load: float = 1.0) -> None:
         self.random = random.Random(seed)
         self.load = load
-        ids = {f"{r}-{n}": r for r in REGIONS for n in range(ENTRIES_PER_REGION)}
-        self.entries = [Entry(i, r, ids) for i, r in ids.items()]
-        self.by_region = {r: [e for e in self.entries if e.region == r] for r in REGIONS}
+        ids = {
+            f"{r}-{n}": r
+            for r in region_world.REGIONS
+            for n in range(region_world.ENTRIES_PER_REGION)
+        }
+        self.entries = [region_world.Entry(i, r, ids) for i, r in ids.items()]
+        self.by_region = {
+            r: [e for e in self.entries if e.region == r] for r in region_world.REGIONS
+        }
         self.servers = {
-            r.server_id: _Server(servers.KeptObjects(KEPT[r.service])) for r in _reports()
+            r.server_id: servers.QueueingServer(servers.KeptObjects(region_world.KEPT[r.service]))
+            for r in region_world.server_reports()
         }
         self.jobs: dict[int, _Job] = {}
         self.numbers = itertools.count()
@@ -211,8 +101,8 @@
 
     def run(self) -> None:
         """Play the whole time."""
-        for region in REGIONS:
-            for flow in FLOWS:
+        for region in region_world.REGIONS:
+            for flow in region_world.FLOWS:
                 self._push_arrival(0.0, flow, region)
         self._push(0.0, PERIODIC, None)
         while self.events:
@@ -233,7 +123,7 @@
     def _push(self, at_ms: float, kind: int, what: object) -> None:
         heapq.heappush(self.events, (at_ms, kind, next(self.numbers), what))
 
-    def _push_arrival(self, now_ms: float, flow: Flow, region: str) -> None:
+    def _push_arrival(self, now_ms: float, flow: region_world.Flow, region: str) -> None:
         phase = 2 * math.pi * (now_ms / WAVE_PERIOD_MS + PHASES[region])
         rate_per_ms = self.load * flow.rate_per_s * (1 + WAVE_SWING * math.sin(phase)) / 1_000
         at_ms = now_ms + self.random.expovariate(rate_per_ms)
@@ -254,7 +144,7 @@
             self.share_objects(entry, now_ms)
             entry.planner.update(now_ms)
 
-    def share_objects(self, entry: Entry, now_ms: int) -> None:
+    def share_objects(self, entry: region_world.Entry, now_ms: int) -> None:
         """Let an entry learn which servers have handled which objects.
 
         :param entry: the entry.
@@ -265,7 +155,7 @@
                 objects = other.placer.objects.recent_reports(now_ms)
                 entry.placer.objects.merge_reports(objects, now_ms)
 
-    def share_loads(self, entry: Entry, now_ms: int) -> None:
+    def share_loads(self, entry: region_world.Entry, now_ms: int) -> None:
         """Let an entry learn the loads that the other entries of its region know.
 
         :param entry: the entry.
@@ -279,7 +169,7 @@
     def _arrive(self, request: _Request, now_ms: float) -> None:
         entry = self.random.choice(self.by_region[request.region])
         route = request.flow.route
-        service = next(s for s in SERVICES if s.name == route.destinations[0].service)
+        service = next(s for s in region_world.SERVICES if s.name == route.destinations[0].service)
         if not request.tries:
             busy_ms = entry.placer.latency_of(route).expected_ms(route_latency.ObjectAffinity.KNOWN)
             entry.planner.record_demand(service.name, int(busy_ms), int(now_ms))
@@ -297,7 +187,7 @@
 
     def _send(self, job: _Job, now_ms: float) -> None:
         server = self.servers[job.choice.server.server_id]
-        if len(server.running) >= SLOTS and len(server.waiting) >= QUEUE:
+        if len(server.running) >= region_world.SLOTS and len(server.waiting) >= region_world.QUEUE:
             self.outcomes.append((job.request, "refused", now_ms))
             return
         number = next(self.numbers)
@@ -312,14 +202,14 @@
 
     def _start_next(self, name: str, now_ms: float) -> None:
         server = self.servers[name]
-        while server.waiting and len(server.running) < SLOTS:
+        while server.waiting and len(server.running) < region_world.SLOTS:
             number = server.waiting.popleft()
             job = self.jobs[number]
             server.running.add(number)
             known = job.wanted.key in server.kept
             if not known:
                 self.new_runs[job.wanted.route.name, int(job.request.first_ms // 1_000)] += 1
-            work_ms = job.request.flow.new_ms * (KNOWN_RATIO if known else 1.0)
+            work_ms = job.request.flow.new_ms * (region_world.KNOWN_RATIO if known else 1.0)
             end_ms = now_ms + work_ms * self.random.uniform(0.75, 1.25)
             self._push(end_ms, END, (number, False))
 
@@ -330,9 +220,7 @@
         name = job.choice.server.server_id
         server, health = self.servers[name], job.placer.health_of(job.choice.server)
         health.in_flight -= 1
-        server.running.discard(number)
-        if number in server.waiting:
-            server.waiting.remove(number)
+        server.remove(number)
         if timed_out:
             health.record_broken_exchange(int(at_ms))
             self.outcomes.append((job.request, "failed", at_ms))
@@ -343,7 +231,7 @@
     def _learn(
         self,
         job: _Job,
-        server: _Server,
+        server: servers.QueueingServer,
         health: server_health.ServerHealth,
         at_ms: float,
     ) -> None:
@@ -351,11 +239,10 @@
         server.kept.note(job.wanted.key)
         far_ms = FAR_MS if choice.server.region != placer.region else 0.0
         health.rtt_ms = far_ms
-        load = len(server.running) + len(server.waiting)
-        placer.loads.record(choice.server, load, int(at_ms))
+        placer.loads.record(choice.server, server.load, int(at_ms))
         health.record_answer(False, int(at_ms))
         took_ms = at_ms - job.sent_ms
-        if choice.load + 1 <= SLOTS and not choice.is_cold:
+        if choice.load + 1 <= region_world.SLOTS and not choice.is_cold:
             latency, affinity = placer.latency_of(job.wanted.route), choice.affinity
             health.record_latency_ratio(took_ms / latency.expected_ms(affinity), int(at_ms))
             if health.slow_factor(int(at_ms)) < 1.5:
@@ -368,9 +255,9 @@
 
     def rows(self) -> list[Row]:
         """Return what became of requests, by route and by when they came."""
-        return [self._row(flow, *part) for flow in FLOWS for part in PARTS_S]
+        return [self._row(flow, *part) for flow in region_world.FLOWS for part in PARTS_S]
 
-    def _row(self, flow: Flow, from_s: int, until_s: int) -> Row:
+    def _row(self, flow: region_world.Flow, from_s: int, until_s: int) -> Row:
         found = [
             outcome
             for request, outcome, _ in self.outcomes
@@ -404,7 +291,7 @@
         for request, outcome, _ in self.outcomes:
             owed[request.region] += request.flow.credit
             earned[request.region] += request.flow.credit * worth.get(outcome, 0.0)
-        return min(earned[r] / owed[r] for r in REGIONS)
+        return min(earned[r] / owed[r] for r in region_world.REGIONS)
 
     def largest_shift(self, from_s: int, until_s: int) -> float:
         """Return the largest share of a region's requests that changed region between windows.
@@ -418,14 +305,14 @@
                 from_s * 1_000 // SHIFT_WINDOW_MS + 1, until_s * 1_000 // SHIFT_WINDOW_MS
             ):
                 shares = [_shares(counts, w) for w in (window - 1, window)]
-                moved = sum(max(0.0, shares[1][r] - shares[0][r]) for r in REGIONS)
+                moved = sum(max(0.0, shares[1][r] - shares[0][r]) for r in region_world.REGIONS)
                 largest = max(largest, moved)
         return largest
 
 
 def _shares(counts: collections.Counter[tuple[int, str]], window: int) -> dict[str, float]:
-    total = sum(counts[window, r] for r in REGIONS)
-    return {r: counts[window, r] / max(1, total) for r in REGIONS}
+    total = sum(counts[window, r] for r in region_world.REGIONS)
+    return {r: counts[window, r] / max(1, total) for r in region_world.REGIONS}
 
 
 def measure() -> list[Row]:
--- a/benchmarks/servers.py
+++ b/benchmarks/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 from sassafraslock.decisions import cold_start, placement, registry
 
@@ -41,6 +42,29 @@
             self._objects.popitem(last=False)
 
 
+@dataclasses.dataclass(slots=True)
+class QueueingServer:
+    """A server's memory, and the numbers of the requests that run and wait there."""
+
+    kept: KeptObjects
+    running: set[int] = dataclasses.field(default_factory=set)
+    waiting: collections.deque[int] = dataclasses.field(default_factory=collections.deque)
+
+    @property
+    def load(self) -> int:
+        """The requests that run or wait."""
+        return len(self.running) + len(self.waiting)
+
+    def remove(self, number: int) -> None:
+        """Remove a request that ended, whether it ran or waited.
+
+        :param number: the request.
+        """
+        self.running.discard(number)
+        if number in self.waiting:
+            self.waiting.remove(number)
+
+
 def placer(servers: int, slots: int) -> placement.Placer:
     """Return what places an entry's requests at servers ``s0``, ``s1`` and so on of one service.
 
