--- a/sassafraslock/decisions/object_memory.py
+++ b/sassafraslock/decisions/object_memory.py
@@ -15,7 +15,7 @@
 RENEWAL_MS = 10_000
 SHARED_FOR_MS = 2_000  # long enough for several gossip rounds, since datagrams may be lost
 MAX_SERVERS_PER_OBJECT = 16  # beyond this, the server that handled it longest ago is forgotten
-MAX_REPORTS = 48  # per gossip message; with loads, some 20 KB/s an entry at 300 entries
+MAX_REPORTS = 48  # per gossip message; bounds the bytes that an entry sends
 
 
 class ObjectReport(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafraslock/report/page.py
+++ b/sassafraslock/report/page.py
@@ -57,7 +57,7 @@
     axes = figure.add_subplot()
     plot(axes, report)
     if axes.get_legend_handles_labels()[0]:
-        axes.legend(fontsize="small", ncols=3)
+        figure.legend(loc="outside right upper", fontsize="small")
     image = io.StringIO()
     figure.savefig(image, format="svg")
     drawn = image.getvalue()
--- /dev/null
+++ b/tests/test_access_log.py
@@ -0,0 +1,83 @@
+"""What the access log tells of a request, and the plans that E4006 tells."""
+
+import pytest
+
+from sassafraslock import events, header_names, http_messages, routing_table
+from sassafraslock.decisions import candidates, registry, roster, route_latency
+from sassafraslock.path import access_log, judge, pipeline, read, route, send
+from sassafraslock.services import metrics, planner
+from tests import fact_source, test_planner
+
+NAMES = header_names.HeaderNames()
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        events, "log", lambda event, message, level=0, **fields: lines.append((event, fields))
+    )
+    return lines
+
+
+def choice(load=4.0):
+    report = registry.ServerReport("i-1", "s", "h:1", "b", "b-1", 3, registry.ServerState.READY)
+    affinity = route_latency.ObjectAffinity.KNOWN
+    return candidates.Choice(registry.Server(report, 0), 500.4, affinity, load, True, False, 90.6)
+
+
+def context():
+    request = http_messages.Request("GET", "/x/1", [(b"host", b"h")], b"", "10.0.0.1", 0)
+    incoming = read.read(request, NAMES)
+    service = routing_table.Service("s", 330, 0, 5.0)
+    routed = route.RoutedRequest(incoming, fact_source.route(), service, 7, True, "/x/1")
+    return pipeline.RequestContext(incoming, routed)
+
+
+def record(ended, now_ms=120):
+    access_log.AccessLog("a", metrics.Metrics(), lambda now_ms: 30).record(ended, now_ms)
+
+
+def test_a_line_tells_why_a_server_was_selected_and_what_was_expected(logged):
+    ended, selected = context(), choice()
+    selected.selection = candidates.Selection.OTHER_REGION
+    ended.attempts.append((send.Attempt(selected, None, 0, 110), judge.Verdict.ANSWERED))
+    ended.response = http_messages.Response(200)
+    record(ended)
+    [(event, fields)] = logged
+    assert event is events.Event.REQUEST_ANSWERED
+    assert fields["entry_region"] == "a"
+    assert fields["target_ms"] == fact_source.route().target_latency_ms
+    [attempt] = fields["attempts"]
+    assert attempt["selection"] is candidates.Selection.OTHER_REGION
+    assert (attempt["region"], attempt["slots"], attempt["load"]) == ("b", 3, 4.0)
+    assert (attempt["expected_ms"], attempt["queue_ms"]) == (500, 91)
+
+
+def test_a_refusal_for_a_queue_names_the_best_server_and_the_limit_that_it_missed(logged):
+    ended = context()
+    routed = ended.routed
+    wanted = candidates.PlacementRequest(routed.route, routed.service, "k", 450, True)
+    ended.refusal = candidates.too_late_refusal(choice(), wanted)
+    ended.response = http_messages.Response(503)
+    record(ended)
+    [(event, fields)] = logged
+    assert event is events.Event.REQUEST_REFUSED
+    assert fields["limit_ms"] == 450
+    assert fields["best"]["server"] == "i-1" and fields["best"]["expected_ms"] == 500
+    assert fields["attempts"] == []
+
+
+def test_plans_are_logged_when_they_change_and_not_at_each_step(logged):
+    region_planner, members = test_planner.build({"a": 10, "b": 10})
+    region_planner.update(0)
+    region_planner.record_demand("s", 60_000, 100)
+    peer = roster.MemberRecord("x", 1, 1, "b", "b-1", "h:3", "h:4", demand={"s": 1.0})
+    members.merge_record(peer, 100)
+    for now_ms in range(500, 20_000, 500):
+        region_planner.update(now_ms)
+    plans = [fields for event, fields in logged if event is events.Event.REGION_PLAN_CHANGED]
+    assert 3 <= len(plans) <= 1 + 20_000 // planner.LOG_INTERVAL_MS
+    assert plans[0]["weights"] == {"a": 1.0}
+    assert plans[-1]["weights"]["b"] > plans[1]["weights"]["b"]
+    assert set(plans[-1]) >= {"service", "target", "demand_shares", "slots"}
