--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -31,6 +31,8 @@
 COMPRESSION_LEVEL = 3
 MAX_MESSAGE_BYTES = 256 << 10
 
+ReportT = typing.TypeVar("ReportT")
+
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """One gossip datagram before compression.
@@ -47,33 +49,16 @@
     objects: list[object_memory.ObjectReport] = []
 
 
-class LoadExchange(typing.Protocol):
-    """Servers' loads as reported with their answers, to this entry or to others."""
-
-    def recent_reports(self, now_ms: int) -> list[load_reports.LoadReport]:
-        """Return the recent loads to send to entries nearby, each with its age.
-
-        :param now_ms: the current monotonic time.
-        """
-
-    def merge_reports(self, reports: list[load_reports.LoadReport], now_ms: int) -> None:
-        """Merge the loads that another entry sent.
-
-        :param reports: the loads, each with its age.
-        :param now_ms: the current monotonic time.
-        """
-
-
-class ObjectExchange(typing.Protocol):
-    """Which servers have handled which objects, by the answers to this entry or to others."""
+class ReportExchange(typing.Protocol[ReportT]):
+    """Reports that entries nearby send to each other, by answers to this entry or to others."""
 
-    def recent_reports(self, now_ms: int) -> list[object_memory.ObjectReport]:
-        """Return the recent reports to send to entries of the region, each with its age.
+    def recent_reports(self, now_ms: int) -> list[ReportT]:
+        """Return the recent reports to send, each with its age.
 
         :param now_ms: the current monotonic time.
         """
 
-    def merge_reports(self, reports: list[object_memory.ObjectReport], now_ms: int) -> None:
+    def merge_reports(self, reports: list[ReportT], now_ms: int) -> None:
         """Merge the reports that another entry sent.
 
         :param reports: the reports, each with its age.
@@ -127,8 +112,8 @@
         self._poison = poison
         self.token = token
         self._rng = rng or random.Random()
-        self.loads: LoadExchange | None = None
-        self.objects: ObjectExchange | None = None
+        self.loads: ReportExchange[load_reports.LoadReport] | None = None
+        self.objects: ReportExchange[object_memory.ObjectReport] | None = None
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
