--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -21,6 +21,7 @@
     """Why a server was selected, as the access log shows it."""
 
     HOME = "home"
+    NEXT_IN_RANK = "next in rank"
     SOONER = "sooner than home"
     OTHER_REGION = "other region"
     JOIN_PROBE = "join probe"
@@ -141,6 +142,17 @@
     return soonest if soonest.expected_ms < home.expected_ms - LEAVE_HOME_MARGIN_MS else home
 
 
+def selection_of(chosen: Choice, first: Choice) -> Selection:
+    """Return why a server was chosen among those of its region.
+
+    :param chosen: the chosen server.
+    :param first: the first candidate in rendezvous order.
+    """
+    if chosen is not first:
+        return Selection.SOONER
+    return Selection.HOME if chosen.is_home else Selection.NEXT_IN_RANK
+
+
 def has_room(choice: Choice) -> bool:
     """Return whether a server has spare slots for objects that it does not have in memory.
 
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -126,8 +126,8 @@
         planned = self._planned_region(request)
         choices = self._choices(request, planned, planned, CANDIDATES, now_ms)
         chosen = candidates.best_choice(choices, request.shed)
-        if chosen is not None and chosen is not choices[0]:
-            chosen.selection = candidates.Selection.SOONER
+        if chosen is not None:
+            chosen.selection = candidates.selection_of(chosen, choices[0])
         if chosen is not None and request.idempotent and not request.attempts:
             chosen = self._join_probe(request, now_ms) or chosen
         self._placed_count.add(now_ms)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -371,6 +371,15 @@
     assert chosen.server is last and chosen.selection is candidates.Selection.SOONER
 
 
+def test_a_server_that_follows_a_tried_home_is_next_in_rank():
+    placer = build(SERVERS)
+    first = placer.place(request_for(), 0)
+    assert first.selection is candidates.Selection.HOME
+    request = request_for()
+    request.tried.add(first.server.server_id)
+    assert placer.place(request, 0).selection is candidates.Selection.NEXT_IN_RANK
+
+
 def test_requests_without_an_object_consider_only_the_first_servers():
     placer = build({f"i-{n}": "a-1" for n in range(20)})
     request = candidates.PlacementRequest(route(sticky=False), SERVICE, "k", 2000, True)
