Hear and log the rate limits that servers name in their answers

Gauges sassafraslock_servers_limited and sassafraslock_invalid_server_limits. Nothing decides by it yet. The product's own header is sassafraslock-limit.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -7,7 +7,6 @@
 
 import dataclasses
 import signal
-import typing
 
 import anyio
 
@@ -15,6 +14,7 @@
 from sassafraslock import (
     clock,
     edge_settings,
+    entry_interfaces,
     events,
     facts,
     header_names,
@@ -30,6 +30,7 @@
     registry,
     retry_budget,
     roster,
+    server_limits,
 )
 from sassafraslock.path import access_log, pipeline, send
 from sassafraslock.services import (
@@ -38,6 +39,7 @@
     directory,
     gossip,
     http_server,
+    limit_watch,
     log_writer,
     metrics,
     operator_api,
@@ -56,44 +58,6 @@
 SETTINGS_POLL_S = 2.0
 
 
-class Reload(typing.Protocol):
-    """Reads the settings of the process again."""
-
-    def __call__(self, signalled: bool) -> edge_settings.EdgeSettings | None:
-        """Return the settings, or ``None`` if they did not change or cannot be read.
-
-        :param signalled: whether SIGHUP requests the reload.
-        """
-
-
-class HandlerFactory(typing.Protocol):
-    """Creates the request handlers for the addresses of an entry."""
-
-    def client_handler(self, entry: Edge) -> http_messages.Handler:
-        """Return the handler for the address that clients send requests to.
-
-        :param entry: the entry.
-        """
-
-    def directory_handler(self, entry: Edge) -> http_messages.Handler:
-        """Return the handler for the address at which clients look up entries.
-
-        :param entry: the entry.
-        """
-
-    def readiness_handler(self, entry: Edge) -> http_messages.Handler:
-        """Return the handler for the address of the readiness check.
-
-        :param entry: the entry.
-        """
-
-    def operator_handler(self, entry: Edge) -> http_messages.Handler:
-        """Return the handler for the operators' address.
-
-        :param entry: the entry.
-        """
-
-
 class Edge:
     """Builds the services of an entry, runs them, and stops them gracefully."""
 
@@ -101,7 +65,7 @@
         self,
         settings: edge_settings.EdgeSettings,
         source: facts.FactSource,
-        handlers: HandlerFactory,
+        handlers: entry_interfaces.HandlerFactory,
         names: header_names.HeaderNames,
         log_buffer: log_writer.BufferedLogHandler,
         keys: claims.Claims | None = None,
@@ -132,10 +96,10 @@
         reader = peer_copies.PeerCopyReader(self.gossip, lambda: self.replica.version)
         self.replica.set_fallback(reader)
         self.metrics = metrics.Metrics()
+        self.limits = server_limits.ServerLimits()
+        self.limit_watch = limit_watch.LimitWatch(self.limits, names.rate_limit)
         self.pipeline = self._build_pipeline(servers, names, keys)
         placer = self.pipeline.placer
-        self.gossip.loads = placer.loads
-        self.gossip.objects = placer.objects
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
         self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
@@ -146,6 +110,11 @@
         if keys is not None:
             keys.may_purge = self._has_lowest_id
             self.kernel.register("claims", keys)
+        self._subscribe(placer)
+
+    def _subscribe(self, placer: placement.Placer) -> None:
+        self.gossip.loads = placer.loads
+        self.gossip.objects = placer.objects
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
 
@@ -172,16 +141,17 @@
             self.routing_state,
             placer,
             budget,
-            send.Sender(self.upstream, names),
+            send.Sender(self.upstream, names, self.limit_watch),
             names,
             log,
             self.poison,
+            self.limit_watch,
             self.gossip.roster.entry_count,
             self._region_entry_count,
             keys,
         )
 
-    def _register_services(self, handlers: HandlerFactory) -> None:
+    def _register_services(self, handlers: entry_interfaces.HandlerFactory) -> None:
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
         self.kernel.register("beliefs", kernel.PassiveService(self.routing_state))
@@ -263,6 +233,9 @@
             status.servers,
             status.in_flight,
         )
+        self.metrics.set_limits(
+            self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
+        )
         return self.metrics.render()
 
     @property
@@ -339,7 +312,7 @@
         self.gossip.seeds = list(settings.seeds)
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
 
-    async def run(self, reload: Reload) -> str:
+    async def run(self, reload: entry_interfaces.Reload) -> str:
         """Serve until SIGTERM or SIGINT.
 
         :param reload: reads the settings again; called every :data:`SETTINGS_POLL_S` and on SIGHUP.
@@ -361,17 +334,17 @@
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
         return self.kernel.failed_service
 
-    async def _watch_settings(self, reload: Reload) -> None:
+    async def _watch_settings(self, reload: entry_interfaces.Reload) -> None:
         while True:
             await anyio.sleep(SETTINGS_POLL_S)
             self._reload(reload, False)
 
-    def _reload(self, reload: Reload, signalled: bool) -> None:
+    def _reload(self, reload: entry_interfaces.Reload, signalled: bool) -> None:
         settings = reload(signalled)
         if settings is not None:
             self.apply_settings(settings)
 
-    async def _watch_signals(self, reload: Reload) -> None:
+    async def _watch_signals(self, reload: entry_interfaces.Reload) -> None:
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*signals) as received:
             async for number in received:
--- a/sassafraslock/header_names.py
+++ b/sassafraslock/header_names.py
@@ -18,6 +18,7 @@
     ``not_run``: in a server's response, present if the server did not run the request.
     ``signature``: in a server's response, present if the server itself produced all of it.
     ``load``: in a server's response, its reported load.
+    ``rate_limit``: in a server's response, the requests per second that it takes from all entries.
     ``cold_ms``: in a server's response, the remaining time of its cold start.
     ``error``: in a refusal by the proxy, the kind of the error.
     ``refused_not_run``: in a refusal by the proxy, whether the request was certainly not run.
@@ -35,5 +36,6 @@
     refused_not_run: bytes = b"sassafraslock-not-run"
     idempotency_key: bytes = b"sassafraslock-key"
     load: bytes = b"sassafraslock-load"
+    rate_limit: bytes = b"sassafraslock-limit"
     cold_ms: bytes = b"sassafraslock-cold-ms"
     server_id: bytes = b"sassafraslock-server-id"
--- a/sassafraslock/http_messages.py
+++ b/sassafraslock/http_messages.py
@@ -28,6 +28,7 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+MISDIRECTED = 421  # another server than the named one has the address
 _BODILESS_STATUSES = (204, 304)
 
 
--- a/sassafraslock/path/judge.py
+++ b/sassafraslock/path/judge.py
@@ -8,7 +8,6 @@
 from sassafraslock.path import send
 from sassafraslock.services import server_connection
 
-MISDIRECTED = 421
 SERVER_ERROR = 500
 
 
@@ -53,7 +52,7 @@
 
 
 def _judge_response(response: http_messages.Response, names: header_names.HeaderNames) -> Verdict:
-    if response.status == MISDIRECTED:
+    if response.status == http_messages.MISDIRECTED:
         return Verdict.MISDIRECTED
     if response.header(names.not_run):
         return Verdict.NOT_RUN
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -16,7 +16,7 @@
     split,
 )
 from sassafraslock.path import answer, attempt_recorder, judge, read, route, send
-from sassafraslock.services import claims, poison_watch, routing_state
+from sassafraslock.services import claims, limit_watch, poison_watch, routing_state
 
 SOFT_TIMEOUT_RATIO = 2.0  # of the attempt's expected time
 SOFT_TIMEOUT_TARGET_RATIO = 1.2  # of the route's target latency; the greater time applies
@@ -91,6 +91,7 @@
         names: header_names.HeaderNames,
         observer: RequestObserver,
         poison: poison_watch.PoisonWatch,
+        limit_watcher: limit_watch.LimitWatch,
         entry_count: typing.Callable[[], int],
         region_entry_count: typing.Callable[[], int],
         claims_service: claims.Claims | None = None,
@@ -104,7 +105,7 @@
         self.placer = placer
         self.splitter = split.Splitter()
         self.budget = budget
-        self.recorder = attempt_recorder.AttemptRecorder(placer, names, poison)
+        self.recorder = attempt_recorder.AttemptRecorder(placer, names, poison, limit_watcher)
         self._routing_state = state
         self._sender = sender
         self._names = names
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -9,7 +9,7 @@
 from sassafraslock import clock, header_names, http_messages
 from sassafraslock.decisions import candidates, registry, server_health
 from sassafraslock.path import route
-from sassafraslock.services import server_connection, upstream
+from sassafraslock.services import limit_watch, server_connection, upstream
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,11 +30,17 @@
 class Sender:
     """Sends requests to servers, and cancels them at the deadline or the soft timeout."""
 
-    __slots__ = ("_upstream", "_names")
+    __slots__ = ("_upstream", "_names", "_limit_watch")
 
-    def __init__(self, connections: upstream.Upstream, names: header_names.HeaderNames) -> None:
+    def __init__(
+        self,
+        connections: upstream.Upstream,
+        names: header_names.HeaderNames,
+        limit_watcher: limit_watch.LimitWatch,
+    ) -> None:
         self._upstream = connections
         self._names = names
+        self._limit_watch = limit_watcher
 
     async def send(
         self,
@@ -65,6 +71,7 @@
                 data,
                 routed.incoming.request_id,
                 routed.incoming.request.method == "HEAD",
+                self._head_observer(choice.server),
             )
         )
         abandoned = False
@@ -84,6 +91,12 @@
         outcome = exchange.result() if exchange.done() and not exchange.cancelled() else None
         return Attempt(choice, outcome, sent_ms, took_ms, abandoned)
 
+    def _head_observer(self, server: registry.Server) -> server_connection.HeadObserver:
+        def observe(status: int, headers: http_messages.Headers) -> None:
+            self._limit_watch.record_head(server, status, headers, clock.monotonic_ms())
+
+        return observe
+
     def _encode(
         self, routed: route.RoutedRequest, server: registry.Server, remaining_ms: int
     ) -> bytes:
--- /dev/null
+++ b/sassafraslock/services/limit_watch.py
@@ -0,0 +1,96 @@
+"""Hears the rate limits that servers name in their answers, logs each change and counts them."""
+
+from __future__ import annotations
+
+import logging
+
+from sassafraslock import events, http_messages
+from sassafraslock.decisions import registry, server_limits
+
+
+class LimitWatch:
+    """Records the limits in the heads of answers.
+
+    ``invalid_heads`` counts the heads with a limit that is not a plain decimal number or that is
+    there more than once; such a limit is logged once for each start of a server, and changes
+    nothing.
+    """
+
+    __slots__ = ("limits", "invalid_heads", "_header", "_logged_invalid")
+
+    def __init__(self, limits: server_limits.ServerLimits, header: bytes) -> None:
+        self.limits = limits
+        self.invalid_heads = 0
+        self._header = header
+        self._logged_invalid: set[str] = set()
+
+    def record_head(
+        self, server: registry.Server, status: int, headers: http_messages.Headers, now_ms: int
+    ) -> None:
+        """Record the limit that the head of any answer names, also of a late or repeated one.
+
+        :param server: the server to which the connection was opened.
+        :param status: the HTTP status of the answer.
+        :param headers: its headers, with names in lower case.
+        :param now_ms: the current monotonic time.
+        """
+        if not self._header or status == http_messages.MISDIRECTED:
+            return
+        values = [value for name, value in headers if name == self._header]
+        if not values:
+            return
+        per_s = server_limits.parse(values[0]) if len(values) == 1 else None
+        if per_s is None:
+            self._record_invalid(server, values)
+            return
+        start_hash = registry.start_hash(server)
+        previous = self.limits.limit_of(start_hash)
+        if self.limits.record_named(start_hash, per_s, now_ms):
+            _log_change(server, per_s, previous)
+
+    def record_answer(
+        self,
+        server: registry.Server,
+        response: http_messages.Response,
+        sent_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Record the complete answer to a request; without a limit, it ends the server's limit.
+
+        :param server: the server.
+        :param response: the answer.
+        :param sent_ms: when the request was sent.
+        :param now_ms: the current monotonic time.
+        """
+        if not self.limits.has_any or any(name == self._header for name, _ in response.headers):
+            return
+        start_hash = registry.start_hash(server)
+        previous = self.limits.limit_of(start_hash)
+        if self.limits.record_unnamed(start_hash, sent_ms, now_ms):
+            _log_change(server, None, previous)
+
+    def _record_invalid(self, server: registry.Server, values: list[bytes]) -> None:
+        self.invalid_heads += 1
+        start_id = registry.start_id(server)
+        if start_id in self._logged_invalid or len(self._logged_invalid) >= server_limits.MAX_KNOWN:
+            return
+        self._logged_invalid.add(start_id)
+        events.log(
+            events.Event.SERVER_LIMIT_INVALID,
+            "server named an invalid rate limit, which is ignored; it must be one decimal number",
+            logging.WARNING,
+            server=server.server_id,
+            values=[value[:40].decode("latin-1") for value in values[:4]],
+        )
+
+
+def _log_change(server: registry.Server, per_s: float | None, previous: float | None) -> None:
+    message = "server takes any rate again" if per_s is None else "server named a rate limit"
+    events.log(
+        events.Event.SERVER_LIMIT_CHANGED,
+        message,
+        server=server.server_id,
+        service=server.report.service,
+        limit_per_s=per_s,
+        previous_per_s=previous,
+    )
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -26,6 +26,8 @@
         "_facts_age",
         "_servers",
         "_in_flight",
+        "_limited",
+        "_invalid_limits",
     )
 
     def __init__(self) -> None:
@@ -45,6 +47,10 @@
         self._facts_age = self._gauge("facts_age_seconds", "Time since the store answered.")
         self._servers = self._gauge("servers", "Servers known.")
         self._in_flight = self._gauge("requests_in_flight", "Requests being answered.")
+        self._limited = self._gauge("servers_limited", "Servers that name a rate limit.")
+        self._invalid_limits = self._gauge(
+            "invalid_server_limits", "Answers that named an invalid rate limit."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -76,6 +82,17 @@
         self._servers.set(labels, servers)
         self._in_flight.set(labels, in_flight)
 
+    def set_limits(self, entry_id: str, limited: int, invalid: int) -> None:
+        """Set the gauges of the rate limits that servers name.
+
+        :param entry_id: the entry.
+        :param limited: the number of servers that name one.
+        :param invalid: the number of answers so far that named an invalid one.
+        """
+        labels = {"entry": entry_id}
+        self._limited.set(labels, limited)
+        self._invalid_limits.set(labels, invalid)
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import enum
+import typing
 
 import httptools
 
@@ -58,10 +59,22 @@
     max_head_bytes: int = routing_table.DEFAULT_HEADER_BYTES + SERVER_HEADERS_BYTES
 
 
+class HeadObserver(typing.Protocol):
+    """Observes the heads of a server's responses, whichever request they answer."""
+
+    def __call__(self, status: int, headers: http_messages.Headers) -> None:
+        """Observe one complete head.
+
+        :param status: the HTTP status, not of an interim response.
+        :param headers: the headers, with names in lower case.
+        """
+
+
 class Connection(asyncio.Protocol):
     """A connection to a server, which runs one request at a time.
 
     With an empty ``id_header``, the first final response is accepted whatever its id.
+    ``observe_head`` also gets the heads of responses that are late, repeated or not accepted.
     """
 
     def __init__(self, id_header: bytes, limits: ResponseLimits) -> None:
@@ -69,6 +82,7 @@
         self.max_idle_ms = MAX_IDLE_MS
         self.closed = False
         self.held_bytes = 0
+        self.observe_head: HeadObserver | None = None
         self._id_header = id_header
         self._limits = limits
         self._received_bytes = 0
@@ -132,6 +146,7 @@
         :param data: the received bytes.
         """
         if self._future is None:
+            self._parse(data[: message_quota.PARSE_CHUNK_BYTES])
             self.close()
             return
         for start in range(0, len(data), message_quota.PARSE_CHUNK_BYTES):
@@ -236,8 +251,11 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Mark the head as complete."""
+        """Mark the head as complete, and pass it to the observer."""
         self._head_done = True
+        status = self._parser.get_status_code()
+        if self.observe_head is not None and status >= 200:
+            self.observe_head(status, self._headers)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body.
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -76,7 +76,12 @@
         return self._open.get(address, 0)
 
     async def exchange(
-        self, address: str, data: bytes, request_id: bytes, head_only: bool
+        self,
+        address: str,
+        data: bytes,
+        request_id: bytes,
+        head_only: bool,
+        observe_head: server_connection.HeadObserver | None = None,
     ) -> server_connection.Exchange:
         """Send a request to a server and wait for its response.
 
@@ -87,6 +92,7 @@
         :param data: the encoded request.
         :param request_id: the id that the response must carry.
         :param head_only: whether the request is a HEAD.
+        :param observe_head: gets the head of each response on the connection, until its next use.
         """
         self._open[address] = self._open.get(address, 0) + 1
         connection: server_connection.Connection | None = None
@@ -100,11 +106,10 @@
                 connect_ms = clock.monotonic_ms() - started_ms
             else:
                 idle_ms = clock.monotonic_ms() - connection.idle_since_ms
+            connection.observe_head = observe_head
             exchange = await connection.send(data, request_id, head_only)
             exchange.connect_ms = connect_ms
-            if exchange.outcome is server_connection.Outcome.BROKEN and idle_ms > MIN_IDLE_MS:
-                # Servers or the network may drop idle connections earlier than announced.
-                self._idle_limit_ms = max(MIN_IDLE_MS, min(self._idle_limit_ms, idle_ms) / 2)
+            self._adapt_idle_limit(exchange, idle_ms)
             if connection.release(clock.monotonic_ms()):
                 self._idle.setdefault(address, []).append(connection)
                 connection = None
@@ -122,6 +127,14 @@
             if not self._open[address]:
                 del self._open[address]
 
+    def _adapt_idle_limit(self, exchange: server_connection.Exchange, idle_ms: int) -> None:
+        """Reduce the limit on idle time if a connection broke on reuse.
+
+        Servers or the network may drop idle connections earlier than announced.
+        """
+        if exchange.outcome is server_connection.Outcome.BROKEN and idle_ms > MIN_IDLE_MS:
+            self._idle_limit_ms = max(MIN_IDLE_MS, min(self._idle_limit_ms, idle_ms) / 2)
+
     async def is_reachable(self, address: str) -> bool:
         """Return whether a server accepts a TCP connection; the connection is kept for reuse.
 
