Failing test: a server gets more than the rate limit that it named

One entry, one limited server (1 a second): 30 of 30 requests within a second after it was told, 11 in 4 s are allowed; all first attempts.

--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -26,7 +26,8 @@
     """A server whose ``mode`` selects its behavior.
 
     ``ok``, ``shed`` (503, not run), ``fail`` (500), ``misdirect`` (421, as another server),
-    ``silent`` (no response) or ``unsigned`` (200 without a signature).
+    ``silent`` (no response) or ``unsigned`` (200 without a signature). If ``limit`` is not empty,
+    all responses name it as the server's rate limit.
     """
 
     server_id: str
@@ -35,11 +36,14 @@
     ran: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     seen: list = dataclasses.field(default_factory=list)
     cancelled: int = 0
+    limit: bytes = b""
 
     async def __call__(self, request):
         self.seen.append(request)
         request_id = request.header(NAMES.request_id).encode()
         headers = [(NAMES.request_id, request_id), (NAMES.load, b"1,0,3")]
+        if self.limit:
+            headers.append((NAMES.rate_limit, self.limit))
         if self.mode == "misdirect" or request.header(NAMES.target_server) != self.server_id:
             return http_messages.Response(421, headers)
         if self.mode == "shed":
