Entries share out the rate limits that servers name

Cause: a limit summed over all entries which no decision knew. Class: an aggregate limit without a limiter at the one place where servers are chosen. Fix: limits heard from answers spread by gossip to all entries. With N a second, at most N + 2 entries of the server's region send, the same ones for whoever believes what of who is alive, since they are chosen from all known entries; each has a token bucket. Over 4 s that is 5 N + 2 of the 6 N + 5 allowed. Others leave the server out as if it were unavailable, so the next in rank is the object's home. Placer.place is the one way to a server for first tries, retries, replacements, join probes and objects that return home, and counts each choice. A request for which nothing is left is refused at once as server-rate-limit. A region whose servers are all at their limits spills no more than any other full region. Rankings of servers moved to a module of their own, the index by start hash into the registry.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -19,6 +19,7 @@
     placement,
     registry,
     route_latency,
+    server_ranking,
 )
 
 SERVERS, SLOTS, QUEUE, KEPT = 10, 3, 9, 28
@@ -123,7 +124,7 @@
     elif policy == "two choices":
         server = min(source.sample(known, 2), key=lambda s: placer.health_of(s).in_flight)
     else:
-        server = max(known, key=lambda s: placement.home_score(wanted.key, s))
+        server = max(known, key=lambda s: server_ranking.home_score(wanted.key, s))
     return candidates.Choice(server, 0.0, route_latency.ObjectAffinity.HOME, 0.0, True, False)
 
 
--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -40,6 +40,8 @@
     :param shed: whether the last server rejected the request because it was full.
     :param own_region_only: whether the links to other regions have no capacity left for it.
     :param entry_count: how many entries share the servers' connections.
+    :param limited_servers: how many servers the latest placement left out since they name a rate
+        limit that this entry has used its part of.
     :param replacement: the server for the next attempt, chosen when the last attempt was abandoned
         because its server did not answer.
     """
@@ -55,6 +57,7 @@
     shed: bool = False
     own_region_only: bool = False
     entry_count: int = 1
+    limited_servers: int = 0
     replacement: Choice | None = None
 
     @property
@@ -182,6 +185,22 @@
     return min(limit_ms, request.remaining_ms)
 
 
+def rate_limit_refusal(request: PlacementRequest, waits_ms: list[int | None]) -> errors.Refusal:
+    """Return the refusal of a request whose servers are all unavailable or at their rate limits.
+
+    :param request: the request.
+    :param waits_ms: for each server, the time until this entry may send to it again, ``None`` for
+        those to which only other entries send.
+    """
+    soonest_ms = min((w for w in waits_ms if w), default=MAX_RETRY_AFTER_MS)
+    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, soonest_ms))
+    reason = (
+        f"{request.limited_servers} servers of {request.service.name} name a rate limit that leaves"
+        " no room, and no other one is available; retry later"
+    )
+    return errors.Refusal(errors.ErrorKind.SERVER_RATE_LIMIT, reason, wait_ms)
+
+
 def too_late_refusal(chosen: Choice, request: PlacementRequest) -> QueueRefusal:
     """Return the refusal of a request that even the best server would answer too late.
 
--- a/sassafraslock/decisions/load_view.py
+++ b/sassafraslock/decisions/load_view.py
@@ -23,22 +23,13 @@
     A server without a recent report is assumed to have the mean load of its service and region.
     """
 
-    __slots__ = (
-        "_registry",
-        "_health_of",
-        "_reports",
-        "_typical",
-        "_by_start_hash",
-        "_indexed_generation",
-    )
+    __slots__ = ("_registry", "_health_of", "_reports", "_typical")
 
     def __init__(self, servers: registry.Registry, health_of: HealthLookup) -> None:
         self._registry = servers
         self._health_of = health_of
         self._reports = load_reports.LoadReports()
         self._typical: dict[tuple[str, str], typical_load.TypicalLoad] = {}
-        self._by_start_hash: dict[int, registry.Server] = {}
-        self._indexed_generation = -1
 
     def load(
         self, server: registry.Server, health: server_health.ServerHealth, now_ms: int
@@ -76,7 +67,7 @@
         :param reports: the loads.
         :param now_ms: the current monotonic time.
         """
-        servers = self._servers_by_start_hash()
+        servers = self._registry.by_start_hash()
         for report in reports:
             server = servers.get(report.start_hash)
             at_ms = now_ms - max(0, report.age_ms)
@@ -94,11 +85,3 @@
         if typical is None:
             typical = self._typical[key] = typical_load.TypicalLoad()
         return typical
-
-    def _servers_by_start_hash(self) -> dict[int, registry.Server]:
-        if self._indexed_generation != self._registry.generation:
-            self._indexed_generation = self._registry.generation
-            self._by_start_hash = {
-                registry.start_hash(s): s for s in self._registry.servers.values()
-            }
-        return self._by_start_hash
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import typing
-
 from sassafraslock import errors, routing_table
 from sassafraslock.decisions import (
     candidates,
     cold_start,
+    entry_view,
     hashing,
     join_probes,
     load_view,
@@ -16,13 +15,15 @@
     registry,
     route_latency,
     server_health,
+    server_limits,
+    server_ranking,
+    server_rate_limiter,
     windows,
 )
 
 CANDIDATES = 4
 REMOTE_CANDIDATES = 2  # per region when a request spills over
 SPILL_RATIO = 0.06  # share of requests that may leave their planned region
-MAX_CACHED_RANKINGS = 16_384
 # Share of queued requests whose object is assumed to be in the server's memory.
 QUEUED_KNOWN_SHARE = 0.7
 CONNECTION_RATIO = 0.5  # share of a server's connections that all entries together may use
@@ -30,16 +31,6 @@
 GOLDEN_RATIO = 0.618033988749895  # its multiples modulo 1 are evenly distributed
 
 
-class EntryView(typing.Protocol):
-    """The live entries, as placement sees them."""
-
-    def live_ids(self, region: str = "") -> list[str]:
-        """Return the ids of the live entries, including this one.
-
-        :param region: if not empty, only entries of this region are returned.
-        """
-
-
 class Placer:
     """Selects servers by registry, region plans and own health records, which may be outdated."""
 
@@ -53,8 +44,8 @@
         "cold_limiter",
         "_latencies",
         "loads",
-        "_rankings",
-        "_ranked_generation",
+        "rate_limiter",
+        "_ranking",
         "_placed_count",
         "_spilled_count",
         "_join_probes",
@@ -65,8 +56,9 @@
         self,
         region: str,
         servers: registry.Registry,
-        entries: EntryView,
+        entries: entry_view.EntryView,
         cold_limiter: cold_start.ColdStartLimiter,
+        rate_limiter: server_rate_limiter.ServerRateLimiter | None = None,
     ) -> None:
         self.registry = servers
         self.health: dict[str, server_health.ServerHealth] = {}
@@ -75,10 +67,12 @@
         self.region = region
         self._entries = entries
         self.cold_limiter = cold_limiter
+        self.rate_limiter = rate_limiter or server_rate_limiter.ServerRateLimiter(
+            cold_limiter.own_id, server_limits.ServerLimits(), entries
+        )
         self._latencies: dict[str, route_latency.RouteLatency] = {}
         self.loads = load_view.LoadView(servers, self.health_of)
-        self._rankings: dict[tuple[str, str, str], list[registry.Server]] = {}
-        self._ranked_generation = -1
+        self._ranking = server_ranking.ServerRanking(servers)
         self._turn_numbers: dict[str, int] = {}
         self._join_probes = join_probes.JoinProbes(servers, self.health_of)
         self._placed_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
@@ -114,15 +108,27 @@
         start_ids = {registry.start_id(s) for s in self.registry.servers.values()}
         self.health = {k: v for k, v in self.health.items() if k in start_ids or v.in_flight}
         self.cold_limiter.retain(start_ids)
+        self.rate_limiter.retain({registry.start_hash(s) for s in self.registry.servers.values()})
 
     def place(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> candidates.Choice | errors.Refusal:
         """Return the server for a request, or a refusal with the reason.
 
+        The request counts towards the rate limits of the chosen server.
+
         :param request: the request.
         :param now_ms: the current monotonic time.
         """
+        request.limited_servers = 0
+        choice = self._select(request, now_ms)
+        if isinstance(choice, candidates.Choice):
+            self.rate_limiter.acquire(choice.server, now_ms)
+        return choice
+
+    def _select(
+        self, request: candidates.PlacementRequest, now_ms: int
+    ) -> candidates.Choice | errors.Refusal:
         planned = self._planned_region(request)
         choices = self._choices(request, planned, planned, CANDIDATES, now_ms)
         chosen = candidates.best_choice(choices, request.shed)
@@ -134,7 +140,7 @@
         if chosen is None or candidates.is_too_late(chosen, request):
             chosen = self._spill_over(request, planned, chosen, now_ms) or chosen
         if chosen is None:
-            return self._no_server_refusal(request)
+            return self._no_server_refusal(request, now_ms)
         if candidates.is_too_late(chosen, request):
             return candidates.too_late_refusal(chosen, request)
         if not chosen.is_cold or self._try_acquire_cold(chosen, request, now_ms):
@@ -172,7 +178,7 @@
     ) -> candidates.Choice | None:
         """Return a recently joined server that has not answered this entry yet, if there is one."""
         for server in self._join_probes.due(request.service.name, now_ms):
-            if _is_allowed(request.route, server):
+            if _is_allowed(request.route, server) and self.rate_limiter.may_send(server, now_ms):
                 probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
                 probe.selection = candidates.Selection.JOIN_PROBE
                 return probe
@@ -210,14 +216,14 @@
     ) -> list[candidates.Choice]:
         """Return the usable servers of a region in the object's rendezvous order, its home first.
 
-        If the home is unavailable or cold, the next server becomes a home as well, since a cold
-        server takes few requests only. All entries agree on that server, so it soon has the object
-        in memory. A home that is full or was tried already has no such substitute. Besides the
-        first servers, the list holds all those known to have the object in memory.
+        If the home is unavailable, cold or at its rate limit, the next server becomes a home as
+        well, since the home takes few requests only. All entries agree on that server, so it soon
+        has the object in memory. A home that is full or was tried already has no such substitute.
+        Besides the first servers, the list holds all those known to have the object in memory.
         """
         choices: list[candidates.Choice] = []
         is_home = region == planned
-        for server in self._ranking(request, region):
+        for server in self._ranking.servers(request.service.name, region, request.key):
             if len(choices) >= count and not self._has_handled(request, server, now_ms):
                 continue
             health = self.health_of(server)
@@ -229,6 +235,9 @@
             if full or server.server_id in request.tried:
                 is_home = False
                 continue
+            if not self.rate_limiter.may_send(server, now_ms):
+                request.limited_servers += 1
+                continue
             choices.append(self._evaluate(request, server, health, is_home, now_ms))
             is_home = is_home and choices[-1].is_cold
         return choices
@@ -280,21 +289,6 @@
             request.object_hash, registry.start_hash(server), now_ms
         )
 
-    def _ranking(self, request: candidates.PlacementRequest, region: str) -> list[registry.Server]:
-        is_stale = self._ranked_generation != self.registry.generation
-        if is_stale or len(self._rankings) > MAX_CACHED_RANKINGS:
-            self._rankings.clear()
-            self._ranked_generation = self.registry.generation
-        cache_key = (request.service.name, region, request.key)
-        ranking = self._rankings.get(cache_key)
-        if ranking is None:
-            servers = [
-                s for s in self.registry.usable_servers(request.service.name) if s.region == region
-            ]
-            servers.sort(key=lambda s: home_score(request.key, s), reverse=True)
-            ranking = self._rankings[cache_key] = servers[: 3 * CANDIDATES]
-        return ranking
-
     def _spill_over(
         self,
         request: candidates.PlacementRequest,
@@ -311,7 +305,7 @@
             return None
         allowed = SPILL_RATIO * self._placed_count.total(now_ms)
         serving = {s.region for s in self.registry.usable_servers(request.service.name)}
-        is_served = planned in serving and chosen is not None
+        is_served = planned in serving and (chosen is not None or request.limited_servers > 0)
         if is_served and self._spilled_count.total(now_ms) + 1 > allowed:
             return None
         regions = serving - {planned}
@@ -369,30 +363,28 @@
                 continue
             if server.server_id in request.tried:
                 continue
+            if not self.rate_limiter.may_send(server, now_ms):
+                continue
             health = self.health_of(server)
             if health.is_available(now_ms):
                 choices.append(self._evaluate(request, server, health, False, now_ms))
         local = [c for c in choices if c.server.region == self.region]
         return local or choices
 
-    def _no_server_refusal(self, request: candidates.PlacementRequest) -> errors.Refusal:
-        usable = len(self.registry.usable_servers(request.service.name))
+    def _no_server_refusal(
+        self, request: candidates.PlacementRequest, now_ms: int
+    ) -> errors.Refusal:
+        usable = self.registry.usable_servers(request.service.name)
+        if request.limited_servers:
+            allowed = [s for s in usable if _is_allowed(request.route, s)]
+            waits_ms = [self.rate_limiter.wait_ms(s, now_ms) for s in allowed]
+            return candidates.rate_limit_refusal(request, waits_ms)
         reason = (
-            f"none of the {usable} servers of {request.service.name} is available for the request"
+            f"none of the {len(usable)} servers of {request.service.name} is available for the"
+            " request"
         )
         return errors.Refusal(errors.ErrorKind.NO_SERVER, reason, 300)
 
 
 def _is_allowed(route: routing_table.Route, server: registry.Server) -> bool:
     return not route.regions or server.region in route.regions
-
-
-def home_score(key: str, server: registry.Server) -> float:
-    """Return a server's rendezvous score for an object, weighted by its slots.
-
-    The server with the highest score of its region is the object's home.
-
-    :param key: the object's affinity key.
-    :param server: the server.
-    """
-    return hashing.rendezvous_score(key, server.server_id, max(1, server.report.slots))
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -108,7 +108,15 @@
     ``generation`` changes whenever the set of usable servers may have changed.
     """
 
-    __slots__ = ("servers", "evacuated_zones", "_by_service", "_is_stale", "generation")
+    __slots__ = (
+        "servers",
+        "evacuated_zones",
+        "_by_service",
+        "_is_stale",
+        "generation",
+        "_by_start_hash",
+        "_indexed_generation",
+    )
 
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
@@ -116,6 +124,8 @@
         self.generation = 0
         self._is_stale = False
         self._by_service: dict[str, list[Server]] = {}
+        self._by_start_hash: dict[int, Server] = {}
+        self._indexed_generation = -1
 
     def apply_report(self, report: ServerReport, now_ms: int, joined: bool, cold_ms: int) -> None:
         """Add a server or update it.
@@ -214,6 +224,13 @@
             self._rebuild()
         return self._by_service.get(service, [])
 
+    def by_start_hash(self) -> dict[int, Server]:
+        """Return all servers by the hashes of the ids of their starts."""
+        if self._indexed_generation != self.generation:
+            self._indexed_generation = self.generation
+            self._by_start_hash = {start_hash(s): s for s in self.servers.values()}
+        return self._by_start_hash
+
     def _mark_changed(self) -> None:
         self.generation += 1
         self._is_stale = True
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -31,6 +31,7 @@
     retry_budget,
     roster,
     server_limits,
+    server_rate_limiter,
 )
 from sassafraslock.path import access_log, pipeline, send
 from sassafraslock.services import (
@@ -97,7 +98,7 @@
         self.replica.set_fallback(reader)
         self.metrics = metrics.Metrics()
         self.limits = server_limits.ServerLimits()
-        self.limit_watch = limit_watch.LimitWatch(self.limits, names.rate_limit)
+        self.limit_watch = limit_watch.LimitWatch(self.limits, servers, names.rate_limit)
         self.pipeline = self._build_pipeline(servers, names, keys)
         placer = self.pipeline.placer
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
@@ -115,6 +116,7 @@
     def _subscribe(self, placer: placement.Placer) -> None:
         self.gossip.loads = placer.loads
         self.gossip.objects = placer.objects
+        self.gossip.limits = self.limit_watch
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
 
@@ -128,7 +130,10 @@
         cold = cold_start.ColdStartLimiter(
             self.settings.entry_id, bounds.cold_overage, bounds.cold_slack
         )
-        placer = placement.Placer(self.settings.region, servers, self.gossip, cold)
+        limiter = server_rate_limiter.ServerRateLimiter(
+            self.settings.entry_id, self.limits, self.gossip, clock.monotonic_ms()
+        )
+        placer = placement.Placer(self.settings.region, servers, self.gossip, cold, limiter)
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -1,7 +1,7 @@
 """Gossip between entries over UDP.
 
 It spreads which entries are alive and ready, the store version that each has reached, suspected
-poison requests, servers' reported loads, and which objects they have handled.
+poison requests, servers' reported loads and rate limits, and which objects they have handled.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
     message_auth,
     object_memory,
     roster,
+    server_limits,
 )
 from sassafraslock.services import poison_watch
 
@@ -38,8 +39,8 @@
     """One gossip datagram before compression.
 
     ``records`` holds the sender's record, first, and those of some live entries; ``beats`` holds
-    heartbeat counters of other live entries. ``loads`` is sent to entries nearby only, and
-    ``objects`` to entries of the same region.
+    heartbeat counters of other live entries. ``limits`` goes to all entries, ``loads`` to entries
+    nearby only, and ``objects`` to entries of the same region.
     """
 
     records: list[roster.MemberRecord]
@@ -47,6 +48,7 @@
     suspects: list[poison_watch.Suspect] = []
     loads: list[load_reports.LoadReport] = []
     objects: list[object_memory.ObjectReport] = []
+    limits: list[server_limits.LimitReport] = []
 
 
 class ReportExchange(typing.Protocol[ReportT]):
@@ -92,6 +94,7 @@
         "_rng",
         "loads",
         "objects",
+        "limits",
         "token",
     )
 
@@ -114,6 +117,7 @@
         self._rng = rng or random.Random()
         self.loads: ReportExchange[load_reports.LoadReport] | None = None
         self.objects: ReportExchange[object_memory.ObjectReport] | None = None
+        self.limits: ReportExchange[server_limits.LimitReport] | None = None
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -180,6 +184,15 @@
         live.append(self._build_record(self._beat))
         return [r.entry_id for r in live if not region or r.region == region]
 
+    def known_ids(self, region: str = "") -> list[str]:
+        """Return the ids of all entries that are not leaving, this and silent ones included.
+
+        :param region: if given, only entries of this region are returned.
+        """
+        known = [m.record for m in self.roster.known()]
+        known.append(self._build_record(self._beat))
+        return [r.entry_id for r in known if not r.leaving and (not region or r.region == region)]
+
     def message(self, now_ms: int) -> Message:
         """Return one round's message without loads, and increment the heartbeat counter.
 
@@ -194,7 +207,9 @@
         own = self._build_record(self._beat)
         others = members[RECORDS_PER_MESSAGE : RECORDS_PER_MESSAGE + HEARTBEATS_PER_MESSAGE]
         heartbeats = [m.heartbeat() for m in others]
-        return Message([own, *records], heartbeats, self._poison.recent_suspects(now_ms))
+        limits = self.limits.recent_reports(now_ms) if self.limits is not None else []
+        suspects = self._poison.recent_suspects(now_ms)
+        return Message([own, *records], heartbeats, suspects, limits=limits)
 
     def pack(self, message: Message) -> bytes:
         """Encode and compress a message, and sign it with the peer token.
@@ -254,6 +269,8 @@
             self.loads.merge_reports(message.loads, now_ms)
         if self.objects is not None:
             self.objects.merge_reports(message.objects, now_ms)
+        if self.limits is not None:
+            self.limits.merge_reports(message.limits, now_ms)
 
     def _log_liveness_changes(self, now_ms: int) -> None:
         live = {m.record.entry_id for m in self.roster.live(now_ms)}
--- a/sassafraslock/services/limit_watch.py
+++ b/sassafraslock/services/limit_watch.py
@@ -1,4 +1,4 @@
-"""Hears the rate limits that servers name in their answers, logs each change and counts them."""
+"""Hears the rate limits that servers name, from answers and from peers, and logs each change."""
 
 from __future__ import annotations
 
@@ -16,10 +16,13 @@
     nothing.
     """
 
-    __slots__ = ("limits", "invalid_heads", "_header", "_logged_invalid")
+    __slots__ = ("limits", "invalid_heads", "_registry", "_header", "_logged_invalid")
 
-    def __init__(self, limits: server_limits.ServerLimits, header: bytes) -> None:
+    def __init__(
+        self, limits: server_limits.ServerLimits, servers: registry.Registry, header: bytes
+    ) -> None:
         self.limits = limits
+        self._registry = servers
         self.invalid_heads = 0
         self._header = header
         self._logged_invalid: set[str] = set()
@@ -46,7 +49,7 @@
         start_hash = registry.start_hash(server)
         previous = self.limits.limit_of(start_hash)
         if self.limits.record_named(start_hash, per_s, now_ms):
-            _log_change(server, per_s, previous)
+            _log_change(server, per_s, previous, "server")
 
     def record_answer(
         self,
@@ -67,7 +70,29 @@
         start_hash = registry.start_hash(server)
         previous = self.limits.limit_of(start_hash)
         if self.limits.record_unnamed(start_hash, sent_ms, now_ms):
-            _log_change(server, None, previous)
+            _log_change(server, None, previous, "server")
+
+    def recent_reports(self, now_ms: int) -> list[server_limits.LimitReport]:
+        """Return the limits to send to other entries.
+
+        :param now_ms: the current monotonic time.
+        """
+        return self.limits.recent_reports(now_ms)
+
+    def merge_reports(self, reports: list[server_limits.LimitReport], now_ms: int) -> None:
+        """Merge limits that another entry knows; those of unregistered servers are ignored.
+
+        :param reports: the limits.
+        :param now_ms: the current monotonic time.
+        """
+        servers = self._registry.by_start_hash()
+        for report in reports:
+            server = servers.get(report.start_hash)
+            if server is None or not report.is_valid:
+                continue
+            previous = self.limits.limit_of(report.start_hash)
+            if self.limits.merge(report, now_ms):
+                _log_change(server, report.per_s, previous, "peer")
 
     def _record_invalid(self, server: registry.Server, values: list[bytes]) -> None:
         self.invalid_heads += 1
@@ -84,7 +109,9 @@
         )
 
 
-def _log_change(server: registry.Server, per_s: float | None, previous: float | None) -> None:
+def _log_change(
+    server: registry.Server, per_s: float | None, previous: float | None, heard_from: str
+) -> None:
     message = "server takes any rate again" if per_s is None else "server named a rate limit"
     events.log(
         events.Event.SERVER_LIMIT_CHANGED,
@@ -93,4 +120,5 @@
         service=server.report.service,
         limit_per_s=per_s,
         previous_per_s=previous,
+        heard_from=heard_from,
     )
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -13,7 +13,7 @@
     http_messages,
     kernel,
 )
-from sassafraslock.decisions import placement
+from sassafraslock.decisions import server_ranking
 from sassafraslock.services import http_server, log_writer, operator_api
 from tests import fact_source
 
@@ -140,7 +140,7 @@
         placer = self.edge.pipeline.placer
         order = sorted(self.backends, key=lambda i: placer.registry.servers[i].first_seen_ms)
         order.sort(
-            key=lambda i: placement.home_score("k", placer.registry.servers[i]), reverse=True
+            key=lambda i: server_ranking.home_score("k", placer.registry.servers[i]), reverse=True
         )
         return [self.backends[i] for i in order]
 
--- a/tests/test_limit_watch.py
+++ b/tests/test_limit_watch.py
@@ -13,7 +13,7 @@
 
 
 def watch():
-    return limit_watch.LimitWatch(server_limits.ServerLimits(), HEADER)
+    return limit_watch.LimitWatch(server_limits.ServerLimits(), registry.Registry(), HEADER)
 
 
 def limit_of(watcher, server=SERVER):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -361,7 +361,7 @@
     """Pattern: hot object, moved once to a second server while its home was busy."""
     placer = build(SERVERS)
     home = home_of(placer)
-    last = placer._ranking(request_for(), "a")[-1]
+    last = placer._ranking.servers("s", "a", "k")[-1]
     for server in (home, last):
         record_sighting(placer, server)
         placer.loads.record(server, SLOTS, 0)
