--- a/sassafraslock/explain.py
+++ b/sassafraslock/explain.py
@@ -35,6 +35,7 @@
         events.Event.SERVER_JOINED,
         events.Event.SERVER_GONE,
         events.Event.SERVER_EJECTED,
+        events.Event.SERVER_LIMIT_CHANGED,
         events.Event.REQUEST_QUARANTINED,
     )
 )
@@ -87,6 +88,8 @@
         f"  route {line.get('route')}, service {line.get('service')},"
         f" revision {line.get('revision')}, facts {line.get('facts_age_ms')} ms old",
     ]
+    if line.get("limited_servers"):
+        report.append(f"  servers left out at their rate limits: {line['limited_servers']}")
     for number, attempt in enumerate(line.get("attempts", ()), 1):
         report.append(f"  attempt {number}: {_describe_attempt(attempt)}")
     if not line.get("attempts"):
@@ -109,6 +112,8 @@
 def _describe_earlier_events(lines: list[LogLine], request: LogLine) -> list[str]:
     """Describe events of entries and of the tried servers shortly before the request ended."""
     servers = {attempt["server"] for attempt in request.get("attempts", ())}
+    if request.get("limited_servers"):
+        servers |= _limited_servers(lines, request.get("service"))
     until_s = request["time_s"]
     report: list[str] = []
     for line in lines:
@@ -120,6 +125,15 @@
     return report
 
 
+def _limited_servers(lines: list[LogLine], service: str | None) -> set[str]:
+    """Return the servers of a service that named a rate limit at any time."""
+    return {
+        line["server"]
+        for line in lines
+        if line["event"] == events.Event.SERVER_LIMIT_CHANGED and line.get("service") == service
+    }
+
+
 def _servers_of(line: LogLine) -> set[str]:
     return {line["server"]} if "server" in line else set(line.get("servers", ()))
 
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -78,6 +78,8 @@
             fields["target_ms"] = context.routed.route.target_latency_ms
         if context.response is not None:
             fields["status"] = context.response.status
+        if context.limited_servers:
+            fields["limited_servers"] = context.limited_servers
         if context.refusal is not None:
             fields["kind"] = context.refusal.kind
         if isinstance(context.refusal, candidates.QueueRefusal) and context.refusal.choice:
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -33,12 +33,15 @@
     """The state of one request in the pipeline, which is logged when the request ends.
 
     ``routed`` is none until a route matched, and ``response`` is none if the client closed its
-    connection first. ``refusal`` is set if the response is this entry's own error response.
+    connection first. ``limited_servers`` counts the servers that the last placement left out
+    because of their rate limits. ``refusal`` is set if the response is this entry's own error
+    response.
     """
 
     incoming: read.IncomingRequest
     routed: route.RoutedRequest | None = None
     attempts: list[tuple[send.Attempt, judge.Verdict]] = dataclasses.field(default_factory=list)
+    limited_servers: int = 0
     refusal: errors.Refusal | None = None
     response: http_messages.Response | None = None
 
@@ -204,6 +207,7 @@
                 return _deadline_refusal(context)
             choice = placement_request.replacement or self.placer.place(placement_request, now_ms)
             placement_request.replacement = None
+            context.limited_servers = placement_request.limited_servers
             if isinstance(choice, errors.Refusal):
                 return _final_refusal(context, choice)
             if not self._acquire_link_tokens(routed, choice, now_ms):
--- a/sassafraslock/report/causes.py
+++ b/sassafraslock/report/causes.py
@@ -31,6 +31,7 @@
     SLOW_SERVER = "a server slower than expected"
     EXPECTED_QUEUE = "the best server's queue, as expected"
     NO_SERVER = "no server available"
+    RATE_LIMIT = "rate limits that servers name"
     REJECTED = "rejected by the servers tried"
     NO_CAPACITY = "no capacity"
     NOT_READY = "an entry that starts or stops"
@@ -44,6 +45,7 @@
 }
 _REFUSALS: dict[str, Cause] = {
     errors.ErrorKind.NO_SERVER: Cause.NO_SERVER,
+    errors.ErrorKind.SERVER_RATE_LIMIT: Cause.RATE_LIMIT,
     errors.ErrorKind.NO_CAPACITY: Cause.NO_CAPACITY,
     errors.ErrorKind.NOT_READY: Cause.NOT_READY,
     errors.ErrorKind.LEAVING: Cause.NOT_READY,
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -7,7 +7,16 @@
 import anyio
 
 from sassafraslock import clock, edge_settings, events, routing_table
-from sassafraslock.decisions import demand_peaks, placement, region_plan, roster, windows
+from sassafraslock.decisions import (
+    demand_peaks,
+    placement,
+    region_plan,
+    registry,
+    roster,
+    route_latency,
+    server_rate_limiter,
+    windows,
+)
 from sassafraslock.services import routing_state
 
 INTERVAL_S = 0.5
@@ -31,7 +40,8 @@
     """Measures the demand of this entry's clients and plans its split between regions.
 
     A region's demand is smoothed by :class:`demand_peaks.DemandPeaks`. A cold server counts with
-    :data:`COLD_CAPACITY_RATIO` of its slots.
+    :data:`COLD_CAPACITY_RATIO` of its slots, one that names a rate limit with the slots that this
+    rate keeps busy.
     """
 
     __slots__ = (
@@ -171,10 +181,29 @@
         }
         for server in self._placer.registry.usable_servers(service):
             if server.region in regions:
-                ratio = COLD_CAPACITY_RATIO if server.is_cold(now_ms) else 1.0
-                regions[server.region].capacity += server.report.slots * ratio
+                regions[server.region].capacity += self._capacity(server, now_ms)
         return regions
 
+    def _capacity(self, server: registry.Server, now_ms: int) -> float:
+        """Return the slots of a server that are expected to be usable."""
+        ratio = COLD_CAPACITY_RATIO if server.is_cold(now_ms) else 1.0
+        slots = server.report.slots * ratio
+        per_s = self._placer.rate_limiter.limits.limit_of(registry.start_hash(server))
+        if per_s is None:
+            return slots
+        per_s = max(per_s, server_rate_limiter.MIN_RATE_PER_S)
+        return min(slots, per_s * self._mean_busy_ms(server.report.service) / 1000)
+
+    def _mean_busy_ms(self, service: str) -> float:
+        """Return the mean time that a request keeps a server of a service busy, over its routes."""
+        table = self._routing_state.table
+        times_ms = [
+            self._placer.latency_of(route).expected_ms(route_latency.ObjectAffinity.KNOWN)
+            for route in (table.routes if table is not None else ())
+            if any(destination.service == service for destination in route.destinations)
+        ]
+        return sum(times_ms) / len(times_ms) if times_ms else 0.0
+
     def _demand_shares(self, service: str, now_ms: int) -> dict[str, float]:
         """Return each region's share of the service's demand, based on recent peaks.
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -48,3 +48,14 @@
     lines[0]["time_s"] -= explain.CONTEXT_S + 1
     report = "\n".join(explain.explain(lines, "26230febd117e37c"))
     assert "server_ejected" not in report
+
+
+def test_the_rate_limits_behind_a_refusal_are_shown():
+    limit = {"time_s": 5.0, "event": 5008, "name": "server_limit_changed", "message": "named"}
+    limits = [{**limit, "server": "i-1", "service": "s", "limit_per_s": 1.5}]
+    limits.append({**limit, "server": "i-2", "service": "other", "limit_per_s": 2.5})
+    refusal = {"time_s": 6.0, "event": 6002, "name": "request_refused", "message": "no room"}
+    refusal |= {"request": "q", "service": "s", "kind": "server-rate-limit", "limited_servers": 1}
+    report = "\n".join(explain.explain([*limits, refusal], "q"))
+    assert "left out at their rate limits: 1" in report
+    assert "limit_per_s=1.5" in report and "limit_per_s=2.5" not in report
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -110,3 +110,25 @@
     servers.apply_report(fact_source.report("a", zone="a-1", slots=10), 400, False, 0)
     region_planner.update(500)
     assert weights(region_planner)["b"] > 0.9
+
+
+def test_a_region_whose_servers_name_rate_limits_counts_with_what_these_allow():
+    """Pattern: a region at its limits. Its plan moves what does not fit, one step at a time."""
+    region_planner, members = build({"a": 10, "b": 10})
+    record = roster.MemberRecord("x", 1, 1, "b", "b-1", "h:3", "h:4", demand={"s": 5.0})
+    members.merge_record(record, 100)
+    region_planner.record_demand("s", 50_000, 100)
+    region_planner.update(100)
+    assert weights(region_planner) == {"a": 1.0}
+    server = region_planner._placer.registry.servers["a"]
+    limits = region_planner._placer.rate_limiter.limits
+    limits.record_named(registry.start_hash(server), 1.0, 100)
+    previous = 1.0
+    for now_ms in range(600, 5_600, 500):
+        members.merge_heartbeat(roster.Heartbeat("x", 1, now_ms), now_ms)
+        region_planner.record_demand("s", 2_500, now_ms)
+        region_planner.update(now_ms)
+        local = weights(region_planner)["a"]
+        assert previous - local <= 0.15
+        previous = local
+    assert previous < 0.8
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -106,6 +106,7 @@
     ("fields", "cause"),
     [
         ({"kind": "no-server"}, causes.Cause.NO_SERVER),
+        ({"kind": "server-rate-limit"}, causes.Cause.RATE_LIMIT),
         ({"kind": "no-capacity", "attempts": [attempt()]}, causes.Cause.REJECTED),
         ({"kind": "no-capacity", "attempts": []}, causes.Cause.NO_CAPACITY),
         ({"kind": "leaving", "attempts": []}, causes.Cause.NOT_READY),
