A head that runs into another one is no answer: REFUSED and TWICE on a kept connection

Whole copies were told apart by the request's id. A copy that is cut inside its reason phrase or inside a header's value was not: the parser joined it with the head of the present answer, which brought the right id. Callers of requests that must not be repeated got a 503 (not run) for a run, or the request ran at a second server. Fix: a head with a status line inside its reason phrase or a header's value is aborted as malformed.

--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import enum
+import re
 import typing
 
 import httptools
@@ -19,6 +20,8 @@
 
 MAX_IDLE_MS = 8_000
 IDLE_MARGIN_MS = 1_000  # subtracted from the idle time that servers announce
+# In a head, it shows that a response begins inside another one that was cut off.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 SERVER_HEADERS_BYTES = 32 << 10  # added to the request header limit to bound response headers
 
 
@@ -100,6 +103,7 @@
         self._unread_head_bytes = 0
         self._body = bytearray()
         self._head_done = False
+        self._reason_phrase = b""
 
     def send(self, data: bytes, request_id: bytes, head_only: bool) -> asyncio.Future[Exchange]:
         """Send a request and return the future of its result; failures are results as well.
@@ -238,6 +242,13 @@
             self._reusable = False
         self._new_message()
 
+    def on_status(self, reason: bytes) -> None:
+        """Add a part of the reason phrase.
+
+        :param reason: the part.
+        """
+        self._reason_phrase += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers after the body are ignored.
 
@@ -251,8 +262,16 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Mark the head as complete, and pass it to the observer."""
+        """Mark the head as complete, and pass it to the observer.
+
+        Two heads that run into each other are aborted: they may have the id of one response and
+        the status of the other.
+        """
         self._head_done = True
+        texts = [self._reason_phrase, *(value for _, value in self._headers)]
+        if any(_STATUS_LINE.search(text) for text in texts):
+            self.abort_message("a response begins inside the head of another one")
+            return
         status = self._parser.get_status_code()
         if self.observe_head is not None and status >= 200:
             self.observe_head(status, self._headers)
