A server's 503 without its mark 'not run' no longer tells callers that a request has not run

For a request that must not be repeated it is 502 now, which promises nothing; reads are retried as before. Test: the mode 'busy' in tests/test_edge.py; the filing got 503 before.

--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -21,6 +21,8 @@
 SOFT_TIMEOUT_RATIO = 2.0  # of the attempt's expected time
 SOFT_TIMEOUT_TARGET_RATIO = 1.2  # of the route's target latency; the greater time applies
 MIN_REMAINING_MS = 20  # with less time left, no attempt is made
+# With these statuses, a client may take the request as not run: timeout, too many requests, unavailable.
+NOT_RUN_STATUSES = (408, 429, 503)
 MAX_SERVERS_TRIED = 5  # includes unreachable servers, which do not count as attempts
 
 _ENTRY_LEAVING = errors.Refusal(
@@ -231,10 +233,10 @@
             placement_request.shed = verdict is judge.Verdict.NOT_RUN
             response = attempt.exchange.response if attempt.exchange else None
             if verdict is judge.Verdict.ANSWERED and response is not None:
-                return response
+                return _checked_response(routed, response)
             if not self._may_retry(routed, placement_request, attempt, verdict):
                 if verdict is judge.Verdict.FAILED and response is not None:
-                    return response
+                    return _checked_response(routed, response)
                 return _final_refusal(context, None)
 
     def _is_poison(self, routed: route.RoutedRequest, now_ms: int) -> bool:
@@ -318,6 +320,19 @@
         return placement_request.retry_granted
 
 
+def _checked_response(
+    routed: route.RoutedRequest, response: http_messages.Response
+) -> http_messages.Response | errors.Refusal:
+    """Return a server's response, or a failure if it would tell of a run as not run."""
+    if routed.idempotent or response.status not in NOT_RUN_STATUSES:
+        return response
+    reason = (
+        f"the server answered {response.status} and did not say that it has not run the request;"
+        " the request may have run"
+    )
+    return errors.Refusal(errors.ErrorKind.SERVER_FAILED, reason)
+
+
 def _budget_refusal() -> errors.Refusal:
     reason = (
         "no server ran the request, and the retry budget or the limit of attempts is used up; retry"
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -25,9 +25,9 @@
 class Backend:
     """A server whose ``mode`` selects its behavior.
 
-    ``ok``, ``shed`` (503, not run), ``fail`` (500), ``misdirect`` (421, as another server),
-    ``silent`` (no response) or ``unsigned`` (200 without a signature). If ``limit`` is not empty,
-    all responses name it as the server's rate limit.
+    ``ok``, ``shed`` (503, not run), ``busy`` (503 after a run), ``fail`` (500), ``misdirect`` (421,
+    as another server), ``silent`` (no response) or ``unsigned`` (200 without a signature). If
+    ``limit`` is not empty, all responses name it as the server's rate limit.
     """
 
     server_id: str
@@ -56,7 +56,7 @@
                 self.cancelled += 1
         if self.mode == "unsigned":
             return http_messages.Response(200, headers, b"?")
-        status = 500 if self.mode == "fail" else 200
+        status = {"fail": 500, "busy": 503}.get(self.mode, 200)
         signature = (NAMES.signature, self.server_id.encode())
         return http_messages.Response(status, [*headers, signature], request.body or b"read")
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -34,6 +34,7 @@
     "shed": (200, 1),
     "misdirect": (200, 1),
     "fail": (500, 1),
+    "busy": (502, 1),
     "unsigned": (502, 1),
     "silent": (504, 1),
 }
@@ -53,7 +54,7 @@
     edge_world.run_scenario(scenario)
 
 
-@pytest.mark.parametrize("mode", ["shed", "misdirect", "fail", "unsigned"])
+@pytest.mark.parametrize("mode", ["shed", "misdirect", "fail", "busy", "unsigned"])
 def test_a_failed_read_is_retried_at_another_server(mode):
     async def scenario(world):
         world.servers_by_preference()[0].mode = mode
