Servers of the product's own protocol repeat the request's id, so earlier answers are told apart

An earlier refusal, written once more after the next request was sent, told callers 'not run' for a request that ran. Now each answer carries the id, as on the firm's platform, and one without it is not taken.

--- a/sassafraslock/header_names.py
+++ b/sassafraslock/header_names.py
@@ -31,7 +31,7 @@
     target_server: bytes = b"sassafraslock-server"
     not_run: bytes = b"sassafraslock-not-run"
     signature: bytes = b""
-    request_id_echoed: bool = False
+    request_id_echoed: bool = True
     error: bytes = b"sassafraslock-error"
     refused_not_run: bytes = b"sassafraslock-not-run"
     idempotency_key: bytes = b"sassafraslock-key"
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -21,7 +21,7 @@
 SOFT_TIMEOUT_RATIO = 2.0  # of the attempt's expected time
 SOFT_TIMEOUT_TARGET_RATIO = 1.2  # of the route's target latency; the greater time applies
 MIN_REMAINING_MS = 20  # with less time left, no attempt is made
-# With these statuses, a client may take the request as not run: timeout, too many requests, unavailable.
+# Clients may take these as not run: timeout of the request, too many requests, unavailable.
 NOT_RUN_STATUSES = (408, 429, 503)
 MAX_SERVERS_TRIED = 5  # includes unreachable servers, which do not count as attempts
 
--- a/sassafraslock/standin/backend.py
+++ b/sassafraslock/standin/backend.py
@@ -131,7 +131,11 @@
             return
         if self.behaviour.refuse_all or self.stats.waiting >= MAX_WAITING_PER_SLOT * self.slots:
             self.stats.shed += 1
-            headers = [(NAMES.not_run, b"true"), (NAMES.load, self._load_header())]
+            headers = [
+                _echoed_id(request),
+                (NAMES.not_run, b"true"),
+                (NAMES.load, self._load_header()),
+            ]
             await asgi.send_response(send, 503, headers, b"shedding")
             return
         poison = self.behaviour.poison.encode()
@@ -157,6 +161,7 @@
         finally:
             self._free_slots.release()
         headers = [
+            _echoed_id(request),
             (b"x-server", self.server_id.encode()),
             (b"x-echo", request.header(b"x-echo").encode()),
             (NAMES.load, load),
@@ -181,3 +186,7 @@
         finally:
             stats.in_flight.add_running(-1)
             self.region_in_flight.add_running(-1)
+
+
+def _echoed_id(request: asgi.Request) -> tuple[bytes, bytes]:
+    return NAMES.request_id, request.header(NAMES.request_id).encode("latin-1")
--- a/tests/test_kept_connection.py
+++ b/tests/test_kept_connection.py
@@ -9,7 +9,8 @@
 from sassafraslock.path import judge, send
 from sassafraslock.services import server_connection
 
-NAMES = header_names.HeaderNames(signature=b"x-signature", request_id_echoed=True)
+NAMES = header_names.HeaderNames(signature=b"x-signature")  # those of the product otherwise
+ID_HEADER = NAMES.request_id if NAMES.request_id_echoed else b""
 Outcome, Verdict = server_connection.Outcome, judge.Verdict
 
 
@@ -64,7 +65,7 @@
 
     async def scenario():
         limits = server_connection.ResponseLimits(message_quota.MessageQuota())
-        connection = server_connection.Connection(NAMES.request_id, limits)
+        connection = server_connection.Connection(ID_HEADER, limits)
         connection.connection_made(Transport())
         connection.send(b"request 0", b"r-0", False)
         connection.data_received(EARLIER["answer"])
