A planned stop answers every request that it took, and takes none that it cannot finish

It happened here: requests were taken for 3.2 of 6 s whatever their deadline, and what was in flight after 5.1 s was aborted. Fix: from the middle of the grace period on, a request is taken only if its deadline lies before the end of the drain; others are refused at once as 'leaving'. What is still in flight at the end of the drain gets a 504, which promises nothing, instead of a closed connection.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -292,6 +292,17 @@
         self.pipeline.leaving = True
         self.client_server.begin_closing()
 
+    def refuse_unfinishable_requests(self, finish_by_ms: int) -> None:
+        """Refuse requests that arrive from now on and may last too long.
+
+        :param finish_by_ms: the monotonic time at which requests in flight are interrupted.
+        """
+        self.pipeline.finish_by_ms = finish_by_ms
+
+    def interrupt_requests(self) -> None:
+        """Answer the requests in flight as failed, since they outlast the stop."""
+        self.pipeline.stop()
+
     def refuse_new_requests(self) -> None:
         """Refuse requests that arrive from now on, since the stop could interrupt them."""
         self.pipeline.closed = True
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -7,7 +7,7 @@
 
 from sassafraslock import events
 from sassafraslock.decisions import candidates
-from sassafraslock.path import judge, pipeline, send
+from sassafraslock.path import judge, request_context, send
 from sassafraslock.services import metrics
 
 
@@ -30,7 +30,7 @@
         self._metrics = counters
         self._replica_age_ms = replica_age_ms
 
-    def record(self, context: pipeline.RequestContext, now_ms: int) -> None:
+    def record(self, context: request_context.RequestContext, now_ms: int) -> None:
         """Log one ended request and add it to the metrics.
 
         :param context: the state of the request; its response is none if the client closed its
@@ -59,7 +59,7 @@
             events.log(events.Event.REQUEST_FAILED, reason, logging.WARNING, **fields)
 
     def _fields(
-        self, context: pipeline.RequestContext, took_ms: int, now_ms: int
+        self, context: request_context.RequestContext, took_ms: int, now_ms: int
     ) -> dict[str, object]:
         fields: dict[str, object] = {
             "request": context.incoming.request_id.decode("latin-1"),
@@ -117,7 +117,7 @@
     return fields
 
 
-def _result_label(context: pipeline.RequestContext) -> str:
+def _result_label(context: request_context.RequestContext) -> str:
     if context.response is None:
         return "abandoned"
     return context.refusal.kind.value if context.refusal else "answered"
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import asyncio
 import typing
 
 from sassafraslock import clock, errors, header_names, http_messages
@@ -15,49 +15,23 @@
     route_latency,
     split,
 )
-from sassafraslock.path import answer, attempt_recorder, judge, read, route, send
+from sassafraslock.path import (
+    answer,
+    attempt_recorder,
+    judge,
+    read,
+    refusals,
+    request_context,
+    route,
+    send,
+)
 from sassafraslock.services import claims, limit_watch, poison_watch, routing_state
 
 SOFT_TIMEOUT_RATIO = 2.0  # of the attempt's expected time
 SOFT_TIMEOUT_TARGET_RATIO = 1.2  # of the route's target latency; the greater time applies
 MIN_REMAINING_MS = 20  # with less time left, no attempt is made
-# Clients may take these as not run: timeout of the request, too many requests, unavailable.
-NOT_RUN_STATUSES = (408, 429, 503)
 MAX_SERVERS_TRIED = 5  # includes unreachable servers, which do not count as attempts
 
-_ENTRY_LEAVING = errors.Refusal(
-    errors.ErrorKind.LEAVING, "this entry is shutting down; send the request to another entry"
-)
-
-
-@dataclasses.dataclass(slots=True)
-class RequestContext:
-    """The state of one request in the pipeline, which is logged when the request ends.
-
-    ``routed`` is none until a route matched, and ``response`` is none if the client closed its
-    connection first. ``limited_servers`` counts the servers that the last placement left out
-    because of their rate limits. ``refusal`` is set if the response is this entry's own error
-    response.
-    """
-
-    incoming: read.IncomingRequest
-    routed: route.RoutedRequest | None = None
-    attempts: list[tuple[send.Attempt, judge.Verdict]] = dataclasses.field(default_factory=list)
-    limited_servers: int = 0
-    refusal: errors.Refusal | None = None
-    response: http_messages.Response | None = None
-
-
-class RequestObserver(typing.Protocol):
-    """Receives each request when it ends."""
-
-    def record(self, context: RequestContext, now_ms: int) -> None:
-        """Record one ended request, also one whose client closed its connection.
-
-        :param context: the state of the request.
-        :param now_ms: the monotonic time at which it ended.
-        """
-
 
 class RequestPipeline:
     """Passes each request through the stages, and retries at other servers if that is allowed.
@@ -65,6 +39,8 @@
     All methods run on one event loop, and each change of state is complete before an await.
     ``record_demand`` is called for each request before its first attempt, with the service, the
     milliseconds for which the request is expected to keep a server busy, and the monotonic time.
+    While ``closed``, all new requests are refused; with ``finish_by_ms``, those whose deadline is
+    after this monotonic time.
     """
 
     __slots__ = (
@@ -72,6 +48,9 @@
         "in_flight",
         "leaving",
         "closed",
+        "finish_by_ms",
+        "_tasks",
+        "_is_stopped",
         "placer",
         "splitter",
         "budget",
@@ -94,7 +73,7 @@
         budget: retry_budget.RetryBudget,
         sender: send.Sender,
         names: header_names.HeaderNames,
-        observer: RequestObserver,
+        observer: request_context.RequestObserver,
         poison: poison_watch.PoisonWatch,
         limit_watcher: limit_watch.LimitWatch,
         entry_count: typing.Callable[[], int],
@@ -107,6 +86,9 @@
         self.in_flight = 0
         self.leaving = False
         self.closed = False
+        self.finish_by_ms: int | None = None
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._is_stopped = False
         self.placer = placer
         self.splitter = split.Splitter()
         self.budget = budget
@@ -127,9 +109,11 @@
         :param request: the complete request.
         """
         self.in_flight += 1
-        context = RequestContext(read.read(request, self._names))
+        context = request_context.RequestContext(read.read(request, self._names))
+        task = asyncio.current_task()
+        assert task is not None
         try:
-            outcome = await self._handle(context)
+            outcome = await self._handle_until_stopped(context, task)
             if isinstance(outcome, errors.Refusal):
                 context.refusal = outcome
                 request_id = context.incoming.request_id
@@ -139,8 +123,27 @@
             return context.response
         finally:
             self.in_flight -= 1
+            self._tasks.discard(task)
             self._observer.record(context, clock.monotonic_ms())
 
+    def stop(self) -> None:
+        """Answer all requests in flight as failed, since the process is about to end."""
+        self._is_stopped = True
+        for task in self._tasks:
+            task.cancel()
+
+    async def _handle_until_stopped(
+        self, context: request_context.RequestContext, task: asyncio.Task[typing.Any]
+    ) -> http_messages.Response | errors.Refusal:
+        self._tasks.add(task)
+        try:
+            return await self._handle(context)
+        except asyncio.CancelledError:
+            if not self._is_stopped:
+                raise
+            task.uncancel()
+            return refusals.STOPPED
+
     def may_run_concurrently(self, request: http_messages.Request) -> bool:
         """Return whether a pipelined request may run while earlier ones are not answered.
 
@@ -157,13 +160,17 @@
             return False
         return matched.is_idempotent(request.method, matched.upstream_target(request.path))
 
-    async def _handle(self, context: RequestContext) -> http_messages.Response | errors.Refusal:
+    async def _handle(
+        self, context: request_context.RequestContext
+    ) -> http_messages.Response | errors.Refusal:
         if self.closed:
-            return _ENTRY_LEAVING
+            return refusals.ENTRY_LEAVING
         routed = route.route(context.incoming, self._routing_state.table, self.splitter)
         if isinstance(routed, errors.Refusal):
             return routed
         context.routed = routed
+        if not self._may_finish(routed, clock.monotonic_ms()):
+            return refusals.ENTRY_LEAVING
         if self._claims is None or routed.idempotent:
             return await self._serve(context, routed)
         held = await self._claims.acquire(routed)
@@ -173,8 +180,12 @@
         self._claims.settle(held, outcome)
         return outcome
 
+    def _may_finish(self, routed: route.RoutedRequest, now_ms: int) -> bool:
+        """Return whether a request's deadline is early enough for an entry that is leaving."""
+        return self.finish_by_ms is None or now_ms + routed.remaining_ms(now_ms) < self.finish_by_ms
+
     async def _serve(
-        self, context: RequestContext, routed: route.RoutedRequest
+        self, context: request_context.RequestContext, routed: route.RoutedRequest
     ) -> http_messages.Response | errors.Refusal:
         now_ms = clock.monotonic_ms()
         if self._is_poison(routed, now_ms):
@@ -198,7 +209,7 @@
 
     async def _attempt_until_answered(
         self,
-        context: RequestContext,
+        context: request_context.RequestContext,
         routed: route.RoutedRequest,
         placement_request: candidates.PlacementRequest,
     ) -> http_messages.Response | errors.Refusal:
@@ -206,15 +217,15 @@
             now_ms = clock.monotonic_ms()
             placement_request.remaining_ms = routed.remaining_ms(now_ms)
             if placement_request.remaining_ms < MIN_REMAINING_MS:
-                return _deadline_refusal(context)
+                return refusals.deadline_refusal(context)
             choice = placement_request.replacement or self.placer.place(placement_request, now_ms)
             placement_request.replacement = None
             context.limited_servers = placement_request.limited_servers
             if isinstance(choice, errors.Refusal):
-                return _final_refusal(context, choice)
+                return refusals.final_refusal(context, choice)
             if not self._acquire_link_tokens(routed, choice, now_ms):
                 if placement_request.own_region_only:
-                    return _final_refusal(context, _link_refusal(choice))
+                    return refusals.final_refusal(context, refusals.link_refusal(choice))
                 placement_request.own_region_only = True
                 continue
             if (
@@ -222,7 +233,7 @@
                 and not placement_request.retry_granted
                 and not self._acquire_retry(placement_request, now_ms)
             ):
-                return _final_refusal(context, _budget_refusal())
+                return refusals.final_refusal(context, refusals.budget_refusal())
             placement_request.retry_granted = False
             placement_request.attempts += 1
             placement_request.tried.add(choice.server.server_id)
@@ -233,11 +244,11 @@
             placement_request.shed = verdict is judge.Verdict.NOT_RUN
             response = attempt.exchange.response if attempt.exchange else None
             if verdict is judge.Verdict.ANSWERED and response is not None:
-                return _checked_response(routed, response)
+                return refusals.checked_response(routed, response)
             if not self._may_retry(routed, placement_request, attempt, verdict):
                 if verdict is judge.Verdict.FAILED and response is not None:
-                    return _checked_response(routed, response)
-                return _final_refusal(context, None)
+                    return refusals.checked_response(routed, response)
+                return refusals.final_refusal(context, None)
 
     def _is_poison(self, routed: route.RoutedRequest, now_ms: int) -> bool:
         known = self._poison.quarantine
@@ -318,72 +329,3 @@
         placement_request.retry_granted = self._acquire_retry(placement_request, now_ms)
         placement_request.replacement = choice if placement_request.retry_granted else None
         return placement_request.retry_granted
-
-
-def _checked_response(
-    routed: route.RoutedRequest, response: http_messages.Response
-) -> http_messages.Response | errors.Refusal:
-    """Return a server's response, or a failure if it would tell of a run as not run."""
-    if routed.idempotent or response.status not in NOT_RUN_STATUSES:
-        return response
-    reason = (
-        f"the server answered {response.status} and did not say that it has not run the request;"
-        " the request may have run"
-    )
-    return errors.Refusal(errors.ErrorKind.SERVER_FAILED, reason)
-
-
-def _budget_refusal() -> errors.Refusal:
-    reason = (
-        "no server ran the request, and the retry budget or the limit of attempts is used up; retry"
-        " later"
-    )
-    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 200)
-
-
-def _link_refusal(choice: candidates.Choice) -> errors.Refusal:
-    reason = (
-        f"this entry's share of the link to region {choice.server.region} is used up; retry later,"
-        " or raise the link's limit"
-    )
-    return errors.Refusal(errors.ErrorKind.LINK_FULL, reason)
-
-
-def _may_have_run(context: RequestContext) -> bool:
-    return any(not verdict.certainly_not_run for _, verdict in context.attempts)
-
-
-def _deadline_refusal(context: RequestContext) -> errors.Refusal:
-    if _may_have_run(context):
-        return errors.Refusal(
-            errors.ErrorKind.TIMED_OUT,
-            f"no server answered before the deadline (attempts: {len(context.attempts)})",
-        )
-    reason = (
-        "the deadline passed before a server ran the request"
-        f" (attempts: {len(context.attempts)}); retry later"
-    )
-    return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 200)
-
-
-def _final_refusal(context: RequestContext, refusal: errors.Refusal | None) -> errors.Refusal:
-    """Return the refusal for a request without a further attempt.
-
-    :param refusal: the reason why there is none, used only if no server may have run the request.
-    """
-    if not _may_have_run(context):
-        return refusal or _budget_refusal()
-    attempt, verdict = context.attempts[-1]
-    if verdict is judge.Verdict.SILENT and not attempt.abandoned:
-        return errors.Refusal(
-            errors.ErrorKind.TIMED_OUT,
-            f"no server answered before the deadline (attempts: {len(context.attempts)})",
-        )
-    reason = (
-        attempt.exchange.reason
-        if attempt.exchange
-        else "the server did not answer before the soft timeout"
-    )
-    return errors.Refusal(
-        errors.ErrorKind.SERVER_FAILED, reason or "the server's response is unsigned or invalid"
-    )
--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -11,6 +11,7 @@
 REFUSE_AFTER_MS = 3_200
 DRAIN_RATIO = 0.85
 STOP_POLL_S = 0.05
+SEND_ANSWERS_S = 0.01  # for the answers of interrupted requests
 
 
 class DepartingEntry(typing.Protocol):
@@ -25,16 +26,27 @@
     def begin_leaving(self) -> None:
         """Leave the directory, and ask clients on kept-alive connections to reconnect elsewhere."""
 
+    def refuse_unfinishable_requests(self, finish_by_ms: int) -> None:
+        """Refuse requests that arrive from now on and may last too long.
+
+        :param finish_by_ms: the monotonic time at which requests in flight are interrupted.
+        """
+
     def refuse_new_requests(self) -> None:
         """Refuse requests that arrive from now on, so that none is cut off at the end."""
 
+    def interrupt_requests(self) -> None:
+        """Answer the requests in flight as failed, since they outlast the stop."""
+
 
 class Departure:
     """Drains the entry when the process stops.
 
     The entry leaves the directory first, but serves clients that still have its address for up to
-    :data:`REFUSE_AFTER_MS`. Then it refuses new requests and waits for those in flight, until
-    :data:`DRAIN_RATIO` of the grace period has passed.
+    :data:`REFUSE_AFTER_MS`, in the second half of the grace period only those whose deadline leaves
+    time enough. Then it refuses new requests and waits for those in flight, until
+    :data:`DRAIN_RATIO` of the grace period has passed. What is then still in flight is answered as
+    failed.
     """
 
     __slots__ = ("_entry",)
@@ -64,10 +76,17 @@
         serving_ms = min(REFUSE_AFTER_MS, bounds.grace_ms // 2 + 200)
         drain_ms = DRAIN_RATIO * bounds.grace_ms
         while True:
-            await anyio.sleep(STOP_POLL_S)
+            left_s = (started_ms + drain_ms - clock.monotonic_ms()) / 1000
+            await anyio.sleep(min(STOP_POLL_S, max(0.0, left_s)))
             elapsed_ms = clock.monotonic_ms() - started_ms
+            if elapsed_ms >= bounds.grace_ms // 2:
+                self._entry.refuse_unfinishable_requests(started_ms + int(drain_ms))
             if elapsed_ms < serving_ms:
                 continue
             self._entry.refuse_new_requests()
-            if elapsed_ms >= drain_ms or not self._entry.in_flight:
+            if not self._entry.in_flight:
+                return
+            if elapsed_ms >= drain_ms:
+                self._entry.interrupt_requests()
+                await anyio.sleep(SEND_ANSWERS_S)
                 return
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -27,7 +27,8 @@
 
     ``ok``, ``shed`` (503, not run), ``busy`` (503 after a run), ``fail`` (500), ``misdirect`` (421,
     as another server), ``silent`` (no response) or ``unsigned`` (200 without a signature). If
-    ``limit`` is not empty, all responses name it as the server's rate limit.
+    ``limit`` is not empty, all responses name it as the server's rate limit. A run takes
+    ``work_s``.
     """
 
     server_id: str
@@ -37,6 +38,7 @@
     seen: list = dataclasses.field(default_factory=list)
     cancelled: int = 0
     limit: bytes = b""
+    work_s: float = 0.0
 
     async def __call__(self, request):
         self.seen.append(request)
@@ -49,6 +51,7 @@
         if self.mode == "shed":
             return http_messages.Response(503, [*headers, (NAMES.not_run, b"1")])
         self.ran[request_id] += 1
+        await anyio.sleep(self.work_s)
         if self.mode == "silent":
             try:
                 await anyio.sleep_forever()
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -4,7 +4,7 @@
 
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, registry, roster, route_latency
-from sassafraslock.path import access_log, judge, pipeline, read, route, send
+from sassafraslock.path import access_log, judge, read, request_context, route, send
 from sassafraslock.services import metrics, planner
 from tests import fact_source, test_planner
 
@@ -31,7 +31,7 @@
     incoming = read.read(request, NAMES)
     service = routing_table.Service("s", 330, 0, 5.0)
     routed = route.RoutedRequest(incoming, fact_source.route(), service, 7, True, "/x/1")
-    return pipeline.RequestContext(incoming, routed)
+    return request_context.RequestContext(incoming, routed)
 
 
 def record(ended, now_ms=120):
--- /dev/null
+++ b/tests/test_departure.py
@@ -0,0 +1,91 @@
+"""A planned stop while requests go on arriving: each one is answered, or was never taken."""
+
+import anyio
+import pytest
+
+from sassafraslock import http_messages
+from tests import edge_world, fact_source
+
+NAMES = edge_world.NAMES
+WORK_S = 0.4
+STEP_S = 0.05
+ROUTES = [fact_source.route(), fact_source.route("w", "/w/", idempotent=False)]
+
+
+def encode(number, limit_ms):
+    head = [(b"host", b"h"), (NAMES.request_id, b"q%d" % number), (NAMES.object_key, b"k")]
+    head.append((NAMES.deadline_ms, str(limit_ms).encode()))
+    return http_messages.encode_request("POST", f"/w/{number}", head, b"b")
+
+
+async def receive_all(stream):
+    received = b""
+    try:
+        while True:
+            received += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return received
+
+
+async def ask(world, number, delay_s, kept, answers, limit_ms=1_000):
+    """Send a request some time after the stop began, on a connection that is kept or new."""
+    host, _, port = world.settings.client_address.rpartition(":")
+    answers[number] = b""
+    try:
+        if not kept:
+            await anyio.sleep(delay_s)
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            if kept:
+                await anyio.sleep(delay_s)
+            await stream.send(encode(number, limit_ms))
+            answers[number] = await receive_all(stream)
+    except (OSError, anyio.BrokenResourceError):
+        return
+
+
+# Guards against requests late in the grace period that are passed on and then cut by the stop.
+@pytest.mark.parametrize("kept", [True, False])
+def test_each_request_in_the_grace_period_is_answered_or_never_taken(kept):
+    async def scenario(world):
+        answers = {}
+        for backend in world.backends.values():
+            backend.work_s = WORK_S
+        async with anyio.create_task_group() as group:
+            for number in range(30):
+                group.start_soon(ask, world, number, number * STEP_S, kept, answers)
+            await anyio.sleep(0.01)
+            world.edge.kernel.request_stop()
+        taken = {request_id for b in world.backends.values() for request_id in b.ran}
+        served = 0
+        for number, answer in answers.items():
+            status = int(answer.split()[1]) if answer else 0
+            assert status in (0, 200, 503)
+            assert (b"q%d" % number in taken) == (status == 200), (number, status)
+            served += status == 200
+        assert served >= 0.7 / STEP_S  # those of the first half of the grace period
+
+    edge_world.run_scenario(scenario, routes=ROUTES)
+
+
+# Guards against a connection that is cut at the end of the grace period without any answer.
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_request_that_outlasts_the_grace_period_gets_an_answer(method):
+    async def scenario(world):
+        for backend in world.backends.values():
+            backend.mode = "silent"
+        answered = []
+
+        async def send():
+            path = "/x/1" if method == "GET" else "/w/1"
+            answered.append(await world.send(method, path, b"", limit_ms=5_000))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            await anyio.sleep(0.05)
+            world.edge.kernel.request_stop()
+        assert [response.status for response in answered] == [504]
+        assert world.runs == 1
+
+    routes = [fact_source.route(timeout_ms=5_000)]
+    routes.append(fact_source.route("w", "/w/", idempotent=False, timeout_ms=5_000))
+    edge_world.run_scenario(scenario, routes=routes)
