--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -29,8 +29,12 @@
     used_ratio: float
 
 
-def _most(times: list[int], window_ms: int) -> int:
-    """Return the highest number of moments that lie within any window of a length."""
+def most_in_window(times: list[int], window_ms: int) -> int:
+    """Return the highest number of moments that lie within any window of a length.
+
+    :param times: the moments in milliseconds, in order.
+    :param window_ms: the length.
+    """
     most = first = 0
     for last, at_ms in enumerate(times):
         while times[first] <= at_ms - window_ms:
@@ -49,7 +53,7 @@
         if budget.try_acquire("s", entries, now_ms):
             sent.append(now_ms)
     allowed = RATIO * WINDOW_MS / REQUEST_EVERY_MS + SLACK
-    return _most(sent, WINDOW_MS) / allowed
+    return most_in_window(sent, WINDOW_MS) / allowed
 
 
 def _cold_requests(entries: int) -> float:
@@ -62,7 +66,7 @@
         for decider in source.sample(deciders, min(3, entries))
         if decider.try_acquire("server", COLD_PER_S, names, now_ms)
     ]
-    return _most(sent, 1_000) / (COLD_PER_S * OVERAGE + COLD_SLACK)
+    return most_in_window(sent, 1_000) / (COLD_PER_S * OVERAGE + COLD_SLACK)
 
 
 def _shift(entries: int) -> float:
--- a/benchmarks/server_limits.py
+++ b/benchmarks/server_limits.py
@@ -10,6 +10,7 @@
 import dataclasses
 import random
 
+from benchmarks import limits
 from sassafraslock.decisions import registry, server_limits, server_rate_limiter
 
 ENTRIES = (9, 67, 195, 300, 1_000)
@@ -53,9 +54,9 @@
     view = _Entries([f"e-{n}" for n in range(entries)])
     sent: list[int] = []
     for own_id in view.live_ids():
-        limits = server_limits.ServerLimits()
-        limits.record_named(registry.start_hash(server), per_s, 0)
-        limiter = server_rate_limiter.ServerRateLimiter(own_id, limits, view)
+        named = server_limits.ServerLimits()
+        named.record_named(registry.start_hash(server), per_s, 0)
+        limiter = server_rate_limiter.ServerRateLimiter(own_id, named, view)
         if limiter.wait_ms(server, 0) is None:
             continue  # the entries do not change, so this one never sends
         at_ms = source.expovariate(asked_per_s) * 1_000
@@ -67,20 +68,11 @@
     return sorted(sent)
 
 
-def _most_in_window(times_ms: list[int]) -> int:
-    most = first = 0
-    for last, at_ms in enumerate(times_ms):
-        while times_ms[first] <= at_ms - WINDOW_MS:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def _row(entries: int, per_s: float) -> Row:
     ample = _sent_ms(entries, per_s, max(AMPLE_PER_S, per_s))
     spread = _sent_ms(entries, per_s, SPREAD_RATIO * per_s / entries)
     allowed = 1.5 * WINDOW_MS / 1_000 * per_s + 5
-    worst = max(_most_in_window(ample), _most_in_window(spread))
+    worst = max(limits.most_in_window(sent, WINDOW_MS) for sent in (ample, spread))
     whole = per_s * SECONDS
     return Row(entries, per_s, len(ample) / whole, len(spread) / whole, worst / allowed)
 
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from benchmarks import limits
 from sassafraslock import clock
 from tests import edge_world
 
@@ -9,10 +10,6 @@
 REQUESTS = 30
 
 
-def most_in_window(times_ms):
-    return max((sum(at <= t < at + WINDOW_MS for t in times_ms) for at in times_ms), default=0)
-
-
 def allowed(per_s):
     return 1.5 * WINDOW_MS / 1000 * per_s + 5
 
@@ -29,6 +26,6 @@
             assert (await world.send()).status == 200
             times_ms += [clock.monotonic_ms()] * (len(limited.seen) - before)
             await anyio.sleep(0.02)
-        assert most_in_window(times_ms) <= allowed(1)
+        assert limits.most_in_window(times_ms, WINDOW_MS) <= allowed(1)
 
     edge_world.run_scenario(scenario)
--- a/tests/test_server_rate_limiter.py
+++ b/tests/test_server_rate_limiter.py
@@ -1,10 +1,10 @@
 """All entries together keep to the rate limit that a server names, whatever they know of others."""
 
-import collections
 import random
 
 import pytest
 
+from benchmarks import limits
 from sassafraslock.decisions import registry, server_limits, server_rate_limiter
 from tests import fact_source
 
@@ -28,10 +28,10 @@
 
 
 def limiter(own_id, view, per_s=None, started_ms=-10_000):
-    limits = server_limits.ServerLimits()
+    known = server_limits.ServerLimits()
     if per_s is not None:
-        limits.record_named(START_HASH, per_s, 0)
-    return server_rate_limiter.ServerRateLimiter(own_id, limits, view, started_ms)
+        known.record_named(START_HASH, per_s, 0)
+    return server_rate_limiter.ServerRateLimiter(own_id, known, view, started_ms)
 
 
 def fleet(count, per_s=None, view_of=None):
@@ -58,16 +58,6 @@
     ]
 
 
-def most_in_window(times_ms):
-    best, window = 0, collections.deque()
-    for at in sorted(times_ms):
-        window.append(at)
-        while window[0] <= at - WINDOW_MS:
-            window.popleft()
-        best = max(best, len(window))
-    return best
-
-
 def allowed(per_s):
     return 1.5 * WINDOW_MS / 1000 * per_s + 5
 
@@ -80,7 +70,7 @@
 @pytest.mark.parametrize("entries", [1, 9, 12, 67, 195, 300])
 def test_all_entries_together_keep_to_the_limit(entries, per_s):
     times_ms = sent_times(fleet(entries, per_s), 36_000)
-    assert most_in_window(times_ms) <= allowed(per_s)
+    assert limits.most_in_window(times_ms, WINDOW_MS) <= allowed(per_s)
     steady = [at for at in times_ms if at >= 6_000]
     assert len(steady) >= 0.8 * per_s * 30
     assert steady  # with a limit of 0 it is asked now and then
@@ -103,7 +93,7 @@
         return sorted({ids[number], *source.sample(ids, 6)})
 
     entries = fleet(12, per_s, lambda number: View(ids, live_of(number)))
-    assert most_in_window(sent_times(entries, 12_000)) <= allowed(per_s)
+    assert limits.most_in_window(sent_times(entries, 12_000), WINDOW_MS) <= allowed(per_s)
 
 
 @pytest.mark.parametrize("per_s", [0.5, 1.0, 1.9])
@@ -135,7 +125,9 @@
 def test_a_burst_after_a_pause_is_bounded(per_s):
     entries = fleet(9, per_s)
     sent_times(entries, 4_000)
-    assert most_in_window(sent_times(entries, 68_000, from_ms=60_000)) <= allowed(per_s)
+    assert limits.most_in_window(sent_times(entries, 68_000, from_ms=60_000), WINDOW_MS) <= allowed(
+        per_s
+    )
 
 
 def test_a_change_of_the_limit_is_in_force_at_once():
@@ -143,7 +135,9 @@
     sent_times(entries, 4_000)
     for entry in entries:
         entry.limits.record_named(START_HASH, 1.0, 4_000)
-    assert most_in_window(sent_times(entries, 12_000, from_ms=4_000)) <= allowed(1.0)
+    assert limits.most_in_window(sent_times(entries, 12_000, from_ms=4_000), WINDOW_MS) <= allowed(
+        1.0
+    )
     for entry in entries:
         entry.limits.record_named(START_HASH, 20.0, 12_000)
     assert len(sent_times(entries, 16_000, from_ms=12_000)) >= 0.8 * 20 * 4
