An entry that was suspended for minutes does not forget the others

Found while reading for the cause of LIMIT elsewhere: shares of limits count all known entries, but an entry whose process stood still for over a minute removed all others as dead when it woke, and would take the whole of a server's limit and of the retry budget until gossip came. The time to removal counts anew after a pause. Test: tests/test_gossip.py, failed before (all removed at once). Tests of limits that answers name whatever their status, and of invalid ones, through a whole entry.

--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -9,6 +9,8 @@
 SILENT_AFTER_MS = 3_000
 SILENT_PER_MEMBER_MS = 15
 REMOVE_AFTER_MS = 60_000
+# Removals are checked once a gossip round; a longer pause shows that this process was suspended.
+MAX_CHECK_PAUSE_MS = 5_000
 MAX_MEMBERS = 8_192
 
 
@@ -64,10 +66,12 @@
 class Roster:
     """Records of all other entries; an entry whose heartbeat stops increasing counts as dead."""
 
-    __slots__ = ("own_id", "_members")
+    __slots__ = ("own_id", "_members", "_checked_ms", "_resumed_ms")
 
     def __init__(self, own_id: str) -> None:
         self.own_id = own_id
+        self._checked_ms: int | None = None
+        self._resumed_ms: int | None = None
         self._members: dict[str, Member] = {}
 
     def merge_record(self, record: MemberRecord, now_ms: int) -> bool:
@@ -143,9 +147,17 @@
     def remove_dead(self, now_ms: int) -> list[str]:
         """Remove members without a heartbeat for :data:`REMOVE_AFTER_MS` and return their ids.
 
+        The time counts anew after this process was suspended, since it could hear nobody.
+
         :param now_ms: the monotonic time.
         """
-        dead = [i for i, m in self._members.items() if now_ms - m.heard_ms > REMOVE_AFTER_MS]
+        if self._checked_ms is not None and now_ms - self._checked_ms > MAX_CHECK_PAUSE_MS:
+            self._resumed_ms = now_ms
+        self._checked_ms = now_ms
+        oldest_ms = now_ms - REMOVE_AFTER_MS
+        if self._resumed_ms is not None and self._resumed_ms >= oldest_ms:
+            return []
+        dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
         for entry_id in dead:
             del self._members[entry_id]
         return dead
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -59,6 +59,20 @@
     assert members.entry_count() == 1
 
 
+# Guards against an entry that was suspended for minutes, forgets all others as dead when it wakes,
+# and takes the whole of limits that they share.
+def test_an_entry_that_was_suspended_still_counts_the_others():
+    members = roster.Roster("me")
+    members.merge_record(record("x"), 0)
+    assert not members.remove_dead(1_000)
+    woke_ms = 301_000
+    assert not members.remove_dead(woke_ms)
+    assert members.entry_count() == 2
+    later_ms = range(woke_ms, woke_ms + roster.REMOVE_AFTER_MS, 500)
+    assert not any(members.remove_dead(now_ms) for now_ms in later_ms)
+    assert members.remove_dead(woke_ms + roster.REMOVE_AFTER_MS + 1) == ["x"]
+
+
 def test_a_newer_boot_outranks_a_higher_counter():
     members = roster.Roster("me")
     members.merge_record(record("x", 900, boot_ms=1), 0)
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -1,6 +1,7 @@
 """A complete entry on loopback with servers that name rate limits."""
 
 import anyio
+import pytest
 
 from benchmarks import limits
 from sassafraslock import clock
@@ -29,3 +30,31 @@
         assert limits.most_in_window(times_ms, WINDOW_MS) <= allowed(1)
 
     edge_world.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"nan", b"1e400", b"1, 2", b"9" * 1_000])
+def test_an_answer_with_an_invalid_limit_is_delivered_whole(value):
+    async def scenario(world):
+        home = world.servers_by_preference()[0]
+        home.limit = value
+        for number in range(3):
+            response = await world.send("POST", f"/w/{number}", b"body")
+            assert (response.status, response.body) == (200, b"body")
+        assert len(home.seen) == 3 and not world.edge.limits.in_force()
+
+    edge_world.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("mode", ["ok", "shed", "fail", "silent"])
+def test_an_entry_hears_a_limit_whatever_the_answer(mode):
+    """A silent server names nothing; every answer does, whatever its status."""
+
+    async def scenario(world):
+        for backend in world.backends.values():
+            backend.mode, backend.limit = mode, b"5"
+        await world.send("POST", "/w/1", b"x", limit_ms=200)
+        assert bool(world.edge.limits.in_force()) == (mode != "silent")
+        metrics = await world.send(path="/metrics", address=world.settings.metrics_address)
+        assert b"sassafraslock_servers_limited" in metrics.body
+
+    edge_world.run_scenario(scenario)
