--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -108,7 +108,7 @@
         start_ids = {registry.start_id(s) for s in self.registry.servers.values()}
         self.health = {k: v for k, v in self.health.items() if k in start_ids or v.in_flight}
         self.cold_limiter.retain(start_ids)
-        self.rate_limiter.retain({registry.start_hash(s) for s in self.registry.servers.values()})
+        self.rate_limiter.retain(self.registry.by_start_hash().keys())
 
     def place(
         self, request: candidates.PlacementRequest, now_ms: int
--- a/sassafraslock/decisions/server_limits.py
+++ b/sassafraslock/decisions/server_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import heapq
 import math
@@ -149,7 +150,7 @@
         known.per_s, known.heard_ms = report.per_s, heard_ms
         return changed
 
-    def retain(self, start_hashes: set[int]) -> None:
+    def retain(self, start_hashes: collections.abc.Set[int]) -> None:
         """Discard the limits of all servers except the given ones.
 
         :param start_hashes: the hashes of the ids of the starts to keep.
--- a/sassafraslock/decisions/server_rate_limiter.py
+++ b/sassafraslock/decisions/server_rate_limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 from sassafraslock.decisions import entry_view, hashing, registry, server_limits
@@ -104,7 +105,7 @@
             return None
         return max(0, int(1000 * (1.0 - share.tokens) / share.part.rate_per_s))
 
-    def retain(self, start_hashes: set[int]) -> None:
+    def retain(self, start_hashes: collections.abc.Set[int]) -> None:
         """Discard the limits and the shares of all servers except the given ones.
 
         :param start_hashes: the hashes of the ids of the starts to keep.
