--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -287,7 +287,9 @@
     """
     behaviour = backend.Behaviour(work_ms=work_ms, journal_path=journal, limit_per_s=limit)
     if limit_seed:
-        behaviour.limits = limit_schedule.LimitSchedule(limit_seed, limit_journal)
+        behaviour.limits = limit_schedule.LimitSchedule(
+            limit_seed, limit_journal, clock.monotonic_ms()
+        )
     anyio.run(commands.run_backend, server_id, host, port, slots, behaviour)
 
 
--- a/sassafraslock/standin/limit_schedule.py
+++ b/sassafraslock/standin/limit_schedule.py
@@ -13,15 +13,19 @@
 class LimitSchedule:
     """The limits of one server: in half of the periods it names one, drawn at random.
 
+    Periods count from the server's start, so a run of the same seed names the same limits.
+
     :param seed: the seed of the limits.
+    :param started_ms: the monotonic time of the server's start.
     :param path: the file that gets a line for each request: its time, the id of the entry that sent
         it, and the limit that its answer names, -1 for none.
     """
 
-    __slots__ = ("_seed", "_path")
+    __slots__ = ("_seed", "_path", "_started_ms")
 
-    def __init__(self, seed: int, path: str) -> None:
+    def __init__(self, seed: int, path: str, started_ms: int) -> None:
         self._seed = seed
+        self._started_ms = started_ms
         self._path = pathlib.Path(path)
 
     def limit_per_s(self, now_ms: int) -> float | None:
@@ -29,7 +33,8 @@
 
         :param now_ms: the monotonic time.
         """
-        rng = random.Random(self._seed * 1_000_003 + now_ms // PERIOD_MS)
+        period = (now_ms - self._started_ms) // PERIOD_MS
+        rng = random.Random(self._seed * 1_000_003 + period)
         return rng.choice(LIMITS_PER_S) if rng.random() < 0.5 else None
 
     def record(self, entry_id: str, now_ms: int) -> float | None:
