--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -15,9 +15,9 @@
 )
 from sassafraslock.decisions import server_ranking
 from sassafraslock.services import http_server, log_writer, operator_api
-from tests import fact_source
+from tests import fact_source, loopback
 
-HOST, FIRST_PORT = "127.0.0.1", 24_400
+HOST, FIRST_PORT = loopback.HOST, 24_400
 NAMES = header_names.HeaderNames(signature=b"x-signature", request_id_echoed=True)
 
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -9,6 +9,7 @@
 
 from sassafraslock import http_messages
 from sassafraslock.services import http_server
+from tests import loopback
 
 
 @dataclasses.dataclass
@@ -27,15 +28,15 @@
 class StoreStandin:
     """Rows with one version counter, paged reads, feeds of a history, and transactions."""
 
-    def __init__(self, port, page=500, seed=1):
-        self.address = f"127.0.0.1:{port}"
+    def __init__(self, port, page=500, seed=1, host=loopback.HOST):
+        self.address = f"{host}:{port}"
         self.faults = Faults()
         self.rows, self.history = {}, []
         self.version, self.first_version, self.page = 0, 0, page
         self.calls = []
         self.random = random.Random(seed)
         self.changed = anyio.Event()
-        self.server = http_server.HttpServer(self, "127.0.0.1", port, lambda request: True)
+        self.server = http_server.HttpServer(self, host, port, lambda request: True)
 
     async def run(self, ready):
         await self.server.run(ready)
@@ -110,7 +111,7 @@
             "state": state, "coldRemainingS": 0, "sequence": 1, **more}  # fmt: skip
 
 
-def intents_row(version=3, routes=None):
+def intents_row(version=3, routes=None, services=("logbook",)):
     route = {"host": "h.example", "prefix": "/log/", "routeType": "safe", "timeoutS": 2,
              "targetLatencyS": 0.4, "priority": 2, "service": "logbook", "maxAttempts": 2,
              "sessionAffinity": True, "allowedRegions": []}  # fmt: skip
@@ -119,7 +120,8 @@
         for n, spec in enumerate(routes or [{}])
     ]
     service = {"healthPath": "/health", "maxConnections": 330, "coldStartS": 3.0, "coldPerS": 4.9}
-    resources.append({"resourceKind": "services", "metadata": {"name": "logbook"}, "spec": service})
+    for name in services:
+        resources.append({"resourceKind": "services", "metadata": {"name": name}, "spec": service})
     limits = {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 1024,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,8 +5,9 @@
 
 from sassafraslock import http_messages, routing_table
 from sassafraslock.services import http_server
+from tests import loopback
 
-HOST, PORT = "127.0.0.1", 24_340
+HOST, PORT = loopback.HOST, 24_340
 
 
 class Handler:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,8 +7,9 @@
 from sassafraslock.services import platform_client
 from sassafraslock.standin import platform as standin
 from sassafraslock.standin import platform_api
+from tests import loopback
 
-HOST, PORT = "127.0.0.1", 23_900
+HOST, PORT = loopback.HOST, 23_900
 
 
 def put(key, value=b"v", version=None):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,8 +4,9 @@
 
 from sassafraslock.decisions import quarantine
 from sassafraslock.services import poison_watch, upstream
+from tests import loopback
 
-HOST, PORT = "127.0.0.1", 24_380
+HOST, PORT = loopback.HOST, 24_380
 
 
 def test_crashes_of_two_servers_quarantine_and_a_mass_failure_does_not():
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,8 +7,9 @@
 import pytest
 
 from sassafraslock.services import server_connection, upstream
+from tests import loopback
 
-HOST, PORT = "127.0.0.1", 24_320
+HOST, PORT = loopback.HOST, 24_320
 ID = b"r-1"
 Outcome = server_connection.Outcome
 
