--- a/sassafraslock/decisions/retry_budget.py
+++ b/sassafraslock/decisions/retry_budget.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from sassafraslock.decisions import windows
 
 SAFETY_RATIO = 0.7
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Usage:
+    """This entry's retries of a service in the window, and how many it may send."""
+
+    requests: int
+    retries: int
+    allowed: float
+
+
 class RetryBudget:
     """Limits the retries of all entries to a ratio of the requests plus a slack.
 
@@ -53,14 +64,28 @@
         :param now_ms: the monotonic time.
         :returns: whether the retry may be sent.
         """
-        retries = self._count(self._retries, service)
-        requests = self._count(self._requests, service).total(now_ms)
-        allowed = SAFETY_RATIO * (self._ratio * requests + self._slack / max(1, entry_count))
-        if retries.total(now_ms) + 1 > allowed:
+        usage = self.usage(service, entry_count, now_ms)
+        if usage.retries + 1 > usage.allowed:
             return False
-        retries.add(now_ms)
+        self._count(self._retries, service).add(now_ms)
         return True
 
+    def usage(self, service: str, entry_count: int, now_ms: int) -> Usage:
+        """Return how much of its share of a service's budget this entry has used.
+
+        :param service: the service.
+        :param entry_count: the number of entries that share the slack, including this one.
+        :param now_ms: the monotonic time.
+        """
+        requests = self._count(self._requests, service).total(now_ms)
+        retries = self._count(self._retries, service).total(now_ms)
+        allowed = SAFETY_RATIO * (self._ratio * requests + self._slack / max(1, entry_count))
+        return Usage(requests, retries, allowed)
+
+    def services(self) -> list[str]:
+        """Return the services that had requests or retries, in alphabetical order."""
+        return sorted({*self._requests, *self._retries})
+
     def _count(self, counts: dict[str, windows.SlidingCount], service: str) -> windows.SlidingCount:
         count = counts.get(service)
         if count is None:
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -33,7 +33,7 @@
     server_limits,
     server_rate_limiter,
 )
-from sassafraslock.path import access_log, pipeline, send
+from sassafraslock.path import access_log, pipeline, retry_gate, send
 from sassafraslock.services import (
     claims,
     departure,
@@ -145,7 +145,7 @@
         return pipeline.RequestPipeline(
             self.routing_state,
             placer,
-            budget,
+            retry_gate.RetryGate(budget, self.gossip.roster.entry_count),
             send.Sender(self.upstream, names, self.limit_watch, self.settings.entry_id),
             names,
             log,
@@ -238,6 +238,12 @@
             status.servers,
             status.in_flight,
         )
+        now_ms = clock.monotonic_ms()
+        live_entries = 1 + len(self.gossip.roster.live(now_ms))
+        self.metrics.set_entries(
+            self.settings.entry_id, self.gossip.roster.entry_count(), live_entries
+        )
+        self.metrics.set_retries(self.settings.entry_id, self.pipeline.retries, now_ms)
         self.metrics.set_limits(
             self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
         )
@@ -321,7 +327,7 @@
         bounds = settings.bounds
         self.directory.settings = self.settings
         self.quota.resize(settings.memory_bytes)
-        self.pipeline.budget.set_bounds(
+        self.pipeline.retries.budget.set_bounds(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
         self.pipeline.placer.cold_limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -11,7 +11,6 @@
     link_rate_limit,
     placement,
     quarantine,
-    retry_budget,
     route_latency,
     split,
 )
@@ -22,6 +21,7 @@
     read,
     refusals,
     request_context,
+    retry_gate,
     route,
     send,
 )
@@ -53,7 +53,7 @@
         "_is_stopped",
         "placer",
         "splitter",
-        "budget",
+        "retries",
         "_routing_state",
         "_sender",
         "_names",
@@ -70,7 +70,7 @@
         self,
         state: routing_state.RoutingState,
         placer: placement.Placer,
-        budget: retry_budget.RetryBudget,
+        retries: retry_gate.RetryGate,
         sender: send.Sender,
         names: header_names.HeaderNames,
         observer: request_context.RequestObserver,
@@ -91,7 +91,7 @@
         self._is_stopped = False
         self.placer = placer
         self.splitter = split.Splitter()
-        self.budget = budget
+        self.retries = retries
         self.recorder = attempt_recorder.AttemptRecorder(placer, names, poison, limit_watcher)
         self._routing_state = state
         self._sender = sender
@@ -194,7 +194,7 @@
                 " this request, so it is quarantined; change the request or fix the service"
             )
             return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
-        self.budget.record_request(routed.service.name, now_ms)
+        self.retries.budget.record_request(routed.service.name, now_ms)
         busy_ms = self.placer.latency_of(routed.route).expected_ms(
             route_latency.ObjectAffinity.KNOWN
         )
@@ -268,7 +268,7 @@
         )
 
     def _acquire_retry(self, placement_request: candidates.PlacementRequest, now_ms: int) -> bool:
-        return self.budget.try_acquire(placement_request.service.name, self._entry_count(), now_ms)
+        return self.retries.try_acquire(placement_request.service.name, now_ms)
 
     def _may_retry(
         self,
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -8,6 +8,7 @@
 import aioprometheus.renderer
 
 from sassafraslock import http_messages
+from sassafraslock.path import retry_gate
 
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -28,6 +29,12 @@
         "_in_flight",
         "_limited",
         "_invalid_limits",
+        "_known_entries",
+        "_live_entries",
+        "_retries",
+        "_retries_allowed",
+        "_retries_granted",
+        "_retries_refused",
     )
 
     def __init__(self) -> None:
@@ -52,6 +59,27 @@
             "invalid_server_limits", "Answers that named an invalid rate limit."
         )
 
+        self._known_entries = self._gauge(
+            "entries_known", "Entries that share limits, this and silent ones included."
+        )
+        self._live_entries = self._gauge(
+            "entries_live", "Entries that are heard, this one included."
+        )
+        self._retries = self._gauge("retries_in_window", "Retries in the window of the budget.")
+        self._retries_allowed = self._gauge(
+            "retries_allowed", "Retries that this entry may send in the window of the budget."
+        )
+        self._retries_granted = aioprometheus.Counter(
+            "sassafraslock_retries_granted_total",
+            "Retries that the budget granted.",
+            registry=self.registry,
+        )
+        self._retries_refused = aioprometheus.Counter(
+            "sassafraslock_retries_refused_total",
+            "Retries that the budget refused.",
+            registry=self.registry,
+        )
+
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
 
@@ -93,6 +121,31 @@
         self._limited.set(labels, limited)
         self._invalid_limits.set(labels, invalid)
 
+    def set_entries(self, entry_id: str, known: int, live: int) -> None:
+        """Set the gauges of the entries that this one knows.
+
+        :param entry_id: the entry.
+        :param known: the number of entries by which shared limits are divided.
+        :param live: the number of those whose heartbeats arrive.
+        """
+        labels = {"entry": entry_id}
+        self._known_entries.set(labels, known)
+        self._live_entries.set(labels, live)
+
+    def set_retries(self, entry_id: str, retries: retry_gate.RetryGate, now_ms: int) -> None:
+        """Set the gauges of the retry budget, by service.
+
+        :param entry_id: the entry.
+        :param retries: its retries and what they may be.
+        :param now_ms: the current monotonic time.
+        """
+        for service, usage in retries.usage(now_ms).items():
+            labels = {"entry": entry_id, "service": service}
+            self._retries.set(labels, usage.retries)
+            self._retries_allowed.set(labels, usage.allowed)
+            self._retries_granted.set(labels, retries.granted.get(service, 0))
+            self._retries_refused.set(labels, retries.refused.get(service, 0))
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
