--- a/tests/test_retry_gate.py
+++ b/tests/test_retry_gate.py
@@ -1,9 +1,13 @@
 """Retries are granted from the budget, counted, and a used up share is logged once in a while."""
 
-from sassafraslock import events
+import anyio
+import pytest
+
+from sassafraslock import clock, edge, edge_settings, events, facts
 from sassafraslock.decisions import retry_budget
 from sassafraslock.path import retry_gate
-from sassafraslock.services import metrics
+from sassafraslock.services import log_writer, metrics
+from tests import edge_world, fact_source
 
 WINDOW_MS = 10_000
 
@@ -36,3 +40,88 @@
         'sassafraslock_retries_refused_total{entry="e-1",service="a"} 0',
     ):
         assert line in text
+
+
+ENTRIES, SLACK = 12, 58.0
+
+
+def build_entries():
+    """Return entries as a process builds them, none of which is running."""
+    bounds = edge_settings.Bounds(retry_slack=SLACK, retry_window_ms=WINDOW_MS)
+    entries = []
+    for number in range(ENTRIES):
+        addresses = [f"10.0.0.{number}:{port}" for port in range(4)]
+        settings = edge_settings.EdgeSettings(f"e-{number}", "a-1", "a", *addresses, bounds=bounds)
+        source, handlers = fact_source.FakeSource(), edge_world.HandlerFactory()
+        log = log_writer.BufferedLogHandler()
+        entries.append(edge.Edge(settings, source, handlers, edge_world.NAMES, log))
+    return entries
+
+
+def register_all(entries, now_ms):
+    for entry in entries:
+        for other in entries:
+            place = other.settings
+            registration = facts.Registration(
+                place.entry_id, "a", "a-1", place.gossip_address, place.client_address
+            )
+            change = facts.Change(facts.Topic.ENTRIES, place.entry_id, 1, registration=registration)
+            entry.routing_state.apply(change, True, now_ms)
+
+
+def hear_all(entries, now_ms):
+    for entry in entries:
+        for other in entries:
+            entry.gossip.roster.merge_record(other.member_record(1), now_ms)
+
+
+def let_pass(entries, now_ms, for_ms):
+    """Let time pass without a heartbeat, as the rounds of gossip see it."""
+    for at_ms in range(now_ms, now_ms + for_ms, 1_000):
+        for entry in entries:
+            entry.gossip.roster.remove_dead(at_ms)
+    return now_ms + for_ms
+
+
+def granted(entries, now_ms):
+    """Return how many retries all entries together get at once, without a request."""
+    return sum(
+        entry.pipeline.retries.try_acquire("s", now_ms) for entry in entries for _ in range(100)
+    )
+
+
+# Guards against retries beyond the budget: entries that hear nobody took the whole slack each.
+@pytest.mark.parametrize("meet", [register_all, hear_all])
+@pytest.mark.parametrize("silent_ms", [0, 20_000, 40_000, 70_000, 300_000])
+def test_entries_that_do_not_hear_each_other_share_the_slack_as_before(meet, silent_ms):
+    async def scenario():
+        entries, now_ms = build_entries(), clock.monotonic_ms() + WINDOW_MS
+        meet(entries, now_ms)
+        now_ms = let_pass(entries, now_ms, silent_ms)
+        assert 0 < granted(entries, now_ms) <= SLACK
+
+    anyio.run(scenario)
+
+
+# Guards against retries beyond the budget: an entry that has met nobody takes itself for alone.
+def test_an_entry_that_knows_no_others_has_no_part_of_the_slack():
+    async def scenario():
+        entries, now_ms = build_entries(), clock.monotonic_ms() + 10 * WINDOW_MS
+        assert granted(entries, now_ms) <= SLACK
+
+    anyio.run(scenario)
+
+
+# Guards against retries beyond the budget: each start of an entry took its part of the slack again.
+def test_entries_that_start_again_within_the_window_do_not_get_their_part_again():
+    async def scenario():
+        start_ms = clock.monotonic_ms()
+        count = 0
+        for now_ms in range(start_ms + 2_000, start_ms + 2_000 + WINDOW_MS, WINDOW_MS // 4):
+            entries = build_entries()
+            register_all(entries, now_ms)
+            hear_all(entries, now_ms)
+            count += granted(entries, now_ms)
+        assert count <= SLACK
+
+    anyio.run(scenario)
