--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -12,6 +12,9 @@
 # Removals are checked once a gossip round; a longer pause shows that this process was suspended.
 MAX_CHECK_PAUSE_MS = 5_000
 MAX_MEMBERS = 8_192
+# If the entries fall apart into groups, shares of a limit add up to at most one and a third: one
+# group may hear two thirds, and the others forget nobody.
+HEARD_RATIO = 2 / 3
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -52,11 +55,13 @@
     """The newest record of another entry, with its newest heartbeat.
 
     ``heard_ms`` is the monotonic time at which this entry last saw the heartbeat increase.
+    ``is_registered_only`` is whether it is known from the store and was never heard.
     """
 
     record: MemberRecord
     heard_ms: int
     newest_order: tuple[int, int]
+    is_registered_only: bool = False
 
     def heartbeat(self) -> Heartbeat:
         """Return the newest heartbeat, which may be newer than the record."""
@@ -66,12 +71,13 @@
 class Roster:
     """Records of all other entries; an entry whose heartbeat stops increasing counts as dead."""
 
-    __slots__ = ("own_id", "_members", "_checked_ms", "_resumed_ms")
+    __slots__ = ("own_id", "_members", "_checked_ms", "_resumed_ms", "_is_own_registered")
 
     def __init__(self, own_id: str) -> None:
         self.own_id = own_id
         self._checked_ms: int | None = None
         self._resumed_ms: int | None = None
+        self._is_own_registered = False
         self._members: dict[str, Member] = {}
 
     def merge_record(self, record: MemberRecord, now_ms: int) -> bool:
@@ -93,10 +99,11 @@
         self.merge_heartbeat(Heartbeat(record.entry_id, *record.order), now_ms)
         return True
 
-    def _add(self, record: MemberRecord, heard_ms: int) -> bool:
+    def _add(self, record: MemberRecord, heard_ms: int, is_registered_only: bool = False) -> bool:
         if len(self._members) >= MAX_MEMBERS:
             return False
-        self._members[record.entry_id] = Member(record, heard_ms, record.order)
+        member = Member(record, heard_ms, record.order, is_registered_only)
+        self._members[record.entry_id] = member
         return True
 
     def merge_heartbeat(self, beat: Heartbeat, now_ms: int) -> None:
@@ -109,6 +116,7 @@
         if known is not None and (beat.boot_ms, beat.beat) > known.newest_order:
             known.newest_order = (beat.boot_ms, beat.beat)
             known.heard_ms = now_ms
+            known.is_registered_only = False
 
     def apply_registration(self, record: MemberRecord, now_ms: int) -> None:
         """Add an entry that is registered in the store and not known from gossip.
@@ -119,8 +127,10 @@
         :param record: the entry's registration as a record.
         :param now_ms: the monotonic time.
         """
-        if record.entry_id != self.own_id and record.entry_id not in self._members:
-            self._add(record, now_ms - REMOVE_AFTER_MS // 2)
+        if record.entry_id == self.own_id:
+            self._is_own_registered = True
+        elif record.entry_id not in self._members:
+            self._add(record, now_ms - REMOVE_AFTER_MS // 2, is_registered_only=True)
 
     def live(self, now_ms: int) -> list[Member]:
         """Return the other entries whose heartbeat increased within the failure timeout.
@@ -144,10 +154,20 @@
         """
         return len(self._members) + 1
 
+    def sharing_count(self) -> int | None:
+        """Return :meth:`entry_count`, or none if the other entries cannot be known yet.
+
+        They are known once a peer was heard, or once this entry's own registration was read from
+        the store, which then holds those of the others.
+        """
+        heard_any = any(not m.is_registered_only for m in self._members.values())
+        return self.entry_count() if heard_any or self._is_own_registered else None
+
     def remove_dead(self, now_ms: int) -> list[str]:
         """Remove members without a heartbeat for :data:`REMOVE_AFTER_MS` and return their ids.
 
-        The time counts anew after this process was suspended, since it could hear nobody.
+        The time counts anew after this process was suspended, since it could hear nobody. Nobody is
+        removed while this entry hears too few others: it may be the one that is cut off.
 
         :param now_ms: the monotonic time.
         """
@@ -157,7 +177,19 @@
         oldest_ms = now_ms - REMOVE_AFTER_MS
         if self._resumed_ms is not None and self._resumed_ms >= oldest_ms:
             return []
+        if not self._hears_most(oldest_ms):
+            return []
         dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
         for entry_id in dead:
             del self._members[entry_id]
         return dead
+
+    def _hears_most(self, oldest_ms: int) -> bool:
+        """Return whether most entries that were heard and did not leave are still heard.
+
+        This entry counts as one of them, unless it has not heard any other.
+        """
+        heard = [m for m in self._members.values() if not m.is_registered_only]
+        present = [m for m in heard if not m.record.leaving]
+        recent = [m for m in present if m.heard_ms >= oldest_ms]
+        return bool(heard) and 1 + len(recent) >= HEARD_RATIO * (1 + len(present))
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -135,7 +135,10 @@
         )
         placer = placement.Placer(self.settings.region, servers, self.gossip, cold, limiter)
         budget = retry_budget.RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            clock.monotonic_ms(),
         )
         log = access_log.AccessLog(
             self.settings.region,
@@ -145,7 +148,7 @@
         return pipeline.RequestPipeline(
             self.routing_state,
             placer,
-            retry_gate.RetryGate(budget, self.gossip.roster.entry_count),
+            retry_gate.RetryGate(budget, self.gossip.roster.sharing_count),
             send.Sender(self.upstream, names, self.limit_watch, self.settings.entry_id),
             names,
             log,
@@ -328,7 +331,10 @@
         self.directory.settings = self.settings
         self.quota.resize(settings.memory_bytes)
         self.pipeline.retries.budget.set_bounds(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            clock.monotonic_ms(),
         )
         self.pipeline.placer.cold_limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
         self.gossip.seeds = list(settings.seeds)
--- a/sassafraslock/path/retry_gate.py
+++ b/sassafraslock/path/retry_gate.py
@@ -20,7 +20,7 @@
     __slots__ = ("budget", "granted", "refused", "_entry_count", "_logged_ms")
 
     def __init__(
-        self, budget: retry_budget.RetryBudget, entry_count: typing.Callable[[], int]
+        self, budget: retry_budget.RetryBudget, entry_count: typing.Callable[[], int | None]
     ) -> None:
         self.budget = budget
         self.granted: dict[str, int] = {}
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -98,7 +98,7 @@
         }
         client, directory, ready, peers, operators = (f"{HOST}:{p}" for p in ports[10:15])
         metrics = f"{HOST}:{ports[15]}"
-        bounds = edge_settings.Bounds(grace_ms=1_500, retry_slack=100.0)
+        bounds = edge_settings.Bounds(grace_ms=1_500, retry_slack=100.0, retry_window_ms=100)
         self.settings = edge_settings.EdgeSettings(
             "e-1",
             "a-1",
@@ -156,6 +156,7 @@
             core.register(name, http_server.HttpServer(backend, HOST, backend.port))
             world.source.put_server(name, f"{HOST}:{backend.port}")
         unsafe = fact_source.route("w", "/w/", idempotent=False)
+        world.source.put_registration(world.settings)
         world.source.put_intents(1, routes or [fact_source.route(), unsafe])
         async with anyio.create_task_group() as group:
             group.start_soon(core.run, 100)
--- a/tests/fact_source.py
+++ b/tests/fact_source.py
@@ -39,6 +39,17 @@
     def remove_server(self, server_id):
         self.put(facts.Topic.SERVERS, server_id)
 
+    def put_registration(self, settings):
+        """Put the registration that an entry made before it was started again."""
+        registration = facts.Registration(
+            settings.entry_id,
+            settings.region,
+            settings.zone,
+            settings.gossip_address,
+            settings.client_address,
+        )
+        self.put(facts.Topic.ENTRIES, settings.entry_id, registration=registration)
+
     def put_intents(self, version, routes, **service):
         services = (routing_table.Service("s", 330, 3000, service.get("cold_per_s", 5.0)),)
         intents = routing_table.Intents(version, tuple(routes), services)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -185,7 +185,7 @@
 
 def test_without_retry_budget_a_silent_server_is_the_only_attempt():
     async def scenario(world):
-        world.edge.pipeline.retries.budget.set_bounds(0.0, 0.0, 10_000)
+        world.edge.pipeline.retries.budget.set_bounds(0.0, 0.0, 10_000, 0)
         world.servers_by_preference()[0].mode = "silent"
         assert (await world.send(limit_ms=4_000)).status == 504
         assert world.runs == 1
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -51,23 +51,61 @@
     """A process that stalled hears nobody for a moment; its share of a limit must not grow then."""
 
     members = roster.Roster("me")
-    for name in ("x", "y", "z"):
+    for name in ("x", "y", "z", *"abcdef"):
         members.merge_record(record(name), 0)
     assert live(members, 20_000) == set()
-    assert members.entry_count() == 4
+    assert members.entry_count() == 10
+    for name in "abcdef":
+        members.merge_record(record(name, 9), 65_000)
     assert sorted(members.remove_dead(70_000)) == ["x", "y", "z"]
-    assert members.entry_count() == 1
+    assert members.entry_count() == 7
+
+
+# Guards against an entry that hears few others, forgets them as dead, and takes more than its part
+# of limits that they share.
+@pytest.mark.parametrize(("heard", "removed"), [(0, 0), (1, 0), (4, 0), (5, 0), (6, 3), (8, 1)])
+def test_an_entry_that_hears_few_others_forgets_nobody(heard, removed):
+    members = roster.Roster("me")
+    for number in range(9):
+        members.merge_record(record(f"e-{number}"), 0)
+    for number in range(heard):
+        members.merge_record(record(f"e-{number}", 9), 100_000)
+    assert len(members.remove_dead(120_000)) == removed
+    assert members.entry_count() == 10 - removed
+
+
+def test_entries_that_left_do_not_have_to_be_heard():
+    members = roster.Roster("me")
+    for number in range(9):
+        left = msgspec.structs.replace(record(f"e-{number}"), leaving=number > 0)
+        members.merge_record(left, 0)
+    members.merge_record(record("e-0", 9), 100_000)
+    assert len(members.remove_dead(120_000)) == 8
+
+
+def test_the_sharing_entries_are_known_once_a_peer_or_the_own_registration_is():
+    members = roster.Roster("me")
+    members.apply_registration(record("x", 0), 0)
+    assert members.sharing_count() is None
+    members.apply_registration(record("me", 0), 0)
+    assert members.sharing_count() == 2
+    others = roster.Roster("other")
+    others.merge_record(record("x"), 0)
+    assert others.sharing_count() == 2
 
 
 # Guards against an entry that was suspended for minutes, forgets all others as dead when it wakes,
 # and takes the whole of limits that they share.
 def test_an_entry_that_was_suspended_still_counts_the_others():
     members = roster.Roster("me")
-    members.merge_record(record("x"), 0)
+    for name in ("x", "y", "z"):
+        members.merge_record(record(name), 0)
     assert not members.remove_dead(1_000)
     woke_ms = 301_000
     assert not members.remove_dead(woke_ms)
-    assert members.entry_count() == 2
+    assert members.entry_count() == 4
+    for name in ("y", "z"):
+        members.merge_record(record(name, 9), woke_ms + 10_000)
     later_ms = range(woke_ms, woke_ms + roster.REMOVE_AFTER_MS, 500)
     assert not any(members.remove_dead(now_ms) for now_ms in later_ms)
     assert members.remove_dead(woke_ms + roster.REMOVE_AFTER_MS + 1) == ["x"]
