--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -197,9 +197,8 @@
         return http_server.HttpServer(handler, host, int(port), policy, self.quota)
 
     def _region_entry_count(self) -> int:
-        """Return the number of live entries in this entry's region, itself included."""
-        live = self.gossip.roster.live(clock.monotonic_ms())
-        return 1 + sum(m.record.region == self.settings.region for m in live)
+        """Return the number of entries in this entry's region, itself and silent ones included."""
+        return len(self.gossip.known_ids(self.settings.region))
 
     def _has_lowest_id(self) -> bool:
         """Return whether this entry performs the tasks that one entry performs for all."""
--- a/tests/test_retry_gate.py
+++ b/tests/test_retry_gate.py
@@ -103,6 +103,17 @@
     anyio.run(scenario)
 
 
+# Guards against links beyond their limit: entries that hear nobody took the whole link each.
+def test_entries_that_do_not_hear_each_other_share_links_as_before():
+    async def scenario():
+        entries, now_ms = build_entries(), clock.monotonic_ms() - 300_000
+        hear_all(entries, now_ms)
+        let_pass(entries, now_ms, 300_000)
+        assert {entry._region_entry_count() for entry in entries} == {ENTRIES}
+
+    anyio.run(scenario)
+
+
 # Guards against retries beyond the budget: an entry that has met nobody takes itself for alone.
 def test_an_entry_that_knows_no_others_has_no_part_of_the_slack():
     async def scenario():
