--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from sassafraslock import field_types
+
 EVACUATION_COLD_MS = 5_000  # how long servers of a zone count as cold after its evacuation ends
 RESTART_COLD_MS = 4_000  # bounds the cold time assumed after a start
 
@@ -27,15 +29,15 @@
     :param born_ms: the time of its start, which distinguishes starts under the same id.
     """
 
-    server_id: str
-    service: str
-    address: str
-    region: str
-    zone: str
-    slots: int
+    server_id: field_types.ServerId
+    service: field_types.Name
+    address: field_types.Address
+    region: field_types.Name
+    zone: field_types.Name
+    slots: field_types.Slots
     state: ServerState
-    cold_ms: int = 0
-    born_ms: int = 0
+    cold_ms: field_types.RemainingMs = 0
+    born_ms: field_types.WallMs = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -241,6 +241,7 @@
         self.metrics.set_limits(
             self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
         )
+        self.metrics.set_rejected(self.settings.entry_id, self.routing_state.rejections.counts)
         return self.metrics.render()
 
     @property
--- a/sassafraslock/facts.py
+++ b/sassafraslock/facts.py
@@ -6,9 +6,13 @@
 import enum
 import typing
 
-from sassafraslock import errors, routing_table
+import xxhash
+
+from sassafraslock import errors, field_types, routing_table
 from sassafraslock.decisions import registry
 
+MAX_REASON_CHARS = 300
+
 
 class Topic(enum.StrEnum):
     """A part of the store that is read and watched separately, with its own version."""
@@ -22,7 +26,7 @@
 class Evacuation:
     """An operator's order to send no requests to the servers of a zone."""
 
-    zone: str
+    zone: field_types.Name
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -33,18 +37,18 @@
     ``IP:PORT``.
     """
 
-    entry_id: str
-    region: str
-    zone: str
-    gossip_address: str
-    client_address: str
+    entry_id: field_types.Name
+    region: field_types.Name
+    zone: field_types.Name
+    gossip_address: field_types.Address
+    client_address: field_types.Address
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class UnreadableRow:
     """A row that could not be decoded, with the reason for the log."""
 
-    reason: str
+    reason: field_types.Text
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,8 +59,8 @@
     """
 
     topic: Topic
-    key: str
-    version: int
+    key: field_types.Name
+    version: field_types.Version
     report: registry.ServerReport | None = None
     intents: routing_table.Intents | None = None
     evacuation: Evacuation | None = None
@@ -82,6 +86,28 @@
         return self == dataclasses.replace(known, version=self.version)
 
 
+def unreadable_change(topic: Topic, key: str, version: int, reason: str) -> Change:
+    """Return the change for a row that cannot be used.
+
+    :param topic: the part of the store that the row belongs to.
+    :param key: the row's key, from :func:`safe_key`.
+    :param version: the row's version.
+    :param reason: what is wrong with the row; its beginning is kept.
+    """
+    printable = "".join(c if c.isprintable() else "?" for c in reason[:MAX_REASON_CHARS])
+    return Change(topic, key, version, unreadable=UnreadableRow(printable))
+
+
+def safe_key(key: str) -> str:
+    """Return a row's key, or a short substitute for one that no row of this system can have.
+
+    :param key: the key as another writer may have chosen it.
+    """
+    if 0 < len(key) <= field_types.MAX_NAME_CHARS and key.isprintable():
+        return key
+    return f"unusable key {xxhash.xxh3_64_hexdigest(key.encode(errors='replace'))}"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Batch:
     """Changes in the order of their versions; ``version`` is where the next read goes on."""
--- a/sassafraslock/routing_table.py
+++ b/sassafraslock/routing_table.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from sassafraslock import field_types
+
 DEFAULT_HEADER_BYTES = 16 << 10
 DEFAULT_BODY_BYTES = 64 << 20
 
@@ -12,8 +14,8 @@
 class Destination:
     """A service that gets a share of a route's requests, in proportion to its weight."""
 
-    service: str
-    weight: float
+    service: field_types.Name
+    weight: field_types.Quantity
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,20 +31,20 @@
     a deadline it may take ``default_timeout_ms``, where 0 means ``timeout_ms``.
     """
 
-    name: str
-    host: str
-    prefix: str
+    name: field_types.Name
+    host: field_types.Name
+    prefix: field_types.Text
     idempotent: bool
-    timeout_ms: int
-    target_latency_ms: int
-    priority: int
-    max_attempts: int
+    timeout_ms: field_types.DurationMs
+    target_latency_ms: field_types.DurationMs
+    priority: field_types.Number
+    max_attempts: field_types.Count
     destinations: tuple[Destination, ...]
     sticky: bool = False
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[field_types.Name] = frozenset()
     idempotent_requests: tuple[str, ...] = ()
     strip_prefix: bool = False
-    default_timeout_ms: int = 0
+    default_timeout_ms: field_types.DurationMs = 0
 
     def is_idempotent(self, method: str, path: str) -> bool:
         """Return whether a request may safely run more than once, so that it may be retried.
@@ -85,15 +87,17 @@
     applies.
     """
 
-    name: str
-    max_connections: int
-    cold_start_ms: int
-    cold_per_s: float
-    health_path: str = "/health"
-    splits: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
-    shift_cap_ratio: float = 0.15
-    shift_window_ms: int = 2_000
-    max_body_bytes: int = 0
+    name: field_types.Name
+    max_connections: field_types.Count
+    cold_start_ms: field_types.DurationMs
+    cold_per_s: field_types.Quantity
+    health_path: field_types.Path = "/health"
+    splits: dict[field_types.Name, dict[field_types.Name, field_types.Quantity]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    shift_cap_ratio: field_types.Quantity = 0.15
+    shift_window_ms: field_types.DurationMs = 2_000
+    max_body_bytes: field_types.Bytes = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -104,25 +108,25 @@
     ``idle_timeout_ms`` the longest time without progress on a connection.
     """
 
-    max_header_bytes: int = DEFAULT_HEADER_BYTES
-    max_body_bytes: int = DEFAULT_BODY_BYTES
-    header_timeout_ms: int = 10_000
-    idle_timeout_ms: int = 60_000
+    max_header_bytes: field_types.Bytes = DEFAULT_HEADER_BYTES
+    max_body_bytes: field_types.Bytes = DEFAULT_BODY_BYTES
+    header_timeout_ms: field_types.DurationMs = 10_000
+    idle_timeout_ms: field_types.DurationMs = 60_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Link:
     """The capacity of the link between two regions, in each direction."""
 
-    regions: tuple[str, str]
-    bytes_per_s: int
+    regions: tuple[field_types.Name, field_types.Name]
+    bytes_per_s: field_types.Bytes
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Intents:
     """One version of the operator's routing configuration; a newer one has a higher number."""
 
-    version: int
+    version: field_types.Version
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = dataclasses.field(default_factory=Limits)
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -28,6 +28,7 @@
         "_in_flight",
         "_limited",
         "_invalid_limits",
+        "_rejected",
     )
 
     def __init__(self) -> None:
@@ -51,6 +52,9 @@
         self._invalid_limits = self._gauge(
             "invalid_server_limits", "Answers that named an invalid rate limit."
         )
+        self._rejected = self._gauge(
+            "rejected_entries", "Entries in rows and messages of others that could not be used."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -93,6 +97,15 @@
         self._limited.set(labels, limited)
         self._invalid_limits.set(labels, invalid)
 
+    def set_rejected(self, entry_id: str, counts: typing.Mapping[str, int]) -> None:
+        """Set the gauges of the entries that others wrote and that could not be used.
+
+        :param entry_id: the entry.
+        :param counts: the number so far, by the topic of the row or the kind of the message.
+        """
+        for source, count in counts.items():
+            self._rejected.set({"entry": entry_id, "source": source}, count)
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
--- a/sassafraslock/services/routing_state.py
+++ b/sassafraslock/services/routing_state.py
@@ -7,20 +7,33 @@
 
 from sassafraslock import events, facts, routing_table
 from sassafraslock.decisions import registry, roster
+from sassafraslock.services import rejections
 
 
 class RoutingState:
     """Holds routing table and server registry; logs each change of where requests may go.
 
+    A row that cannot be used costs what it held, and nothing else: its server gets no more
+    requests, while intents in force stay in force.
+
     ``listeners`` are called with each new routing table. ``on_server_joined`` is called for each
     server that is added after the first full read.
     """
 
-    __slots__ = ("table", "registry", "_roster", "_hold_until_ms", "listeners", "on_server_joined")
+    __slots__ = (
+        "table",
+        "registry",
+        "rejections",
+        "_roster",
+        "_hold_until_ms",
+        "listeners",
+        "on_server_joined",
+    )
 
     def __init__(self, servers: registry.Registry, members: roster.Roster) -> None:
         self.table: routing_table.RoutingTable | None = None
         self.registry = servers
+        self.rejections = rejections.Rejections()
         self._roster = members
         self._hold_until_ms: typing.Callable[[int], int] = lambda now_ms: 0
         self.listeners: list[typing.Callable[[routing_table.RoutingTable], None]] = []
@@ -34,21 +47,28 @@
         self._hold_until_ms = hold_until_ms
 
     def apply(self, change: facts.Change, first_read: bool, now_ms: int) -> None:
-        """Apply one change; an unreadable row is logged.
+        """Apply one change; a row that cannot be used is counted and logged.
 
         :param change: the newest state of a row.
         :param first_read: whether the row comes from the first full read of this process.
         :param now_ms: the current monotonic time.
         """
         if change.unreadable is not None:
-            events.log(
-                events.Event.ROW_UNREADABLE,
-                change.unreadable.reason,
-                logging.WARNING,
-                topic=change.topic,
-                key=change.key,
-                version=change.version,
-            )
+            self._reject(events.Event.ROW_UNREADABLE, change, change.unreadable.reason, now_ms)
+        try:
+            self._apply_fact(change, first_read, now_ms)
+        except Exception as error:  # noqa: BLE001 - whatever a row raises costs that row alone
+            logging.getLogger(__name__).debug("trace", exc_info=error)
+            self._reject(events.Event.ROW_FAILED, change, f"{error!r}", now_ms)
+            if change.topic is facts.Topic.SERVERS:
+                self.registry.apply_removal(change.key, now_ms, 0)
+
+    def _reject(self, event: events.Event, change: facts.Change, reason: str, now_ms: int) -> None:
+        self.rejections.record(
+            event, change.topic, reason, now_ms, key=change.key, version=change.version
+        )
+
+    def _apply_fact(self, change: facts.Change, first_read: bool, now_ms: int) -> None:
         if change.topic is facts.Topic.INTENTS:
             self._apply_intents(change, now_ms)
         elif change.topic is facts.Topic.SERVERS:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -34,6 +34,7 @@
         self.rows, self.history = {}, []
         self.version, self.first_version, self.page = 0, 0, page
         self.calls = []
+        self.answer = None  # if set, the body of each response
         self.random = random.Random(seed)
         self.changed = anyio.Event()
         self.server = http_server.HttpServer(self, host, port, lambda request: True)
@@ -71,6 +72,8 @@
             await anyio.sleep_forever()
         if self.faults.status:
             return http_messages.Response(self.faults.status)
+        if self.answer is not None:
+            return http_messages.Response(200, [], self.answer)
         handlers = {"/rows-get": self._get, "/rows-feed": self._feed, "/rows-tx": self._transact}
         return await handlers[request.path](request)
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -92,6 +92,24 @@
     with_replica(scenario)
 
 
+# Guards against a row that is read well but cannot be applied, and ended the reading service.
+def test_a_row_that_cannot_be_applied_costs_that_row_alone():
+    async def scenario(source, copy, state):
+        def fail(server_id, now_ms):
+            raise ZeroDivisionError(server_id)
+
+        source.put_server("x")
+        await until(lambda: server_ids(state) == {"x"})
+        state.on_server_joined = fail
+        source.put_server("odd")
+        await until(lambda: state.rejections.counts[SERVERS] == 1)
+        state.on_server_joined = lambda server_id, now_ms: None
+        source.put_server("y")
+        await until(lambda: server_ids(state) == {"x", "y"})
+
+    with_replica(scenario)
+
+
 def test_rows_removed_while_history_was_lost_are_found_by_a_full_read():
     async def scenario(source, copy, state):
         source.put_server("x")
