--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -19,7 +19,9 @@
 from sassafraslock.decisions import message_quota
 
 MAX_IDLE_MS = 8_000
+MAX_IDLE_DIGITS = 9  # of the announced seconds; int() refuses thousands of digits
 IDLE_MARGIN_MS = 1_000  # subtracted from the idle time that servers announce
+_IDLE_TIMEOUT = re.compile(rb"timeout=[ \t]*([0-9]+)[ \t]*(?:,|$)")
 # In a head, it shows that a response begins inside another one that was cut off.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 SERVER_HEADERS_BYTES = 32 << 10  # added to the request header limit to bound response headers
@@ -305,10 +307,12 @@
         self._complete(Exchange(Outcome.ANSWERED, response))
 
     def _apply_keep_alive(self, value: bytes) -> None:
-        _, separator, seconds = value.partition(b"timeout=")
-        digits = seconds.split(b",")[0].strip()
-        if separator and digits.isdigit():
-            self.max_idle_ms = min(MAX_IDLE_MS, int(digits) * 1_000 - IDLE_MARGIN_MS)
+        found = _IDLE_TIMEOUT.search(value)
+        if found is None:
+            return
+        digits = found[1].lstrip(b"0")
+        seconds = int(digits[:MAX_IDLE_DIGITS] or b"0")
+        self.max_idle_ms = min(MAX_IDLE_MS, seconds * 1_000 - IDLE_MARGIN_MS)
 
     def _is_framed(self) -> bool:
         return any(n in (b"content-length", b"transfer-encoding") for n, _ in self._headers)
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from sassafraslock import clock
+from sassafraslock import clock, field_types
 from sassafraslock.decisions import message_quota
 from sassafraslock.services import server_connection
 
@@ -15,6 +15,8 @@
 TCP_USER_TIMEOUT_MS = 2_000  # the connection fails if sent data stays unacknowledged for longer
 MIN_IDLE_MS = 300  # the limit on idle time is not reduced below this
 CLOSE_IDLE_INTERVAL_S = 1.0
+# What connecting to an address may raise; an address that is none raises ValueError.
+_CONNECT_ERRORS = (OSError, ValueError, OverflowError)
 IDLE_GROWTH_RATIO = 1.05  # growth of a reduced limit on idle time at each check
 
 
@@ -114,7 +116,7 @@
                 self._idle.setdefault(address, []).append(connection)
                 connection = None
             return exchange
-        except (OSError, TimeoutError) as error:
+        except _CONNECT_ERRORS as error:
             return server_connection.Exchange(
                 server_connection.Outcome.NOT_CONNECTED,
                 reason=f"connecting to {address} failed (time limit {CONNECT_TIMEOUT_MS} ms):"
@@ -142,7 +144,7 @@
         """
         try:
             connection = await self._connect(address)
-        except (OSError, TimeoutError):
+        except _CONNECT_ERRORS:
             return False
         connection.idle_since_ms = clock.monotonic_ms()
         self._idle.setdefault(address, []).append(connection)
@@ -160,11 +162,11 @@
         return None
 
     async def _connect(self, address: str) -> server_connection.Connection:
-        host, _, port = address.rpartition(":")
+        host, port = field_types.split_address(address)
         loop = asyncio.get_running_loop()
         with anyio.fail_after(CONNECT_TIMEOUT_MS / 1000):
             transport, connection = await loop.create_connection(
-                lambda: server_connection.Connection(self._id_header, self.limits), host, int(port)
+                lambda: server_connection.Connection(self._id_header, self.limits), host, port
             )
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -132,6 +132,66 @@
     anyio.run(scenario)
 
 
+ODD_ADDRESSES = ["10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:" + "9" * 5_000, "10.0.0.1", "",
+                 "10.0.0.1\0:80", "10.0.0.1:x", "\ud800:80", "a" * 300 + ":80"]  # fmt: skip
+
+
+# Guards against an address that cannot be one, whose error left the pool and failed requests.
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda a: ascii(a)[:24])
+def test_an_odd_address_is_reported_as_not_connected(address):
+    async def scenario():
+        connections = upstream.Upstream(b"x-id")
+        assert not await connections.is_reachable(address)
+        exchange = await connections.exchange(address, b"", ID, False)
+        assert exchange.outcome is Outcome.NOT_CONNECTED
+        assert connections.open_connections(address) == 0
+
+    anyio.run(scenario)
+
+
+IDLE_TIMEOUTS = [
+    (b"timeout=5", 4_000),
+    (b"max=3, timeout=5 , x=1", 4_000),
+    (b"timeout=0", -1_000),
+    (b"timeout=" + b"0" * 5_000 + b"5", 4_000),
+    (b"timeout=" + b"9" * 5_000, server_connection.MAX_IDLE_MS),
+    (b"timeout=", server_connection.MAX_IDLE_MS),
+    (b"timeout=-5", server_connection.MAX_IDLE_MS),
+    (b"timeout=1.5", server_connection.MAX_IDLE_MS),
+    (b"timeout=\xd9\xa1", server_connection.MAX_IDLE_MS),
+    (b"\xff" * 90, server_connection.MAX_IDLE_MS),
+]
+
+
+# Guards against an idle timeout of thousands of digits, which failed the answer that it came with.
+@pytest.mark.parametrize("value, idle_ms", IDLE_TIMEOUTS, ids=lambda v: str(v)[:24])
+def test_the_announced_idle_timeout_never_fails_an_answer(value, idle_ms):
+    async def scenario(connections):
+        exchange = await ask(connections)
+        assert exchange.outcome is Outcome.ANSWERED
+        (idle,) = connections._idle[f"{HOST}:{PORT}"]
+        assert idle.max_idle_ms == idle_ms
+
+    head = b"keep-alive: " + value + b"\r\n"
+    anyio.run(run_scenario, [response(head=head)], scenario, [])
+
+
+ODD_LENGTHS = [b"-1", b"9" * 5_000, b"18446744073709551616", b"2, 2", b"+2", b"0x2", b"\xd9\xa2",
+               b"2\r\ncontent-length: 3", b"nan"]  # fmt: skip
+
+
+@pytest.mark.parametrize("length", ODD_LENGTHS, ids=lambda v: str(v)[:24])
+def test_an_odd_length_of_an_answer_ends_that_exchange_only(length):
+    head = b"HTTP/1.1 200 OK\r\nx-id: r-1\r\ncontent-length: " + length + b"\r\n\r\nok"
+
+    async def scenario(connections):
+        for _ in range(2):
+            exchange = await ask(connections)
+            assert exchange.outcome in (Outcome.MALFORMED, Outcome.BROKEN)
+
+    anyio.run(run_scenario, [head, None], scenario, [])
+
+
 def test_cancellation_closes_the_connection():
     accepted = []
 
