--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, placement, quarantine, registry, server_health
 from sassafraslock.path import judge, route, send
@@ -12,6 +14,9 @@
 ANSWER_SIZE_WEIGHT = 0.1  # of the newest answer in the moving average
 SLOW_RATIO = 1.5  # slower servers do not change the expected latency of the route
 
+_LOAD_NUMBER = rb"[ \t]*([0-9]{1,6})[ \t]*"  # larger ones are no counts of requests
+_LOAD = re.compile(rb",".join([_LOAD_NUMBER] * 3))
+
 
 class AttemptRecorder:
     """Records the load, the failures and the latency of servers, and the answer sizes of routes."""
@@ -146,7 +151,5 @@
 
 
 def _parse_load(value: bytes) -> server_health.ReportedLoad | None:
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return server_health.ReportedLoad(*(int(part) for part in parts))
+    found = _LOAD.fullmatch(value)
+    return server_health.ReportedLoad(*(int(n) for n in found.groups())) if found else None
--- a/sassafraslock/path/read.py
+++ b/sassafraslock/path/read.py
@@ -7,6 +7,8 @@
 
 from sassafraslock import header_names, http_messages
 
+MAX_TIMEOUT_MS = 86_400_000
+
 
 @dataclasses.dataclass(slots=True)
 class IncomingRequest:
@@ -24,7 +26,7 @@
 
 
 def read(request: http_messages.Request, names: header_names.HeaderNames) -> IncomingRequest:
-    """Parse the headers of a request; a timeout that is not a number counts as missing.
+    """Parse the headers of a request; a timeout that is not a finite number counts as missing.
 
     :param request: the complete request.
     :param names: the configured header names.
@@ -41,6 +43,6 @@
 
 def _parse_timeout(value: bytes) -> int:
     try:
-        return max(0, int(float(value)))
+        return max(0, min(MAX_TIMEOUT_MS, int(float(value))))
     except (ValueError, OverflowError):
         return 0
