--- a/sassafraslock/decisions/load_reports.py
+++ b/sassafraslock/decisions/load_reports.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from sassafraslock import field_types
+
 MAX_AGE_MS = 1_500
 MAX_REPORTS = 128  # per gossip message
 
@@ -19,9 +21,9 @@
     :param age_ms: how long ago the server reported the load.
     """
 
-    start_hash: int
-    load: int
-    age_ms: int
+    start_hash: field_types.Hash32
+    load: field_types.Count
+    age_ms: field_types.AgeMs
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/decisions/object_memory.py
+++ b/sassafraslock/decisions/object_memory.py
@@ -9,6 +9,8 @@
 import msgspec
 import xxhash
 
+from sassafraslock import field_types
+
 MAX_OBJECTS = 8_192  # beyond this, the least recently used object is evicted
 RETENTION_MS = 30_000
 # A sighting is sent to peers again only if the last one is this old, so that messages stay small.
@@ -26,9 +28,9 @@
     :param age_ms: how long ago the server answered a request for the object.
     """
 
-    object_hash: int
-    start_hash: int
-    age_ms: int
+    object_hash: field_types.Hash32
+    start_hash: field_types.Hash32
+    age_ms: field_types.AgeMs
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 import msgspec
 
+from sassafraslock import field_types
+
 SILENT_AFTER_MS = 3_000
 SILENT_PER_MEMBER_MS = 15
 REMOVE_AFTER_MS = 60_000
 # Removals are checked once a gossip round; a longer pause shows that this process was suspended.
 MAX_CHECK_PAUSE_MS = 5_000
 MAX_MEMBERS = 8_192
+MAX_SERVICES = 4_096
+MIN_BEAT_INTERVAL_MS = 300  # entries count at most one heartbeat in this time
+MAX_CLOCK_SKEW_MS = 86_400_000
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -21,17 +27,19 @@
     its first read. ``demand`` holds the recent concurrency of its clients' requests by service.
     """
 
-    entry_id: str
-    boot_ms: int
-    beat: int
-    region: str
-    zone: str
-    gossip_address: str
-    client_address: str
+    entry_id: field_types.Name
+    boot_ms: field_types.WallMs
+    beat: field_types.Counter
+    region: field_types.Name
+    zone: field_types.Name
+    gossip_address: field_types.Address
+    client_address: field_types.Address
     ready: bool = False
     leaving: bool = False
-    replica_version: int = 0
-    demand: dict[str, float] = {}
+    replica_version: field_types.Version = 0
+    demand: typing.Annotated[
+        dict[field_types.Name, field_types.Quantity], msgspec.Meta(max_length=MAX_SERVICES)
+    ] = {}
 
     @property
     def order(self) -> tuple[int, int]:
@@ -42,9 +50,22 @@
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """An entry's heartbeat counter without the rest of its record."""
 
-    entry_id: str
-    boot_ms: int
-    beat: int
+    entry_id: field_types.Name
+    boot_ms: field_types.WallMs
+    beat: field_types.Counter
+
+
+def is_possible(boot_ms: int, beat: int, wall_ms: int) -> bool:
+    """Return whether an entry could have counted to a heartbeat by now.
+
+    A counter from the far future would outrank all that the entry itself sends. Clocks may differ
+    by :data:`MAX_CLOCK_SKEW_MS`.
+
+    :param boot_ms: the time of the entry's start, by its own clock.
+    :param beat: the heartbeat counter.
+    :param wall_ms: the current Unix time.
+    """
+    return boot_ms + beat * MIN_BEAT_INTERVAL_MS <= wall_ms + MAX_CLOCK_SKEW_MS
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -241,7 +241,8 @@
         self.metrics.set_limits(
             self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
         )
-        self.metrics.set_rejected(self.settings.entry_id, self.routing_state.rejections.counts)
+        rejected = self.routing_state.rejections.counts + self.gossip.rejections.counts
+        self.metrics.set_rejected(self.settings.entry_id, rejected)
         return self.metrics.render()
 
     @property
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -14,7 +14,7 @@
 import anyio.abc
 import msgspec
 
-from sassafraslock import clock, events
+from sassafraslock import clock, events, field_types
 from sassafraslock.decisions import (
     gossip_targets,
     load_reports,
@@ -23,7 +23,7 @@
     roster,
     server_limits,
 )
-from sassafraslock.services import poison_watch
+from sassafraslock.services import list_decoder, poison_watch, rejections
 
 INTERVAL_S = 0.5
 SILENT_TARGETS = 2
@@ -96,6 +96,7 @@
         "objects",
         "limits",
         "token",
+        "rejections",
     )
 
     def __init__(
@@ -118,9 +119,10 @@
         self.loads: ReportExchange[load_reports.LoadReport] | None = None
         self.objects: ReportExchange[object_memory.ObjectReport] | None = None
         self.limits: ReportExchange[server_limits.LimitReport] | None = None
+        self.rejections = rejections.Rejections()
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._decoder = list_decoder.ListDecoder(Message)
         self._last_live: set[str] = set()
 
     async def run(self, ready: anyio.Event) -> None:
@@ -144,10 +146,9 @@
         :param bound: the socket.
         """
         for address, payload in self.datagrams(clock.monotonic_ms()):
-            host, _, port = address.rpartition(":")
             try:
-                await bound.sendto(payload, host, int(port))
-            except OSError:
+                await bound.sendto(payload, *field_types.split_address(address))
+            except (OSError, ValueError, OverflowError):
                 continue
 
     def datagrams(self, now_ms: int) -> list[tuple[str, bytes]]:
@@ -246,6 +247,8 @@
     def merge_datagram(self, data: bytes, now_ms: int) -> None:
         """Merge a datagram; one that is wrongly signed or cannot be decoded is logged and dropped.
 
+        So is each entry of it that is out of bounds, while the others are merged.
+
         :param data: the datagram.
         :param now_ms: the current monotonic time.
         """
@@ -256,14 +259,20 @@
             return
         try:
             plain = zlib.decompressobj().decompress(verified, MAX_MESSAGE_BYTES)
-            message = self._decoder.decode(plain)
+            message, invalid = self._decoder.decode(plain)
         except (zlib.error, msgspec.DecodeError) as error:
             events.log(events.Event.PEER_MESSAGE_REJECTED, str(error), size_bytes=len(data))
             return
+        for item in invalid:
+            event = events.Event.PEER_ENTRY_INVALID
+            self.rejections.record(event, f"gossip {item.list_name}", item.reason, now_ms)
+        wall_ms = clock.wall_ms()
         for record in message.records:
-            self.roster.merge_record(record, now_ms)
+            if self._is_possible(record, now_ms, wall_ms):
+                self.roster.merge_record(record, now_ms)
         for heartbeat in message.beats:
-            self.roster.merge_heartbeat(heartbeat, now_ms)
+            if self._is_possible(heartbeat, now_ms, wall_ms):
+                self.roster.merge_heartbeat(heartbeat, now_ms)
         self._poison.merge(message.suspects, now_ms)
         if self.loads is not None:
             self.loads.merge_reports(message.loads, now_ms)
@@ -272,6 +281,20 @@
         if self.limits is not None:
             self.limits.merge_reports(message.limits, now_ms)
 
+    def _is_possible(
+        self, beat: roster.MemberRecord | roster.Heartbeat, now_ms: int, wall_ms: int
+    ) -> bool:
+        if roster.is_possible(beat.boot_ms, beat.beat, wall_ms):
+            return True
+        self.rejections.record(
+            events.Event.PEER_ENTRY_INVALID,
+            "gossip heartbeat",
+            "heartbeat from the future; compare the clocks of the entries",
+            now_ms,
+            entry=beat.entry_id,
+        )
+        return False
+
     def _log_liveness_changes(self, now_ms: int) -> None:
         live = {m.record.entry_id for m in self.roster.live(now_ms)}
         for entry_id in sorted(live - self._last_live):
--- a/sassafraslock/services/poison_watch.py
+++ b/sassafraslock/services/poison_watch.py
@@ -8,7 +8,7 @@
 import anyio.streams.memory
 import msgspec
 
-from sassafraslock import clock, events
+from sassafraslock import clock, events, field_types
 from sassafraslock.decisions import quarantine
 from sassafraslock.services import upstream
 
@@ -30,8 +30,8 @@
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
     """A request's fingerprint and the servers that crashed while running it, as sent in gossip."""
 
-    fingerprint: str
-    server_ids: list[str]
+    fingerprint: field_types.Name
+    server_ids: field_types.ServerIds
 
 
 class PoisonWatch:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,19 +1,28 @@
 """Gossip: liveness by counters, spread under packet loss, message size, poison suspects."""
 
+import math
 import random
+import socket
 import zlib
 
+import anyio
 import hypothesis
 import hypothesis.strategies as st
 import msgspec
 import pytest
 
+from sassafraslock import events
 from sassafraslock.decisions import gossip_targets, load_reports, object_memory, roster
 from sassafraslock.services import gossip, poison_watch, upstream
 
 
+def address_of(entry_id, port=1):
+    number = zlib.crc32(entry_id.encode())
+    return f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:{port}"
+
+
 def record(entry_id, beat=1, boot_ms=1, zone="a-1", **more):
-    addresses = (f"{entry_id}:1", f"{entry_id}:2")
+    addresses = (address_of(entry_id), address_of(entry_id, 2))
     return roster.MemberRecord(entry_id, boot_ms, beat, zone[0], zone, *addresses, **more)
 
 
@@ -24,7 +33,7 @@
         return record(own_id, beat, zone=zone)
 
     rng = random.Random(own_id)
-    return gossip.GossipService(own_id, f"{own_id}:1", [], build_record, poison, rng=rng)
+    return gossip.GossipService(own_id, address_of(own_id), [], build_record, poison, rng=rng)
 
 
 def live(members, now_ms):
@@ -123,6 +132,107 @@
     assert entry.roster.known() == []
 
 
+FAR_MS = 1 << 62
+GOOD = ["x", 1, 5, "a", "a-1", "10.0.0.1:1", "10.0.0.1:2", True, False, 3, {"s": 1.5}]
+ODD_FIELDS = [
+    (0, "x" * 9_999), (0, "x\0"), (0, 7), (1, -1), (1, FAR_MS), (1, 2**64 - 1), (2, -1),
+    (2, FAR_MS), (3, "a\n"), (5, "10.0.0.1:99999"), (5, "10.0.0.1"), (5, "host:1"),
+    (5, "10.0.0.1:\u0661"), (5, ""), (6, "\0:1"), (6, "10.0.0.1:" + "9" * 5_000), (9, -1),
+    (10, {"s": math.nan}), (10, {"s": math.inf}), (10, {"s": -1.0}), (10, {"s": 1e300}),
+]  # fmt: skip
+
+
+def packed(*lists):
+    return zlib.compress(msgspec.msgpack.encode(lists))
+
+
+# Guards against one odd record that ended the gossip of each entry that it reached, pinned its
+# entry by a counter from the future, or took the rest of its message with it.
+@pytest.mark.parametrize("place, value", ODD_FIELDS, ids=lambda v: str(v)[:16])
+def test_an_odd_record_costs_that_record_alone(place, value, caplog):
+    odd = ["odd", *GOOD[1:]]
+    odd[place] = value
+    entry = service()
+    for now_ms in (0, 500):
+        entry.merge_datagram(packed([odd, GOOD], [["x", 1, 6 + now_ms], ["x", 1, FAR_MS]]), now_ms)
+        anyio.run(entry.send_round, DeafSocket())
+    assert [m.record.entry_id for m in entry.roster.known()] == ["x"]
+    assert entry.roster.known()[0].newest_order == (1, 506)
+    assert sum(entry.rejections.counts.values()) == 4
+    logged = [r for r in caplog.records if r.event is events.Event.PEER_ENTRY_INVALID]
+    assert len(logged) == 2
+
+
+class DeafSocket:
+    """Refuses addresses as an IPv4 socket does, without a network."""
+
+    async def sendto(self, data, host, port):
+        if not 0 <= port <= 65_535:
+            raise OverflowError(port)
+        socket.inet_aton(host)
+
+
+@pytest.mark.parametrize("seed", ["10.0.0.1:99999", "10.0.0.1", "h\0:1", "10.0.0.1:x", ":"])
+def test_an_odd_address_does_not_end_a_round(seed):
+    entry = service()
+    entry.seeds = [seed]
+    anyio.run(entry.send_round, DeafSocket())
+
+
+ODD_REPORTS = {
+    "suspects": [[["f", ["s"] * 99]], [["f" * 9_999, ["s-1"]]], [["f", ["s\n"]]], [["f", 1]]],
+    "loads": [[[1, -1, 0]], [[1, 2**63, 0]], [[-1, 1, 0]], [[1, 1, -5]], [[1, math.nan, 0]]],
+    "objects": [[[2**40, 1, 0]], [[1, "h", 0]], [[1, 1, -1]], [[]]],
+    "limits": [[["x", 1.0, 0]], [[1, "many", 0]], [{}]],
+}
+
+
+@pytest.mark.parametrize("name", list(ODD_REPORTS))
+def test_an_odd_report_costs_that_report_alone(name):
+    place = gossip.Message.__struct_fields__.index(name)
+    for odd in ODD_REPORTS[name]:
+        lists = [[GOOD], *([] for _ in range(place - 1)), odd]
+        entry = service()
+        entry.merge_datagram(packed(*lists), 0)
+        assert live(entry.roster, 0) == {"x"}
+        assert entry.rejections.counts[f"gossip {name}"] == 1
+        assert not entry._poison.recent_suspects(0)
+
+
+NESTED = b"\x91" * 5_000 + b"\x01"
+FROM_A_LATER_VERSION = msgspec.msgpack.encode([[[*GOOD, msgspec.Raw(NESTED)]]])
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [NESTED, b"\x91\x91" + NESTED, b"\xdd\xff\xff\xff\xff", b"\x91\x01", FROM_A_LATER_VERSION],
+)
+def test_a_deeply_nested_or_odd_message_is_dropped(raw):
+    entry = service()
+    entry.merge_datagram(zlib.compress(raw), 0)
+    assert entry.roster.known() == []
+
+
+MSGPACK = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=5) | st.dictionaries(st.text(), inner, max_size=2),
+    max_leaves=12,
+)
+MUTATED = st.tuples(st.integers(0, 10), MSGPACK)
+
+
+@hypothesis.given(st.binary() | MSGPACK.map(msgspec.msgpack.encode), st.lists(MUTATED))
+def test_no_datagram_raises_and_what_it_leaves_can_be_sent_on(raw, mutations):
+    odd = list(GOOD)
+    for place, value in mutations:
+        odd[place] = value
+    entry = service()
+    entry.merge_datagram(raw, 0)
+    entry.merge_datagram(zlib.compress(raw), 0)
+    entry.merge_datagram(packed([odd], [odd[:3]]), 0)
+    assert entry.datagrams(1) is not None
+
+
 def test_suspects_pass_from_entry_to_entry():
     entry, other = service("one"), service("other")
     for server in ("s-1", "s-2"):
@@ -162,7 +272,7 @@
     source = random.Random(seed)
     entries = {f"e{n}": service(f"e{n}", ZONES[n % 6]) for n in range(count)}
     zones = {name: ZONES[n % 6] for n, name in enumerate(entries)}
-    by_address = {f"{name}:1": name for name in entries}
+    by_address = {address_of(name): name for name in entries}
     for entry in entries.values():
         for other, zone in zones.items():
             entry.roster.apply_registration(record(other, 0, zone=zone), -100_000)
@@ -239,7 +349,7 @@
 
 def test_entries_of_the_former_version_and_of_this_one_understand_each_other():
     """Pattern: rolling upgrade, in which both formats are in use at the same time."""
-    own = roster.MemberRecord("x", 1, 7, "a", "a-1", "h:1", "h:2")
+    own = roster.MemberRecord("x", 1, 7, "a", "a-1", "10.0.0.1:1", "10.0.0.1:2")
     loads = [load_reports.LoadReport(1, 2, 3)]
     objects = [object_memory.ObjectReport(1, 2, 3)]
     new = msgspec.msgpack.encode(gossip.Message([own], [], [], loads, objects))
