--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -35,6 +35,7 @@
         "_retries_allowed",
         "_retries_granted",
         "_retries_refused",
+        "_rejected",
     )
 
     def __init__(self) -> None:
@@ -58,6 +59,9 @@
         self._invalid_limits = self._gauge(
             "invalid_server_limits", "Answers that named an invalid rate limit."
         )
+        self._rejected = self._gauge(
+            "rejected_entries", "Entries in rows and messages of others that could not be used."
+        )
 
         self._known_entries = self._gauge(
             "entries_known", "Entries that share limits, this and silent ones included."
@@ -146,6 +150,15 @@
             self._retries_granted.set(labels, retries.granted.get(service, 0))
             self._retries_refused.set(labels, retries.refused.get(service, 0))
 
+    def set_rejected(self, entry_id: str, counts: typing.Mapping[str, int]) -> None:
+        """Set the gauges of the entries that others wrote and that could not be used.
+
+        :param entry_id: the entry.
+        :param counts: the number so far, by the topic of the row or the kind of the message.
+        """
+        for source, count in counts.items():
+            self._rejected.set({"entry": entry_id, "source": source}, count)
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
