--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -168,7 +168,7 @@
         self.kernel.register("poison", self.poison)
         copies = peer_copies.PeerApi(self.replica, settings.peer_token)
         self.kernel.register("copies", self._http_server(copies, settings.gossip_address))
-        client = peer_copies.CopyClient(settings.peer_token)
+        client = peer_copies.CopyClient(settings.peer_token, self.gossip.rejections)
         feed = zone_feed.ZoneFeed(settings.zone, self.gossip.roster, self.replica, client)
         self.kernel.register("zone feed", feed)
         self.kernel.register("registration", registrar.Registrar(settings, self._source))
--- a/sassafraslock/services/peer_copies.py
+++ b/sassafraslock/services/peer_copies.py
@@ -9,9 +9,9 @@
 import httpcore
 import msgspec
 
-from sassafraslock import bounded_call, clock, events, http_messages
+from sassafraslock import bounded_call, clock, events, field_types, http_messages
 from sassafraslock.decisions import message_auth
-from sassafraslock.services import gossip, replica
+from sassafraslock.services import export_decoder, gossip, rejections, replica
 
 FETCH_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
@@ -28,6 +28,7 @@
     httpcore.TimeoutException,
     httpcore.ProtocolError,
     msgspec.DecodeError,
+    ValueError,  # of an address that is none
 )
 
 
@@ -38,19 +39,20 @@
     another one itself refuses such a request with status 409.
     """
 
-    positions: dict[str, int]
+    positions: dict[field_types.Name, field_types.Version]
     wait_ms: int = 0
 
 
 class CopyClient:
-    """Fetches peers' copies over pooled connections."""
+    """Fetches peers' copies over pooled connections; ``rejected`` counts rows left out."""
 
-    __slots__ = ("_token", "_pool", "_decoder")
+    __slots__ = ("_token", "_rejected", "_pool", "_decoder")
 
-    def __init__(self, token: str) -> None:
+    def __init__(self, token: str, rejected: rejections.Rejections | None = None) -> None:
+        self._rejected = rejected or rejections.Rejections()
         self._token = token
         self._pool = httpcore.AsyncConnectionPool()
-        self._decoder = msgspec.msgpack.Decoder(replica.Export)
+        self._decoder = export_decoder.ExportDecoder()
 
     async def fetch(
         self, address: str, copy_request: CopyRequest, timeout_s: float
@@ -76,7 +78,7 @@
                 )
             verified = message_auth.verify(self._token, response.body)
             if response.status == OK and verified is not None:
-                return self._decoder.decode(verified)
+                return self._decode(address, verified)
             reason = f"status {response.status}"
         except _FAILURES as error:
             reason = repr(error)
@@ -86,6 +88,13 @@
         await self._drop_connections()
         return None
 
+    def _decode(self, address: str, data: bytes) -> replica.Export:
+        export, left_out = self._decoder.decode(data)
+        for reason in left_out:
+            event, now_ms = events.Event.PEER_ENTRY_INVALID, clock.monotonic_ms()
+            self._rejected.record(event, "copy", reason, now_ms, peer=address)
+        return export
+
     async def _drop_connections(self) -> None:
         """Close the pool: the other connections may have failed with the one that was used."""
         pool, self._pool = self._pool, httpcore.AsyncConnectionPool()
@@ -102,7 +111,7 @@
     ) -> None:
         self._gossip = members
         self._own_version = own_version
-        self._client = CopyClient(members.token)
+        self._client = CopyClient(members.token, members.rejections)
 
     async def fetch(self, positions: dict[str, int]) -> replica.Export | None:
         """Return newer rows of a random peer that is ahead; none if no peer is, or on failure.
@@ -144,7 +153,7 @@
             return http_messages.Response(401)
         try:
             copy_request = self._decoder.decode(verified)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return http_messages.Response(400)
         if copy_request.wait_ms:
             if self._replica.is_following:
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -11,7 +11,7 @@
 import anyio
 import msgspec
 
-from sassafraslock import clock, errors, events, facts
+from sassafraslock import clock, errors, events, facts, field_types
 
 LONG_POLL_MS = 2_500
 SERVERS_LONG_POLL_MS = 800  # rows change more often; finds a dead connection sooner
@@ -73,9 +73,9 @@
     been removed from the store.
     """
 
-    positions: dict[str, int]
+    positions: dict[field_types.Name, field_types.Version]
     changes: list[facts.Change]
-    age_ms: int = 0
+    age_ms: field_types.AgeMs = 0
     complete_topics: list[facts.Topic] = []
 
 
