--- a/sassafraslock/field_types.py
+++ b/sassafraslock/field_types.py
@@ -73,6 +73,19 @@
     return host, int(port)
 
 
+def is_valid(value: object, field_type: typing.Any) -> bool:
+    """Return whether a value is of one of the types of this module.
+
+    :param value: the value.
+    :param field_type: the type.
+    """
+    try:
+        msgspec.convert(value, field_type)
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
 def describe(error: Exception) -> str:
     """Return what is wrong with a value that was decoded, without the patterns of this module.
 
--- a/sassafraslock/services/settings_source.py
+++ b/sassafraslock/services/settings_source.py
@@ -8,10 +8,20 @@
 import anyio
 import msgspec
 
-from sassafraslock import clock, errors, facts, platform, routing_table, shared_settings
+from sassafraslock import (
+    clock,
+    errors,
+    facts,
+    field_types,
+    platform,
+    routing_table,
+    settings,
+    shared_settings,
+)
 from sassafraslock.decisions import registry, revisions
 
 ENTRIES_PREFIX = "entries/"
+INTENTS_KEY = "intents"
 SCAN_LIMIT = 1_000
 COLD_PER_S = 1_000.0
 ROUTE_PRIORITY = 0
@@ -34,14 +44,16 @@
     """Polls the table and reports what differs from the previous poll.
 
     Each change carries the version of the row that it comes from, so that entries which poll at
-    different times agree on which state is newer.
+    different times agree on which state is newer. A team's row that cannot be used leaves the last
+    settings of the team in force.
     """
 
-    __slots__ = ("_teams", "_row_versions", "_table", "_poll_ms", "_states")
+    __slots__ = ("_teams", "_row_versions", "_unreadable", "_table", "_poll_ms", "_states")
 
     def __init__(self, table: platform.Table, poll_ms: int) -> None:
         self._teams: dict[str, shared_settings.TeamSettings] = {}
         self._row_versions: dict[str, int] = {}
+        self._unreadable: dict[str, facts.Change] = {}
         self._table = table
         self._poll_ms = poll_ms
         self._states = {topic: _TopicState() for topic in facts.Topic}
@@ -104,25 +116,37 @@
     def _decode_teams(self, rows: list[platform.Row]) -> None:
         for row in rows:
             team = row.key.removeprefix(revisions.SETTINGS_PREFIX)
-            if self._row_versions.get(team) != row.version:
-                subtree = msgspec.msgpack.decode(row.value, type=revisions.SubtreeRow)
-                self._teams[team] = msgspec.json.decode(
-                    subtree.document, type=shared_settings.TeamSettings
-                )
+            key = facts.safe_key(row.key)
+            known = self._unreadable.get(key)
+            if row.version in (self._row_versions.get(team), known and known.version):
+                continue
+            try:
+                self._teams[team] = decode_team(team, row)
                 self._row_versions[team] = row.version
+                self._unreadable.pop(key, None)
+            except Exception as error:  # noqa: BLE001 - whatever a row raises costs that row alone
+                reason = f"row {key}: {field_types.describe(error)}"
+                change = facts.unreadable_change(facts.Topic.INTENTS, key, row.version, reason)
+                self._unreadable[key] = change
+        present = {facts.safe_key(row.key) for row in rows}
+        self._unreadable = {k: c for k, c in self._unreadable.items() if k in present}
 
     def _derive_changes(self, topic: facts.Topic, newest: int) -> list[facts.Change]:
         shared = shared_settings.merge_teams(self._teams)
         if topic is facts.Topic.INTENTS:
             intents = build_intents(shared, newest)
-            return [facts.Change(topic, "intents", newest, intents=intents)]
-        return [
-            facts.Change(topic, report.server_id, self._version_of(report), report=report)
-            for report in build_reports(shared)
-        ]
-
-    def _version_of(self, report: registry.ServerReport) -> int:
-        return self._row_versions[report.service.partition("/")[0]]
+            unreadable = self._unreadable.values()
+            return [facts.Change(topic, INTENTS_KEY, newest, intents=intents), *unreadable]
+        return [self._server_change(report) for report in build_reports(shared)]
+
+    def _server_change(self, report: registry.ServerReport) -> facts.Change:
+        version = self._row_versions[report.service.partition("/")[0]]
+        key = facts.safe_key(report.server_id)
+        fault = field_types.check(report)
+        if fault:
+            reason = f"server {key}: {fault}"
+            return facts.unreadable_change(facts.Topic.SERVERS, key, version, reason)
+        return facts.Change(facts.Topic.SERVERS, key, version, report=report)
 
     def _update(self, state: _TopicState, changes: list[facts.Change], newest: int) -> None:
         by_key = {change.key: change for change in changes}
@@ -139,6 +163,24 @@
         state.version = max(state.version, newest)
 
 
+def decode_team(team: str, row: platform.Row) -> shared_settings.TeamSettings:
+    """Return the settings of a team's row, which can be merged with those of other teams.
+
+    :param team: the team.
+    :param row: the row.
+    :raises Exception: if the row cannot be decoded, or its settings are out of bounds.
+    """
+    msgspec.convert(team, settings.Name)
+    subtree = msgspec.msgpack.decode(row.value, type=revisions.SubtreeRow)
+    decoded = msgspec.json.decode(subtree.document, type=shared_settings.TeamSettings)
+    shared = shared_settings.merge_teams({team: decoded})
+    build_reports(shared)
+    fault = field_types.check(build_intents(shared, row.version))
+    if fault:
+        raise ValueError(fault)
+    return decoded
+
+
 def build_intents(shared: shared_settings.SharedSettings, version: int) -> routing_table.Intents:
     """Return the routing intents for the teams' settings, with one route to each service.
 
@@ -229,10 +271,13 @@
 
 
 def _entry_change(row: platform.Row) -> facts.Change:
-    key = row.key.removeprefix(ENTRIES_PREFIX)
+    entry_id = row.key.removeprefix(ENTRIES_PREFIX)
+    key = facts.safe_key(entry_id)
     try:
         registration: typing.Any = msgspec.msgpack.decode(row.value, type=facts.Registration)
-    except msgspec.MsgspecError as error:
-        unreadable = facts.UnreadableRow(f"row {row.key}: {error}")
-        return facts.Change(facts.Topic.ENTRIES, key, row.version, unreadable=unreadable)
+        if registration.entry_id != key:
+            raise ValueError("the row is not that of the entry which it names")
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        reason = f"row {key}: {field_types.describe(error)}"
+        return facts.unreadable_change(facts.Topic.ENTRIES, key, row.version, reason)
     return facts.Change(facts.Topic.ENTRIES, key, row.version, registration=registration)
--- a/sassafraslock/shared_settings.py
+++ b/sassafraslock/shared_settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sassafraslock import settings, settings_check
+from sassafraslock import field_types, settings, settings_check
 
 SYSTEM_TEAM = "system"
 SPLIT_TOLERANCE = 1e-6
@@ -201,25 +201,7 @@
 ) -> list[settings_check.Problem]:
     problems = []
     for server_id, server in service.servers.items():
-        server_path = f"{path}.servers.{server_id}"
-        region = system.regions.get(server.region)
-        if region is None:
-            problems.append(
-                settings_check.Problem(
-                    f"{server_path}.region",
-                    f"{server.region!r} is not a region",
-                    f"use one of {', '.join(system.regions)}",
-                )
-            )
-        elif server.slots * region.max_entries > server.connections:
-            problems.append(
-                settings_check.Problem(
-                    f"{server_path}.connections",
-                    f"{server.connections} is less than {server.slots} slots times the region's"
-                    f" max_entries {region.max_entries}",
-                    f"give {server.slots * region.max_entries} or more",
-                )
-            )
+        problems += _check_server(f"{path}.servers.{server_id}", server_id, server, system)
     if service.deadline_ms > service.max_deadline_ms:
         problems.append(
             settings_check.Problem(
@@ -236,6 +218,45 @@
     return problems
 
 
+def _check_server(
+    path: str, server_id: str, server: Server, system: TeamSettings
+) -> list[settings_check.Problem]:
+    problems = []
+    if not field_types.is_valid(server_id, field_types.ServerId):
+        problems.append(
+            settings_check.Problem(
+                path,
+                "is not an id",
+                f"use 1 to {field_types.MAX_NAME_CHARS} visible ASCII characters",
+            )
+        )
+    if not field_types.is_valid(f"{server.host}:{server.port}", field_types.Address):
+        problems.append(
+            settings_check.Problem(
+                f"{path}.host", f"{server.host!r} is not an IP address", "give one such as 10.0.0.7"
+            )
+        )
+    region = system.regions.get(server.region)
+    if region is None:
+        problems.append(
+            settings_check.Problem(
+                f"{path}.region",
+                f"{server.region!r} is not a region",
+                f"use one of {', '.join(system.regions)}",
+            )
+        )
+    elif server.slots * region.max_entries > server.connections:
+        problems.append(
+            settings_check.Problem(
+                f"{path}.connections",
+                f"{server.connections} is less than {server.slots} slots times the region's"
+                f" max_entries {region.max_entries}",
+                f"give {server.slots * region.max_entries} or more",
+            )
+        )
+    return problems
+
+
 def _check_split(path: str, split: Split, server_regions: set[str]) -> list[settings_check.Problem]:
     problems = []
     if abs(sum(split.values()) - 1.0) > SPLIT_TOLERANCE or min(split.values(), default=0) < 0:
--- a/tests/test_field_types.py
+++ b/tests/test_field_types.py
@@ -4,7 +4,6 @@
 
 import hypothesis
 import hypothesis.strategies as st
-import msgspec
 import pytest
 
 from sassafraslock import field_types
@@ -12,11 +11,7 @@
 
 
 def is_address(text):
-    try:
-        msgspec.convert(text, field_types.Address)
-    except msgspec.ValidationError:
-        return False
-    return True
+    return field_types.is_valid(text, field_types.Address)
 
 
 @hypothesis.given(st.ip_addresses(), st.integers(-10, 70_000))
--- a/tests/test_settings_source.py
+++ b/tests/test_settings_source.py
@@ -1,9 +1,13 @@
 """Teams' settings as facts: versions, removals, regions' limits, compare-and-set."""
 
 import anyio
+import hypothesis
+import hypothesis.strategies as st
 import msgspec
+import pytest
 
-from sassafraslock import errors, facts, shared_settings
+from sassafraslock import errors, facts, platform, shared_settings
+from sassafraslock.decisions import revisions
 from sassafraslock.services import settings_source, settings_store
 from sassafraslock.standin import platform as standin
 
@@ -103,7 +107,7 @@
 
 def test_registrations_are_read_back_and_an_outage_is_a_refusal():
     async def scenario(faulty, store, source):
-        registration = facts.Registration("e", "a", "a/z", "h:1", "h:2")
+        registration = facts.Registration("e", "a", "a/z", "10.0.0.1:1", "10.0.0.1:2")
         version = await source.register(registration)
         (change,) = (await source.read_all(Topic.ENTRIES)).changes
         assert (change.registration, change.version) == (registration, version)
@@ -145,3 +149,147 @@
         assert facts.routing_table.RoutingTable(copied).link_bytes_per_s("a") == {"b": 1000}
 
     with_table(scenario)
+
+
+def row(document):
+    raw = document if isinstance(document, bytes) else msgspec.json.encode(document)
+    return msgspec.msgpack.encode(revisions.SubtreeRow(9, "c", raw))
+
+
+NESTED = b'{"x":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+ODD_LINKS = {
+    "regions": {"a": {"max_in_flight": 1}},
+    "links": [{"regions": ["a"], "bytes_per_s": 1}],
+}
+ODD_TEAMS = {
+    "no subtree": ("settings/odd", b"\xff"),
+    "empty": ("settings/odd", b""),
+    "no json": ("settings/odd", row(b"{")),
+    "nested": ("settings/odd", row(NESTED)),
+    "port": ("settings/odd", row(team(x=server(port=99_999)))),
+    "slots": ("settings/odd", row(team(x={**server(), "slots": 10**40}))),
+    "share of 1e300": (
+        "settings/odd",
+        row({"services": {"log": {"servers": {}, "split": {"a": {"a": 1e300}}}}}),
+    ),
+    "name with a slash": ("settings/odd/team", row(team(x=server()))),
+    "no name": ("settings/", row(team(x=server()))),
+    "name with a NUL": ("settings/odd\0", row(team(x=server()))),
+}
+
+
+async def put_raw(faulty, key, value):
+    await faulty.transact(platform.Transaction(puts=[platform.Put(key, value)]))
+
+
+# Guards against one team's row that ends the reading of all teams' settings.
+@pytest.mark.parametrize("name", list(ODD_TEAMS))
+def test_an_odd_row_of_a_team_costs_that_team_alone(name):
+    key, value = ODD_TEAMS[name]
+
+    async def scenario(faulty, store, source):
+        await put(store, "k", team(x=server()))
+        await put_raw(faulty, key, value)
+        batch = await source.read_all(Topic.SERVERS)
+        assert set(by_key(batch)) == {"k/log/x"}
+        intents = by_key(await source.read_all(Topic.INTENTS))
+        assert [s.name for s in intents["intents"].intents.services] == ["k/log"]
+        (unreadable,) = [c for c in intents.values() if c.unreadable]
+        again = by_key(await source.read_all(Topic.INTENTS))
+        assert again[unreadable.key] == unreadable
+        await faulty.transact(platform.Transaction(deletes=[key]))
+        await put(store, "k", team(x=server(), y=server()))
+        changes = by_key(await source.read_changes(Topic.INTENTS, batch.version, 1000))
+        assert changes[unreadable.key].is_removed
+
+    with_table(scenario)
+
+
+@pytest.mark.parametrize("document", [ODD_LINKS, NESTED], ids=["link of one region", "nested"])
+def test_the_last_settings_of_the_system_stay_in_force_while_its_row_is_odd(document):
+    async def scenario(faulty, store, source):
+        await put(store, "k", team(x=server("b"), y=server("b")))
+        before = by_key(await source.read_all(Topic.SERVERS))
+        await put_raw(faulty, "settings/system", row(document))
+        after = by_key(await source.read_all(Topic.SERVERS))
+        assert {c.report.slots for c in after.values()} == {1} and set(after) == set(before)
+
+    with_table(scenario)
+
+
+def test_the_last_settings_of_a_team_stay_in_force_while_its_row_is_odd():
+    async def scenario(faulty, store, source):
+        await put(store, "k", team(x=server()))
+        assert set(by_key(await source.read_all(Topic.SERVERS))) == {"k/log/x"}
+        await put_raw(faulty, "settings/k", row(NESTED))
+        assert set(by_key(await source.read_all(Topic.SERVERS))) == {"k/log/x"}
+        await put_raw(faulty, "settings/k", row(team(y=server())))
+        assert set(by_key(await source.read_all(Topic.SERVERS))) == {"k/log/y"}
+
+    with_table(scenario)
+
+
+ODD_SERVERS = {"host": ("x", {"host": "h\0"}), "name": ("x", {"host": "h.example"}),
+               "id": ("x\r\ny", {}), "long id": ("x" * 999, {})}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", list(ODD_SERVERS))
+def test_an_odd_server_costs_that_server_alone_and_is_not_accepted_as_a_change(name):
+    server_id, more = ODD_SERVERS[name]
+    document = team(**{server_id: {**server(), **more}, "good": server()})
+
+    async def scenario(faulty, store, source):
+        assert isinstance(await put(store, "k", document), list)
+        await put_raw(faulty, "settings/k", row(document))
+        changes = by_key(await source.read_all(Topic.SERVERS)).values()
+        assert [c.key for c in changes if c.report] == ["k/log/good"]
+        assert len([c for c in changes if c.unreadable]) == 1
+
+    with_table(scenario)
+
+
+ODD_ENTRIES = {
+    "not a map": b"\x01",
+    "nested": b"\x91" * 5_000 + b"\x01",
+    "port": msgspec.msgpack.encode(facts.Registration("odd", "a", "z", "10.0.0.1:0", "10.0.0.1:1")),
+    "of another": msgspec.msgpack.encode(
+        facts.Registration("e", "a", "z", "10.0.0.1:1", "10.0.0.1:1")
+    ),
+}
+
+
+@pytest.mark.parametrize("name", list(ODD_ENTRIES))
+def test_an_odd_registration_names_no_peer(name):
+    async def scenario(faulty, store, source):
+        good = facts.Registration("e", "a", "a/z", "10.0.0.1:1", "10.0.0.1:2")
+        await source.register(good)
+        await put_raw(faulty, "entries/odd", ODD_ENTRIES[name])
+        changes = by_key(await source.read_all(Topic.ENTRIES))
+        assert changes["e"].registration == good and changes["odd"].unreadable is not None
+
+    with_table(scenario)
+
+
+DOCUMENTS = st.recursive(
+    st.none() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=2)
+    | st.dictionaries(
+        st.sampled_from(["services", "servers", "regions", "links", "log", "split", "host"]), inner
+    ),
+    max_leaves=9,
+)
+
+
+@hypothesis.given(st.text(), st.binary() | DOCUMENTS.map(row))
+def test_no_row_of_a_team_raises(name, value):
+    class Table:
+        async def transact(self, transaction):
+            prefix = transaction.scan.prefix
+            return platform.TransactionResult(True, [platform.Row(prefix + name, 5, value)])
+
+    async def scenario():
+        source = settings_source.SettingsSource(Table(), 5)
+        for topic in facts.Topic:
+            assert isinstance(await source.read_all(topic), facts.Batch)
+
+    anyio.run(scenario)
