--- a/sassafraslock/decisions/claim.py
+++ b/sassafraslock/decisions/claim.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
+import typing
 import uuid
 
 import msgspec
 
-from sassafraslock import errors
+from sassafraslock import errors, field_types
 
 MAX_KEY_AGE_SKEW_MS = 60_000
 MAX_KEPT_BODY_BYTES = 4_096
 PREFIX = "claims/"
 
+Status = typing.Annotated[int, msgspec.Meta(ge=200, le=599)]
+
 
 class RecordedAnswer(msgspec.Struct, frozen=True, array_like=True):
     """An answer that is stored for repeats of its request."""
 
-    status: int
+    status: Status
     headers: list[tuple[bytes, bytes]]
     body: bytes
 
@@ -28,13 +31,38 @@
     milliseconds. ``answer`` is none until the request is answered.
     """
 
-    nonce: str
-    fingerprint: str
-    at_ms: int
-    until_ms: int
+    nonce: field_types.Name
+    fingerprint: field_types.Name
+    at_ms: field_types.WallMs
+    until_ms: field_types.WallMs
     answer: RecordedAnswer | None = None
 
 
+def decode_row(value: bytes) -> ClaimRow | errors.Refusal:
+    """Return the claim that a row holds.
+
+    One that cannot be read may belong to a request that ran.
+
+    :param value: the row's value.
+    """
+    try:
+        return msgspec.msgpack.decode(value, type=ClaimRow)
+    except (msgspec.DecodeError, RecursionError):
+        reason = "the stored claim of this request key cannot be read; look up the outcome"
+        return errors.Refusal(errors.ErrorKind.MAY_HAVE_RUN, reason)
+
+
+def row_time_ms(stored_key: str) -> int:
+    """Return the Unix time of a claim by its row's key, 0 for a key that no claim can have.
+
+    :param stored_key: the row's key.
+    """
+    try:
+        return key_time_ms(stored_key.removeprefix(PREFIX).partition("|")[0])
+    except ValueError:
+        return 0
+
+
 def row_key(service: str, key: str) -> str:
     """Return the row key of a claim; UUIDv7 keys sort by age, and so do the rows.
 
--- a/sassafraslock/decisions/client_blocks.py
+++ b/sassafraslock/decisions/client_blocks.py
@@ -11,11 +11,14 @@
 import bisect
 import dataclasses
 import ipaddress
+import itertools
 import sys
 import typing
 
 import msgspec
 
+from sassafraslock import field_types
+
 PAGE_COUNT = 1 << 16
 PAGES_PER_PART = 1 << 8
 PAGE_SHIFT = 16
@@ -23,6 +26,10 @@
 NO_SITE = 0xFFFF
 MAX_SITES = NO_SITE
 
+PartNumber = typing.Annotated[int, msgspec.Meta(ge=0, lt=PAGE_COUNT // PAGES_PER_PART)]
+PageNumber = typing.Annotated[int, msgspec.Meta(ge=0, lt=PAGE_COUNT)]
+Sites = typing.Annotated[list[field_types.Name], msgspec.Meta(max_length=MAX_SITES)]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Block:
@@ -53,15 +60,15 @@
     Parts without blocks are missing.
     """
 
-    revision: int
-    sites: list[str]
-    parts: dict[int, str]
+    revision: field_types.Version
+    sites: Sites
+    parts: dict[PartNumber, field_types.Path]
 
 
 class PackedPage(msgspec.Struct, frozen=True, array_like=True):
     """A page in the object store; both arrays hold little-endian 16-bit numbers."""
 
-    number: int
+    number: PageNumber
     starts: bytes
     sites: bytes
 
@@ -94,6 +101,10 @@
         """
         pages = unpack(raw)
         first = part * PAGES_PER_PART
+        if any(number // PAGES_PER_PART != part for number in pages):
+            raise msgspec.DecodeError(
+                f"part {part} has pages of another part; publish the blocks again"
+            )
         for number in range(first, first + PAGES_PER_PART):
             self._pages[number] = pages.get(number, _EMPTY_PAGE)
 
@@ -161,12 +172,17 @@
     :raises msgspec.DecodeError: if the part is damaged.
     """
     pages = {}
-    for packed in msgspec.msgpack.decode(raw, type=list[PackedPage]):
+    try:
+        packed_pages = msgspec.msgpack.decode(raw, type=list[PackedPage])
+    except RecursionError as error:
+        raise msgspec.DecodeError("the part is nested deeply; publish the blocks again") from error
+    for packed in packed_pages:
         page = Page(_from_little_endian(packed.starts), _from_little_endian(packed.sites))
-        if len(page.starts) != len(page.sites) or not page.starts or page.starts[0] != 0:
+        is_complete = len(page.starts) == len(page.sites) and page.starts and not page.starts[0]
+        if not is_complete or any(a >= b for a, b in itertools.pairwise(page.starts)):
             raise msgspec.DecodeError(
                 f"page {packed.number} has {len(page.starts)} starts and {len(page.sites)} sites;"
-                " both must be equal and the first start 0; publish the blocks again"
+                " both must be equal, and the starts rise from 0; publish the blocks again"
             )
         pages[packed.number] = page
     return pages
--- a/sassafraslock/services/block_loader.py
+++ b/sassafraslock/services/block_loader.py
@@ -10,7 +10,7 @@
 import anyio
 import msgspec
 
-from sassafraslock import errors, events, platform, settings
+from sassafraslock import errors, events, field_types, platform, settings
 from sassafraslock.decisions import client_blocks
 
 MANIFEST_OBJECT = "client-blocks/manifest"
@@ -21,10 +21,11 @@
 class BlockLoader:
     """Polls the manifest and reads the parts that changed, one at a time.
 
-    A manifest of an older revision, or a part that cannot be decoded, is not installed.
+    A manifest of an older revision, or a part that cannot be decoded, is not installed; the other
+    parts are. Each reason is logged once.
     """
 
-    __slots__ = ("_settings", "_platform", "_blocks", "_parts")
+    __slots__ = ("_settings", "_platform", "_blocks", "_parts", "_logged_reason")
 
     def __init__(
         self,
@@ -36,6 +37,7 @@
         self._platform = platform_client
         self._blocks = blocks
         self._parts: dict[int, str] = {}
+        self._logged_reason = ""
 
     async def run(self, ready: anyio.Event) -> None:
         """Poll for a newer table until cancelled, every :data:`POLL_FACTOR` poll intervals.
@@ -54,10 +56,16 @@
             return
         try:
             manifest = msgspec.msgpack.decode(raw, type=client_blocks.Manifest)
-            if manifest.revision > self._blocks.revision:
-                await self._load(manifest)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            events.log(events.Event.BLOCKS_REJECTED, str(error), logging.ERROR)
+        except (msgspec.DecodeError, RecursionError) as error:
+            self._reject(f"the manifest cannot be read: {field_types.describe(error)}")
+            return
+        if manifest.revision > self._blocks.revision:
+            await self._load(manifest)
+
+    def _reject(self, reason: str) -> None:
+        if reason != self._logged_reason:
+            self._logged_reason = reason
+            events.log(events.Event.BLOCKS_REJECTED, reason, logging.ERROR)
 
     async def _load(self, manifest: client_blocks.Manifest) -> None:
         self._blocks.sites = manifest.sites
@@ -67,8 +75,11 @@
             raw = await self._platform.get_object(name)
             if not isinstance(raw, bytes):
                 return
-            self._blocks.install(part, raw)
-            self._parts[part] = name
+            try:
+                self._blocks.install(part, raw)
+                self._parts[part] = name
+            except msgspec.DecodeError as error:
+                self._reject(f"part {part} ({name}) cannot be read: {error}")
         for part in set(self._parts) - set(manifest.parts):
             self._blocks.install(part, msgspec.msgpack.encode([]))
             del self._parts[part]
--- a/sassafraslock/services/claims.py
+++ b/sassafraslock/services/claims.py
@@ -118,8 +118,9 @@
             stored = result.row(key)
             if stored is None:
                 continue
-            existing = msgspec.msgpack.decode(stored.value, type=claim.ClaimRow)
-            return HeldClaim(key, stored.version, row) if existing.nonce == row.nonce else existing
+            existing = claim.decode_row(stored.value)
+            is_own = isinstance(existing, claim.ClaimRow) and existing.nonce == row.nonce
+            return HeldClaim(key, stored.version, row) if is_own else existing
         if isinstance(result, errors.Refusal):
             return result
         return errors.Refusal(
@@ -170,6 +171,8 @@
     async def purge(self, wall_ms: int) -> int:
         """Delete rows older than the retention time, at most :data:`PURGE_ROWS`.
 
+        Rows whose keys no claim can have count as old, since they would be in the way for ever.
+
         :param wall_ms: the current Unix time.
         :returns: the number of expired rows found.
         """
@@ -177,7 +180,7 @@
         result = await self._table.transact(platform.Transaction(scan=scan))
         if isinstance(result, errors.Refusal):
             return 0
-        old = [r.key for r in result.rows if wall_ms - _row_time_ms(r.key) > self.retention_ms]
+        old = [r.key for r in result.rows if wall_ms - claim.row_time_ms(r.key) > self.retention_ms]
         if old:
             await self._table.transact(platform.Transaction(deletes=old))
         return len(old)
@@ -187,10 +190,6 @@
         return {"waiting": self._send.statistics().current_buffer_used}
 
 
-def _row_time_ms(key: str) -> int:
-    return claim.key_time_ms(key.removeprefix(claim.PREFIX).partition("|")[0])
-
-
 def _fingerprint(routed: route.RoutedRequest) -> str:
     request = routed.incoming.request
     name = routed.service.name
--- a/sassafraslock/services/platform_client.py
+++ b/sassafraslock/services/platform_client.py
@@ -94,9 +94,13 @@
             return self._record_failure(f"the call to the platform failed: {type(error).__name__}")
         if response.status != 200:
             return self._record_failure(f"the platform answered with status {response.status}")
+        try:
+            answer = msgspec.msgpack.decode(response.body, type=answer_type)
+        except (msgspec.DecodeError, RecursionError) as error:
+            return self._record_failure(f"the platform's answer cannot be read: {error!r}")
         if self._breaker.record_success(clock.monotonic_ms()):
             events.log(events.Event.STORE_UP, "platform answers again; circuit breaker closed")
-        return msgspec.msgpack.decode(response.body, type=answer_type)
+        return answer
 
     def _record_failure(self, reason: str) -> errors.Refusal:
         if self._breaker.record_failure():
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,10 +4,11 @@
 import random
 
 import anyio
+import msgspec
 import pytest
 import uuid6
 
-from sassafraslock import errors, header_names, http_messages, routing_table
+from sassafraslock import errors, header_names, http_messages, platform, routing_table
 from sassafraslock.decisions import claim
 from sassafraslock.path import read, route
 from sassafraslock.services import claims
@@ -137,6 +138,39 @@
     assert all(len(bodies) == 1 for bodies in answers.values())
 
 
+NESTED = b"\x91" * 5_000 + b"\x01"
+ODD_CLAIMS = [b"", b"\xff", b"\x90", NESTED, msgspec.msgpack.encode(["n", "f", -1, 2**64 - 1]),
+              msgspec.msgpack.encode(["n", "f", 1, 1, [99_999, [], b""]]),
+              msgspec.msgpack.encode(["n", "f", 1, 1, None, msgspec.Raw(NESTED)])]  # fmt: skip
+
+
+# Guards against a claim that nobody can read: the request ended with an error that names no cause.
+@pytest.mark.parametrize("value", ODD_CLAIMS, ids=lambda v: str(v)[:24])
+def test_a_claim_that_cannot_be_read_may_have_run(value):
+    async def scenario(services, faulty):
+        key = new_key()
+        row_key = claim.row_key("k/log", key)
+        await faulty.transact(platform.Transaction(puts=[platform.Put(row_key, value)]))
+        assert (await services[0].acquire(routed(key))).kind is Kind.MAY_HAVE_RUN
+        assert isinstance(await services[0].acquire(routed(new_key())), claims.HeldClaim)
+
+    with_claims(scenario)
+
+
+# Guards against rows that ended the service which deletes old claims, or stood in its way for ever.
+def test_rows_with_odd_keys_are_purged():
+    odd = ["", "zzz", "|", "\0", "x" * 9_999, "0185d5a0-0000-7000-8000-00000000000g|s"]
+
+    async def scenario(services, faulty):
+        puts = [platform.Put(claim.PREFIX + key, b"") for key in odd]
+        await faulty.transact(platform.Transaction(puts=puts))
+        held = await services[0].acquire(routed(new_key()))
+        assert await services[0].purge(claims.clock.wall_ms()) == len(odd)
+        assert list(faulty.memory.rows) == [held.key]
+
+    with_claims(scenario)
+
+
 def test_old_rows_are_purged_the_oldest_first():
     async def scenario(services, faulty):
         for _ in range(3):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,8 +3,8 @@
 import anyio
 import pytest
 
-from sassafraslock import asgi, errors, kernel, platform, settings
-from sassafraslock.services import platform_client
+from sassafraslock import asgi, errors, http_messages, kernel, platform, settings
+from sassafraslock.services import http_server, platform_client
 from sassafraslock.standin import platform as standin
 from sassafraslock.standin import platform_api
 from tests import loopback
@@ -125,3 +125,28 @@
         assert [r.value for r in result.rows] == [b"new", b"late"]
 
     anyio.run(run_with, check)
+
+
+ODD_ANSWERS = [b"", b"\xff", b"\x91" * 5_000 + b"\x01", b"\x81\xa1x" + b"\x91" * 5_000 + b"\x01",
+               b"\x81\xa9committed\x07"]  # fmt: skip
+
+
+# Guards against an answer that cannot be read, which ended the service that had asked.
+@pytest.mark.parametrize("body", ODD_ANSWERS, ids=lambda b: str(b)[:24])
+def test_an_answer_that_cannot_be_read_is_a_refusal(body):
+    async def answer(request):
+        return http_messages.Response(200, [], body)
+
+    async def main():
+        core = kernel.Kernel()
+        core.register("platform", http_server.HttpServer(answer, HOST, PORT))
+        async with anyio.create_task_group() as group:
+            group.start_soon(core.run, 100)
+            while not core.all_ready:
+                await anyio.sleep(0.01)
+            client = platform_client.PlatformClient(settings.Platform(HOST, PORT, "r1"))
+            refused = await client.transact(put("a"))
+            assert refused.kind is errors.ErrorKind.STORE_UNAVAILABLE
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
