--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -280,6 +280,65 @@
     assert watcher.reload(False) is None
 
 
+FAULTY_FILES = {
+    "no port": (SETTINGS.replace("[7720, 7735]", "[]"), "internalPortRange"),
+    "port beyond the last": (SETTINGS.replace("[7720", "[77200"), "internalPortRange"),
+    "infinite": (SETTINGS.replace("drainS = 2.5", "drainS = inf"), "drainS"),
+    "beyond a float": (SETTINGS.replace("drainS = 2.5", "drainS = 1e400"), "drainS"),
+    "not a number": (SETTINGS.replace("graceS = 6", "graceS = nan"), "graceS"),
+    "negative": (SETTINGS.replace("graceS = 6", "graceS = -6"), "graceS"),
+    "a negative ratio": (SETTINGS.replace("Ratio = 0.2", "Ratio = -0.2"), "retryBudgetRatio"),
+    "no window": (SETTINGS.replace("WindowS = 10", "WindowS = 0"), "budgetWindowS"),
+    "a year": (SETTINGS.replace("graceS = 6", "graceS = 31536000"), "graceS"),
+    "a digit string": (SETTINGS.replace("coldSlack = 5", f"coldSlack = {'9' * 5_000}"), ""),
+    "no memory": (SETTINGS + "[limits]\nmemoryMb = -300", "memoryMb"),
+    "a list for a table": ("bounds = []\n" + SETTINGS.replace("[bounds]", "[b]"), "bounds"),
+    "seeds that are no list": (SETTINGS.replace("seeds = [", "seeds = 7 # ["), "seeds"),
+    "a seed without a port": (SETTINGS.replace("10.1.0.10:8166", "10.1.0.10"), "seeds"),
+    "nested deeply": (f"a = {'[' * 5_000}{']' * 5_000}\n{SETTINGS}", ""),
+    "empty": ("", "missing"),
+    "half written": (SETTINGS[: len(SETTINGS) // 2], ""),
+    "too large": (SETTINGS + "#" * 2_000_000, "bytes"),
+    "not UTF-8": (b"\xff\xfe" + SETTINGS.encode("utf-16"), ""),
+}
+
+
+@pytest.mark.parametrize("name", list(FAULTY_FILES))
+def test_a_faulty_file_is_refused_with_its_name_and_the_field(tmp_path, name):
+    """Some of these raised an error that ended the process, others became bounds in force."""
+    content, named = FAULTY_FILES[name]
+    path = tmp_path / "settings.toml"
+    path.write_bytes(content if isinstance(content, bytes) else content.encode())
+    refusal = platform_settings.load(str(path))
+    assert isinstance(refusal, errors.Refusal)
+    assert str(path) in refusal.reason and named in refusal.reason
+
+
+def test_a_file_that_was_half_written_is_read_again_without_a_newer_time(tmp_path):
+    """A file completed within the same tick of its modification time was never read again."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    watcher = platform_settings.FileWatcher(str(path))
+    changed = SETTINGS.replace("drainS = 2.5", "drainS = 4")
+    path.write_text(changed[: len(changed) // 2])
+    os.utime(path, ns=(1, 1))
+    watcher.reload(True)
+    path.write_text(changed)
+    os.utime(path, ns=(1, 1))
+    assert watcher.reload(False).bounds.drain_ms == 4000
+
+
+def test_a_file_replaced_between_two_polls_within_one_tick_is_read(tmp_path):
+    """Two versions of one size may have the same modification time."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    os.utime(path, ns=(1, 1))
+    watcher = platform_settings.FileWatcher(str(path))
+    path.write_text(SETTINGS.replace("drainS = 2.5", "drainS = 3.5"))
+    os.utime(path, ns=(1, 1))
+    assert watcher.reload(False).bounds.drain_ms == 3500
+
+
 def test_a_file_that_is_not_toml_is_refused(tmp_path):
     path = tmp_path / "settings.toml"
     path.write_text("a = = 1")
