--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -326,6 +326,7 @@
         )
         self.pipeline.placer.cold_limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
         self.gossip.seeds = list(settings.seeds)
+        self.kernel.stop_bound_ms = self._stop_bound_ms()
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
 
     async def run(self, reload: entry_interfaces.Reload) -> str:
@@ -345,11 +346,14 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_signals, reload)
             group.start_soon(self._watch_settings, reload)
-            await self.kernel.run(int(STOPPING_RATIO * settings.bounds.grace_ms))
+            await self.kernel.run(self._stop_bound_ms())
             group.cancel_scope.cancel()
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
         return self.kernel.failed_service
 
+    def _stop_bound_ms(self) -> int:
+        return int(STOPPING_RATIO * self.settings.bounds.grace_ms)
+
     async def _watch_settings(self, reload: entry_interfaces.Reload) -> None:
         while True:
             await anyio.sleep(SETTINGS_POLL_S)
--- a/sassafraslock/kernel.py
+++ b/sassafraslock/kernel.py
@@ -57,13 +57,16 @@
 
     A service that raises is restarted, at most :data:`MAX_RESTARTS` times within
     :data:`RESTART_WINDOW_MS`. After one more failure the whole process stops, and
-    :attr:`failed_service` names the service.
+    :attr:`failed_service` names the service; in a stop that has begun, the other services go on.
+    ``stop_bound_ms`` is the time limit of all ``stop`` calls together.
     """
 
-    __slots__ = ("_services", "_stop_requested", "_failed", "_killed")
+    __slots__ = ("stop_bound_ms", "_services", "_started", "_stop_requested", "_failed", "_killed")
 
     def __init__(self) -> None:
+        self.stop_bound_ms = 0
         self._services: dict[str, _SupervisedService] = {}
+        self._started: dict[str, _SupervisedService] = {}
         self._stop_requested = anyio.Event()
         self._failed = ""
         self._killed = False
@@ -116,18 +119,24 @@
     async def run(self, stop_bound_ms: int) -> None:
         """Start all services in order, wait for a stop request, and stop them in reverse order.
 
-        :param stop_bound_ms: the time limit of all ``stop`` calls together; then every service is
-            cancelled, whether its ``stop`` has returned or not.
+        Once a stop is requested, no further services are started. When the time limit has passed,
+        every service is cancelled, whether its ``stop`` has returned or not.
+
+        :param stop_bound_ms: the first value of :attr:`stop_bound_ms`.
         """
+        self.stop_bound_ms = stop_bound_ms
         async with anyio.create_task_group() as group:
             for name, supervised in self._services.items():
+                if self._stop_requested.is_set():
+                    break
+                self._started[name] = supervised
                 group.start_soon(self._supervise, name, supervised)
                 await self._wait_ready(supervised)
             await self._stop_requested.wait()
             if not self._killed:
-                with anyio.move_on_after(stop_bound_ms / 1000):
+                with anyio.move_on_after(self.stop_bound_ms / 1000):
                     await self._stop_services()
-            for supervised in reversed(self._services.values()):
+            for supervised in reversed(self._started.values()):
                 supervised.scope.cancel()
                 await supervised.done.wait()
             group.cancel_scope.cancel()
@@ -150,15 +159,22 @@
                 group.start_soon(cancel_on, event)
 
     async def _stop_services(self) -> None:
-        for supervised in reversed(self._services.values()):
-            if isinstance(supervised.service, Stoppable):
+        for name, supervised in reversed(self._started.items()):
+            if not isinstance(supervised.service, Stoppable):
+                continue
+            try:
                 await supervised.service.stop()
+            except Exception as error:  # noqa: BLE001 - the other services must stop gracefully
+                supervised.failures += 1
+                _log_failure(name, supervised, f"service {name} failed to stop: {error!r}")
 
     async def _supervise(self, name: str, supervised: _SupervisedService) -> None:
-        with supervised.scope:
-            while not await self._run_once(name, supervised):
-                await anyio.sleep(RESTART_DELAY_S)
-        supervised.done.set()
+        try:
+            with supervised.scope:
+                while not await self._run_once(name, supervised):
+                    await anyio.sleep(RESTART_DELAY_S)
+        finally:
+            supervised.done.set()
 
     async def _run_once(self, name: str, supervised: _SupervisedService) -> bool:
         """Run a service until it returns or raises; return false if it must be restarted."""
@@ -175,16 +191,11 @@
         supervised.failures += 1
         recent_ms = [t for t in supervised.recent_failures_ms if now_ms - t < RESTART_WINDOW_MS]
         supervised.recent_failures_ms = [*recent_ms, now_ms]
-        events.log(
-            events.Event.SERVICE_FAILED,
-            f"service {name} failed: {error!r}",
-            logging.ERROR,
-            service=name,
-            failures=supervised.failures,
-        )
+        _log_failure(name, supervised, f"service {name} failed: {error!r}")
         if len(supervised.recent_failures_ms) <= MAX_RESTARTS:
             return False
-        self._failed = name
+        if not self._stop_requested.is_set():
+            self._failed = name
         events.log(
             events.Event.SERVICE_GAVE_UP,
             f"service {name} failed {len(supervised.recent_failures_ms)} times"
@@ -195,6 +206,16 @@
         return True
 
 
+def _log_failure(name: str, supervised: _SupervisedService, message: str) -> None:
+    events.log(
+        events.Event.SERVICE_FAILED,
+        message,
+        logging.ERROR,
+        service=name,
+        failures=supervised.failures,
+    )
+
+
 class PassiveService:
     """Registers a component that runs no task, so that the dump includes its state."""
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -287,6 +287,17 @@
     edge_world.run_scenario(scenario)
 
 
+def test_a_reloaded_grace_period_bounds_the_next_stop():
+    """A stop was cut short by the grace period of the start, though a reload had made it longer."""
+
+    async def scenario(world):
+        bounds = edge_settings.Bounds(grace_ms=60_000)
+        world.edge.apply_settings(dataclasses.replace(world.settings, bounds=bounds))
+        assert world.edge.kernel.stop_bound_ms == 54_000
+
+    edge_world.run_scenario(scenario)
+
+
 def test_an_entry_is_not_ready_before_clients_can_connect(monkeypatch):
     """An entry that is ready too early appears in the directory while its port is still closed."""
     worlds, run = [], http_server.HttpServer.run
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -106,6 +106,7 @@
 
     async def stop(self):
         self.stopping.set()
+        await anyio.sleep(0.001)
         while self.failures_of_other() <= kernel.MAX_RESTARTS:
             await anyio.sleep(0.001)
         self.log.append(f"stop {self.name}")
@@ -172,6 +173,23 @@
     anyio.run(main)
 
 
+def test_the_time_limit_of_a_stop_may_change_until_it_begins():
+    """A grace period that a reload had made longer did not apply, and stops were cut short."""
+
+    async def main():
+        core, log, stopping = kernel.Kernel(), [], anyio.Event()
+        core.register("slow", Drainer("slow", log, stopping, lambda: kernel.MAX_RESTARTS + 1))
+        async with anyio.create_task_group() as group:
+            group.start_soon(core.run, 0)
+            while not core.all_ready:
+                await anyio.sleep(0.001)
+            core.stop_bound_ms = 4000
+            core.request_stop()
+        assert log == ["stop slow"]
+
+    anyio.run(main)
+
+
 def test_kill_cancels_services_without_calling_stop():
     async def main():
         core, log = kernel.Kernel(), []
