--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -26,6 +26,7 @@
     settings,
 )
 from sassafraslock.decisions import client_blocks
+from sassafraslock.services import log_writer
 from sassafraslock.standin import backend, limit_schedule
 
 EXIT_SERVICE_FAILED = 11
@@ -59,7 +60,7 @@
     process = _load_settings(path)
     log_lines = edge.configure_logs(process.logging.format, process.logging.level)
     failed_service = anyio.run(entry.run_process, process, log_lines)
-    click.echo(log_lines.pop_text(), nl=False)
+    log_writer.write(log_lines.pop_text())
     if failed_service:
         click.echo(
             f"service {failed_service} failed repeatedly; see its events in the log", err=True
--- a/sassafraslock/services/log_writer.py
+++ b/sassafraslock/services/log_writer.py
@@ -4,7 +4,7 @@
 
 import collections
 import logging
-import sys
+import os
 
 import anyio
 import anyio.to_thread
@@ -13,6 +13,7 @@
 
 MAX_LINES = 4_096
 INTERVAL_S = 0.25
+STANDARD_OUTPUT = 1  # the descriptor, so that no text stays behind in a buffer
 
 
 class BufferedLogHandler(logging.Handler):
@@ -64,18 +65,31 @@
             # The buffer was full before; now it has room for the line that reports the loss.
             self._report_dropped()
             if text:
-                await anyio.to_thread.run_sync(_write, text)
+                await anyio.to_thread.run_sync(self._write, text)
+
+    def _write(self, text: str) -> None:
+        if not write(text):
+            self._handler.dropped += text.count("\n")
 
     def _report_dropped(self) -> None:
         dropped, self._handler.dropped = self._handler.dropped, 0
         if dropped:
             events.log(
                 events.Event.LOG_LINES_DROPPED,
-                f"dropped {dropped} log lines: more than {MAX_LINES} waited to be written",
+                f"dropped {dropped} log lines: more than {MAX_LINES} waited, or nobody reads them",
                 count=dropped,
             )
 
 
-def _write(text: str) -> None:
-    sys.stdout.write(text)
-    sys.stdout.flush()
+def write(text: str) -> bool:
+    """Write lines to standard output; return false if that fails, as when its reader is gone.
+
+    :param text: the lines.
+    """
+    left = memoryview(text.encode(errors="backslashreplace"))
+    try:
+        while left:
+            left = left[os.write(STANDARD_OUTPUT, left) :]
+    except OSError:
+        return False
+    return True
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import os
 
 import anyio
 
@@ -57,3 +58,39 @@
     logging.getLogger().handlers.clear()
     reported = json.loads(written[2])
     assert (reported["event"], reported["count"]) == (7001, 3)
+
+
+def test_a_reader_that_goes_away_does_not_end_the_log_service(monkeypatch):
+    """The error of the write ended the service, and after four of them the process."""
+    results, written = [False, True], []
+
+    def write(text):
+        written.append(text)
+        return results.pop(0) if results else True
+
+    monkeypatch.setattr(log_writer, "write", write)
+    monkeypatch.setattr(log_writer, "INTERVAL_S", 0.001)
+
+    async def main():
+        buffer = edge.configure_logs("json", "info")
+        async with anyio.create_task_group() as group:
+            group.start_soon(log_writer.LogWriter(buffer).run, anyio.Event())
+            for number in range(3):
+                events.log(events.Event.STORE_UP, "lost", number=number)
+            while len(written) < 2:
+                await anyio.sleep(0.001)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    logging.getLogger().handlers.clear()
+    assert json.loads(written[1])["count"] == 3
+
+
+def test_lines_for_a_closed_pipe_are_lost_without_an_error(monkeypatch):
+    reader, writer = os.pipe()
+    monkeypatch.setattr(log_writer, "STANDARD_OUTPUT", writer)
+    assert log_writer.write("a\n")
+    assert os.read(reader, 10) == b"a\n"
+    os.close(reader)
+    assert not log_writer.write("b\n")
+    os.close(writer)
