--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 import typing
 
@@ -24,6 +25,7 @@
     logs,
     output,
     settings,
+    settings_file,
 )
 from sassafraslock.decisions import client_blocks
 from sassafraslock.services import log_writer
@@ -57,9 +59,11 @@
 
     :param path: the file of process settings.
     """
+    parse = functools.partial(entry.parse_settings, str(path))
+    watched = settings_file.SettingsFile(str(path), parse)
     process = _load_settings(path)
     log_lines = edge.configure_logs(process.logging.format, process.logging.level)
-    failed_service = anyio.run(entry.run_process, process, log_lines)
+    failed_service = anyio.run(entry.run_process, process, log_lines, watched.reload)
     log_writer.write(log_lines.pop_text())
     if failed_service:
         click.echo(
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -22,6 +22,7 @@
     kernel,
     logs,
     routing_table,
+    settings_watch,
 )
 from sassafraslock.decisions import (
     cold_start,
@@ -56,7 +57,6 @@
 )
 
 STOPPING_RATIO = 0.9  # share of the grace period that the graceful stop may take
-SETTINGS_POLL_S = 2.0
 
 
 class Edge:
@@ -75,6 +75,7 @@
         self.boot_ms = clock.wall_ms()
         self.leaving = False
         self.kernel = kernel.Kernel()
+        self.settings_watch = settings_watch.SettingsWatch(self.apply_settings)
         self._log_buffer = log_buffer
         self._source = source
         self.quota = message_quota.MessageQuota(settings.memory_bytes)
@@ -160,6 +161,7 @@
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
         self.kernel.register("beliefs", kernel.PassiveService(self.routing_state))
+        self.kernel.register("settings", kernel.PassiveService(self.settings_watch))
         self.kernel.register("messages", kernel.PassiveService(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
@@ -241,6 +243,7 @@
         self.metrics.set_limits(
             self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
         )
+        self.metrics.set_rejected_settings(self.settings.entry_id, self.settings_watch.rejected)
         return self.metrics.render()
 
     @property
@@ -329,10 +332,13 @@
         self.kernel.stop_bound_ms = self._stop_bound_ms()
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
 
-    async def run(self, reload: entry_interfaces.Reload) -> str:
-        """Serve until SIGTERM or SIGINT.
+    async def run(
+        self,
+        reload: entry_interfaces.Reload = settings_watch.settings_never_change,
+    ) -> str:
+        """Serve until SIGTERM or SIGINT, or until the kernel is asked to stop.
 
-        :param reload: reads the settings again; called every :data:`SETTINGS_POLL_S` and on SIGHUP.
+        :param reload: reads the settings again; called from time to time and on SIGHUP.
         :returns: the service whose repeated failures stopped the process, empty if there is none.
         """
         settings = self.settings
@@ -343,9 +349,10 @@
             zone=settings.zone,
             clients=settings.client_address,
         )
+        self.settings_watch.read = reload
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_signals, reload)
-            group.start_soon(self._watch_settings, reload)
+            group.start_soon(self._watch_signals)
+            group.start_soon(self.settings_watch.run)
             await self.kernel.run(self._stop_bound_ms())
             group.cancel_scope.cancel()
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
@@ -354,22 +361,12 @@
     def _stop_bound_ms(self) -> int:
         return int(STOPPING_RATIO * self.settings.bounds.grace_ms)
 
-    async def _watch_settings(self, reload: entry_interfaces.Reload) -> None:
-        while True:
-            await anyio.sleep(SETTINGS_POLL_S)
-            self._reload(reload, False)
-
-    def _reload(self, reload: entry_interfaces.Reload, signalled: bool) -> None:
-        settings = reload(signalled)
-        if settings is not None:
-            self.apply_settings(settings)
-
-    async def _watch_signals(self, reload: entry_interfaces.Reload) -> None:
+    async def _watch_signals(self) -> None:
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*signals) as received:
             async for number in received:
                 if number == signal.SIGHUP:
-                    self._reload(reload, True)
+                    self.settings_watch.reload(True)
                 else:
                     self.kernel.request_stop()
 
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -7,9 +7,12 @@
 from sassafraslock import (
     edge,
     edge_settings,
+    entry_interfaces,
     header_names,
     http_messages,
     settings,
+    settings_file,
+    settings_watch,
 )
 from sassafraslock.decisions import client_blocks
 from sassafraslock.services import (
@@ -96,12 +99,16 @@
         loader = block_loader.BlockLoader(process, table, self._handler_factory.blocks)
         self.edge.kernel.register("blocks", loader)
 
-    async def run(self) -> str:
-        """Serve until SIGTERM or SIGINT.
+    async def run(
+        self,
+        reload: entry_interfaces.Reload = settings_watch.settings_never_change,
+    ) -> str:
+        """Serve until SIGTERM or SIGINT, or until the kernel is asked to stop.
 
+        :param reload: reads the settings again.
         :returns: the name of the service whose repeated failures ended the process, or empty.
         """
-        return await self.edge.run(lambda signalled: None)
+        return await self.edge.run(reload)
 
 
 def convert_settings(process: settings.Settings) -> edge_settings.EdgeSettings:
@@ -128,12 +135,32 @@
     )
 
 
-async def run_process(process: settings.Settings, log_lines: log_writer.BufferedLogHandler) -> str:
+def parse_settings(path: str, content: bytes) -> settings_file.SettingsResult:
+    """Convert the content of a file of process settings.
+
+    :param path: the file, which a refusal names.
+    :param content: its content.
+    """
+    try:
+        loaded = settings.load(content.decode())
+    except (ValueError, RecursionError) as error:
+        return settings_file.invalid(path, f"cannot be read: {error}; write TOML in UTF-8")
+    if isinstance(loaded, settings.Settings):
+        return convert_settings(loaded)
+    return settings_file.invalid(path, "; ".join(map(str, loaded)))
+
+
+async def run_process(
+    process: settings.Settings,
+    log_lines: log_writer.BufferedLogHandler,
+    reload: entry_interfaces.Reload,
+) -> str:
     """Build an entry and serve until SIGTERM or SIGINT.
 
     :param process: the process settings.
     :param log_lines: the buffer that log lines are written from.
+    :param reload: reads the settings again.
     :returns: the name of the service whose repeated failures ended the process, or empty.
     """
     table = platform_client.PlatformClient(process.platform)
-    return await Entry(process, table, log_lines).run()
+    return await Entry(process, table, log_lines).run(reload)
--- a/sassafraslock/entry_interfaces.py
+++ b/sassafraslock/entry_interfaces.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from sassafraslock import edge_settings, http_messages
+from sassafraslock import edge_settings, errors, http_messages
 
 if typing.TYPE_CHECKING:
     from sassafraslock import edge
@@ -13,8 +13,8 @@
 class Reload(typing.Protocol):
     """Reads the settings of the process again."""
 
-    def __call__(self, signalled: bool) -> edge_settings.EdgeSettings | None:
-        """Return the settings, or ``None`` if they did not change or cannot be read.
+    def __call__(self, signalled: bool) -> edge_settings.EdgeSettings | errors.Refusal | None:
+        """Return the settings, a refusal of faulty ones, or ``None`` if they did not change.
 
         :param signalled: whether SIGHUP requests the reload.
         """
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -28,6 +28,7 @@
         "_in_flight",
         "_limited",
         "_invalid_limits",
+        "_rejected_settings",
     )
 
     def __init__(self) -> None:
@@ -51,6 +52,9 @@
         self._invalid_limits = self._gauge(
             "invalid_server_limits", "Answers that named an invalid rate limit."
         )
+        self._rejected_settings = self._gauge(
+            "rejected_settings", "Readings of the settings file that were refused."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -93,6 +97,14 @@
         self._limited.set(labels, limited)
         self._invalid_limits.set(labels, invalid)
 
+    def set_rejected_settings(self, entry_id: str, rejected: int) -> None:
+        """Set the gauge of refused settings.
+
+        :param entry_id: the entry.
+        :param rejected: how often settings were refused since the start.
+        """
+        self._rejected_settings.set({"entry": entry_id}, rejected)
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -64,7 +64,7 @@
 class EntryProcess:
     """One entry of a program in :data:`PROGRAMS`; its store never answers."""
 
-    def __init__(self, folder, program="platform", options=(), stdout=None):
+    def __init__(self, folder, program="platform", options=(), stdout=None, prepare=None):
         arguments, text = PROGRAMS[program]
         self.settings, self.log = folder / "settings.toml", folder / "log"
         self.imports = folder / "imports"
@@ -78,6 +78,7 @@
                 env=environment,
                 stdout=log if stdout is None else stdout,
                 stderr=imports,
+                preexec_fn=prepare,
             )
 
     def __enter__(self):
@@ -104,6 +105,11 @@
     def logged(self, event):
         return self.log.read_text().count(f'"event":{event},')
 
+    def ignores(self, number):
+        status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text()
+        mask = int(status.partition("SigIgn:")[2].split()[0], 16)
+        return bool(mask >> (number - 1) & 1)
+
     def errors(self):
         lines = self.imports.read_text().splitlines()
         return [line for line in lines if not line.startswith("import time:")]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -277,6 +277,8 @@
     assert watcher.reload(False).bounds.drain_ms == 4000
     path.write_text("a = = 1")
     os.utime(path, ns=(2, 2))
+    refusal = watcher.reload(False)
+    assert refusal.kind is errors.ErrorKind.INVALID_SETTINGS and str(path) in refusal.reason
     assert watcher.reload(False) is None
 
 
@@ -295,6 +297,7 @@
     "a list for a table": ("bounds = []\n" + SETTINGS.replace("[bounds]", "[b]"), "bounds"),
     "seeds that are no list": (SETTINGS.replace("seeds = [", "seeds = 7 # ["), "seeds"),
     "a seed without a port": (SETTINGS.replace("10.1.0.10:8166", "10.1.0.10"), "seeds"),
+    "an address with a line end": (SETTINGS.replace(':8161"', ':8161\\n"'), "front"),
     "nested deeply": (f"a = {'[' * 5_000}{']' * 5_000}\n{SETTINGS}", ""),
     "empty": ("", "missing"),
     "half written": (SETTINGS[: len(SETTINGS) // 2], ""),
@@ -314,6 +317,12 @@
     assert str(path) in refusal.reason and named in refusal.reason
 
 
+def test_an_optional_address_may_be_empty_and_fields_may_be_unknown(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace('"10.1.0.10:8164"', '""') + "[new]\nfield = [1]\n")
+    assert platform_settings.load(str(path)).edge.directory_address == ""
+
+
 def test_a_file_that_was_half_written_is_read_again_without_a_newer_time(tmp_path):
     """A file completed within the same tick of its modification time was never read again."""
     path = tmp_path / "settings.toml"
