--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	mkdir -p dist build
 	rm -rf build/site && .venv/bin/pip install -q --disable-pip-version-check --no-deps --target build/site -r requirements-run.lock
 	.venv/bin/pip install -q --disable-pip-version-check --no-deps --no-build-isolation --upgrade --target build/site .
-	.venv/bin/shiv --site-packages build/site -e sassafraslock.cli:main -p '/usr/bin/env python3.11' -o dist/sassafraslock
+	.venv/bin/shiv --site-packages build/site -e sassafraslock.__main__:main -p '/usr/bin/env python3.11' -o dist/sassafraslock
 
 format: .venv/ready
 	.venv/bin/black . && .venv/bin/ruff check --fix .
--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -26,6 +26,7 @@
     output,
     settings,
     settings_file,
+    signals,
 )
 from sassafraslock.decisions import client_blocks
 from sassafraslock.services import log_writer
@@ -59,11 +60,15 @@
 
     :param path: the file of process settings.
     """
+    signals.PROCESS.install()
     parse = functools.partial(entry.parse_settings, str(path))
     watched = settings_file.SettingsFile(str(path), parse)
     process = _load_settings(path)
     log_lines = edge.configure_logs(process.logging.format, process.logging.level)
-    failed_service = anyio.run(entry.run_process, process, log_lines, watched.reload)
+    failed_service = anyio.run(
+        entry.run_process, process, log_lines, watched.reload, signals.PROCESS
+    )
+    signals.PROCESS.ignore()
     log_writer.write(log_lines.pop_text())
     if failed_service:
         click.echo(
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import dataclasses
-import signal
 
 import anyio
 
@@ -23,6 +22,8 @@
     logs,
     routing_table,
     settings_watch,
+    signal_watch,
+    signals,
 )
 from sassafraslock.decisions import (
     cold_start,
@@ -335,10 +336,12 @@
     async def run(
         self,
         reload: entry_interfaces.Reload = settings_watch.settings_never_change,
+        process_signals: signals.ProcessSignals | None = None,
     ) -> str:
         """Serve until SIGTERM or SIGINT, or until the kernel is asked to stop.
 
         :param reload: reads the settings again; called from time to time and on SIGHUP.
+        :param process_signals: the signals of the process, none to leave them to the caller.
         :returns: the service whose repeated failures stopped the process, empty if there is none.
         """
         settings = self.settings
@@ -350,26 +353,24 @@
             clients=settings.client_address,
         )
         self.settings_watch.read = reload
+        watch = signal_watch.SignalWatch(
+            process_signals, self.kernel.request_stop, lambda: self.settings_watch.reload(True)
+        )
+        watch.handle_pending()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_signals)
+            group.start_soon(watch.run)
             group.start_soon(self.settings_watch.run)
             await self.kernel.run(self._stop_bound_ms())
             group.cancel_scope.cancel()
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
-        return self.kernel.failed_service
+        failed_service = self.kernel.failed_service
+        reason = f"{failed_service} failed repeatedly" if failed_service else watch.stop_reason
+        events.log(events.Event.PROCESS_ENDING, f"the process ends: {reason}", reason=reason)
+        return failed_service
 
     def _stop_bound_ms(self) -> int:
         return int(STOPPING_RATIO * self.settings.bounds.grace_ms)
 
-    async def _watch_signals(self) -> None:
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*signals) as received:
-            async for number in received:
-                if number == signal.SIGHUP:
-                    self.settings_watch.reload(True)
-                else:
-                    self.kernel.request_stop()
-
 
 def configure_logs(log_format: logs.LogFormat, level: str) -> log_writer.BufferedLogHandler:
     """Set up logging into a limited buffer, and return the buffer.
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -13,6 +13,7 @@
     settings,
     settings_file,
     settings_watch,
+    signals,
 )
 from sassafraslock.decisions import client_blocks
 from sassafraslock.services import (
@@ -102,13 +103,15 @@
     async def run(
         self,
         reload: entry_interfaces.Reload = settings_watch.settings_never_change,
+        process_signals: signals.ProcessSignals | None = None,
     ) -> str:
         """Serve until SIGTERM or SIGINT, or until the kernel is asked to stop.
 
         :param reload: reads the settings again.
+        :param process_signals: the signals of the process, none to leave them to the caller.
         :returns: the name of the service whose repeated failures ended the process, or empty.
         """
-        return await self.edge.run(reload)
+        return await self.edge.run(reload, process_signals)
 
 
 def convert_settings(process: settings.Settings) -> edge_settings.EdgeSettings:
@@ -154,13 +157,15 @@
     process: settings.Settings,
     log_lines: log_writer.BufferedLogHandler,
     reload: entry_interfaces.Reload,
+    process_signals: signals.ProcessSignals,
 ) -> str:
     """Build an entry and serve until SIGTERM or SIGINT.
 
     :param process: the process settings.
     :param log_lines: the buffer that log lines are written from.
     :param reload: reads the settings again.
+    :param process_signals: the signals of the process.
     :returns: the name of the service whose repeated failures ended the process, or empty.
     """
     table = platform_client.PlatformClient(process.platform)
-    return await Entry(process, table, log_lines).run(reload)
+    return await Entry(process, table, log_lines).run(reload, process_signals)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sassafraslock import signals
 from tests import entry_process
 
 PROGRAMS = list(entry_process.PROGRAMS)
@@ -53,6 +54,57 @@
         assert [entry.logged(event) for event in (1002, 1003)] == [1, 1]
 
 
+def block_signals():
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals.HANDLED_SIGNALS)
+
+
+def ignore_reload_signal():
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_stop_signal_that_the_starter_blocked_is_delivered(tmp_path, program):
+    """A program that left the signals blocked could be stopped by SIGKILL only."""
+    with entry_process.EntryProcess(tmp_path, program, prepare=block_signals) as entry:
+        assert entry.stop() == 0
+        assert entry.logged(1008) == 1
+
+
+def test_a_reload_signal_that_the_starter_blocked_is_delivered(tmp_path):
+    with entry_process.EntryProcess(tmp_path, prepare=block_signals) as entry:
+        entry.child.send_signal(signal.SIGHUP)
+        entry.wait_for_event(1006)
+        assert entry.stop() == 0
+
+
+def test_a_reload_signal_works_in_a_process_that_was_started_with_it_ignored(tmp_path):
+    with entry_process.EntryProcess(tmp_path, prepare=ignore_reload_signal) as entry:
+        entry.child.send_signal(signal.SIGHUP)
+        entry.wait_until_serving()
+        entry.child.send_signal(signal.SIGHUP)
+        entry.wait_for_event(1006)
+        assert entry.ignores(signal.SIGPIPE)
+        assert entry.stop() == 0
+
+
+def test_signals_are_counted_until_they_are_taken():
+    process_signals = signals.ProcessSignals()
+    before = {number: signal.getsignal(number) for number in signals.HANDLED_SIGNALS}
+    process_signals.install()
+    try:
+        for _ in range(3):
+            os.kill(os.getpid(), signal.SIGHUP)
+        assert process_signals.take() == {signal.SIGHUP: 3, signal.SIGTERM: 0, signal.SIGINT: 0}
+        assert not any(process_signals.take().values())
+        process_signals.ignore()
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert not any(process_signals.take().values())
+    finally:
+        signal.set_wakeup_fd(-1)
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
 def test_a_reader_of_the_log_that_goes_away_does_not_change_the_exit_code(tmp_path):
     """The last lines could not be written then, and the process ended with a traceback."""
     reader, writer = os.pipe()
