--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 import typing
 
@@ -24,8 +25,11 @@
     logs,
     output,
     settings,
+    settings_file,
+    signals,
 )
 from sassafraslock.decisions import client_blocks
+from sassafraslock.services import log_writer
 from sassafraslock.standin import backend, limit_schedule
 
 EXIT_SERVICE_FAILED = 11
@@ -56,10 +60,16 @@
 
     :param path: the file of process settings.
     """
+    signals.PROCESS.install()
+    parse = functools.partial(entry.parse_settings, str(path))
+    watched = settings_file.SettingsFile(str(path), parse)
     process = _load_settings(path)
     log_lines = edge.configure_logs(process.logging.format, process.logging.level)
-    failed_service = anyio.run(entry.run_process, process, log_lines)
-    click.echo(log_lines.pop_text(), nl=False)
+    failed_service = anyio.run(
+        entry.run_process, process, log_lines, watched.reload, signals.PROCESS
+    )
+    signals.PROCESS.ignore()
+    log_writer.write(log_lines.pop_text())
     if failed_service:
         click.echo(
             f"service {failed_service} failed repeatedly; see its events in the log", err=True
--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -69,6 +69,11 @@
     newest_order: tuple[int, int]
     is_registered_only: bool = False
 
+    def forget_counter(self) -> None:
+        """Accept any heartbeat from now on, since a false one may have hidden those that came."""
+        self.record = msgspec.structs.replace(self.record, boot_ms=0, beat=0)
+        self.newest_order = self.record.order
+
     def heartbeat(self) -> Heartbeat:
         """Return the newest heartbeat, which may be newer than the record."""
         return Heartbeat(self.record.entry_id, *self.newest_order)
@@ -183,9 +188,11 @@
         oldest_ms = now_ms - REMOVE_AFTER_MS
         if self._resumed_ms is not None and self._resumed_ms >= oldest_ms:
             return []
+        dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
         if not self._hears_most(oldest_ms):
+            for entry_id in dead:
+                self._members[entry_id].forget_counter()
             return []
-        dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
         for entry_id in dead:
             del self._members[entry_id]
         return dead
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import dataclasses
-import signal
 
 import anyio
 
@@ -22,6 +21,9 @@
     kernel,
     logs,
     routing_table,
+    settings_watch,
+    signal_watch,
+    signals,
 )
 from sassafraslock.decisions import (
     cold_start,
@@ -56,7 +58,6 @@
 )
 
 STOPPING_RATIO = 0.9  # share of the grace period that the graceful stop may take
-SETTINGS_POLL_S = 2.0
 
 
 class Edge:
@@ -75,6 +76,7 @@
         self.boot_ms = clock.wall_ms()
         self.leaving = False
         self.kernel = kernel.Kernel()
+        self.settings_watch = settings_watch.SettingsWatch(self.apply_settings)
         self._log_buffer = log_buffer
         self._source = source
         self.quota = message_quota.MessageQuota(settings.memory_bytes)
@@ -163,6 +165,7 @@
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
         self.kernel.register("beliefs", kernel.PassiveService(self.routing_state))
+        self.kernel.register("settings", kernel.PassiveService(self.settings_watch))
         self.kernel.register("messages", kernel.PassiveService(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
@@ -251,6 +254,7 @@
         )
         rejected = self.routing_state.rejections.counts + self.gossip.rejections.counts
         self.metrics.set_rejected(self.settings.entry_id, rejected)
+        self.metrics.set_rejected_settings(self.settings.entry_id, self.settings_watch.rejected)
         return self.metrics.render()
 
     @property
@@ -339,12 +343,18 @@
         )
         self.pipeline.placer.cold_limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
         self.gossip.seeds = list(settings.seeds)
+        self.kernel.stop_bound_ms = self._stop_bound_ms()
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
 
-    async def run(self, reload: entry_interfaces.Reload) -> str:
-        """Serve until SIGTERM or SIGINT.
+    async def run(
+        self,
+        reload: entry_interfaces.Reload = settings_watch.settings_never_change,
+        process_signals: signals.ProcessSignals | None = None,
+    ) -> str:
+        """Serve until SIGTERM or SIGINT, or until the kernel is asked to stop.
 
-        :param reload: reads the settings again; called every :data:`SETTINGS_POLL_S` and on SIGHUP.
+        :param reload: reads the settings again; called from time to time and on SIGHUP.
+        :param process_signals: the signals of the process, none to leave them to the caller.
         :returns: the service whose repeated failures stopped the process, empty if there is none.
         """
         settings = self.settings
@@ -355,32 +365,24 @@
             zone=settings.zone,
             clients=settings.client_address,
         )
+        self.settings_watch.read = reload
+        watch = signal_watch.SignalWatch(
+            process_signals, self.kernel.request_stop, lambda: self.settings_watch.reload(True)
+        )
+        watch.handle_pending()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_signals, reload)
-            group.start_soon(self._watch_settings, reload)
-            await self.kernel.run(int(STOPPING_RATIO * settings.bounds.grace_ms))
+            group.start_soon(watch.run)
+            group.start_soon(self.settings_watch.run)
+            await self.kernel.run(self._stop_bound_ms())
             group.cancel_scope.cancel()
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
-        return self.kernel.failed_service
-
-    async def _watch_settings(self, reload: entry_interfaces.Reload) -> None:
-        while True:
-            await anyio.sleep(SETTINGS_POLL_S)
-            self._reload(reload, False)
-
-    def _reload(self, reload: entry_interfaces.Reload, signalled: bool) -> None:
-        settings = reload(signalled)
-        if settings is not None:
-            self.apply_settings(settings)
-
-    async def _watch_signals(self, reload: entry_interfaces.Reload) -> None:
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*signals) as received:
-            async for number in received:
-                if number == signal.SIGHUP:
-                    self._reload(reload, True)
-                else:
-                    self.kernel.request_stop()
+        failed_service = self.kernel.failed_service
+        reason = f"{failed_service} failed repeatedly" if failed_service else watch.stop_reason
+        events.log(events.Event.PROCESS_ENDING, f"the process ends: {reason}", reason=reason)
+        return failed_service
+
+    def _stop_bound_ms(self) -> int:
+        return int(STOPPING_RATIO * self.settings.bounds.grace_ms)
 
 
 def configure_logs(log_format: logs.LogFormat, level: str) -> log_writer.BufferedLogHandler:
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -36,6 +36,7 @@
         "_retries_granted",
         "_retries_refused",
         "_rejected",
+        "_rejected_settings",
     )
 
     def __init__(self) -> None:
@@ -83,6 +84,9 @@
             "Retries that the budget refused.",
             registry=self.registry,
         )
+        self._rejected_settings = self._gauge(
+            "rejected_settings", "Readings of the settings file that were refused."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -159,6 +163,14 @@
         for source, count in counts.items():
             self._rejected.set({"entry": entry_id, "source": source}, count)
 
+    def set_rejected_settings(self, entry_id: str, rejected: int) -> None:
+        """Set the gauge of refused settings.
+
+        :param entry_id: the entry.
+        :param rejected: how often settings were refused since the start.
+        """
+        self._rejected_settings.set({"entry": entry_id}, rejected)
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
