--- a/sassafraslock/services/http_server.py
+++ b/sassafraslock/services/http_server.py
@@ -9,9 +9,8 @@
 
 from sassafraslock import clock, http_messages, listening, routing_table
 from sassafraslock.decisions import message_quota
-from sassafraslock.services import client_connection
+from sassafraslock.services import acceptor, client_connection
 
-BACKLOG = 512
 TIMEOUT_CHECK_INTERVAL_S = 1.0
 _LOGGER = logging.getLogger(__name__)
 
@@ -58,12 +57,10 @@
 
         :param ready: set once the address accepts connections.
         """
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: client_connection.Connection(self),
-            sock=listening.listen(self._host, self._port),
-            backlog=BACKLOG,
+        accepting = acceptor.Acceptor(
+            listening.listen(self._host, self._port), lambda: client_connection.Connection(self)
         )
+        accepting.start()
         ready.set()
         try:
             while True:
@@ -72,7 +69,7 @@
                 for connection in list(self.connections):
                     connection.enforce_timeouts(now_ms)
         finally:
-            server.close()
+            accepting.abort()
             for connection in list(self.connections):
                 connection.abort()
 
