--- a/sassafraslock/services/http_server.py
+++ b/sassafraslock/services/http_server.py
@@ -9,7 +9,7 @@
 
 from sassafraslock import clock, http_messages, listening, routing_table
 from sassafraslock.decisions import message_quota
-from sassafraslock.services import acceptor, client_connection
+from sassafraslock.services import acceptor, client_connection, cut_log
 
 TIMEOUT_CHECK_INTERVAL_S = 1.0
 _LOGGER = logging.getLogger(__name__)
@@ -27,6 +27,8 @@
         "closing",
         "connections",
         "quota",
+        "cuts",
+        "_acceptor",
         "_handler",
         "_policy",
         "_host",
@@ -46,6 +48,8 @@
         self.limits = routing_table.Limits()
         self.closing = False
         self.connections: set[client_connection.Connection] = set()
+        self.cuts = cut_log.CutLog()
+        self._acceptor: acceptor.Acceptor | None = None
         self._handler = handler
         self._policy = policy or _run_in_order
         self._host = host
@@ -60,6 +64,7 @@
         accepting = acceptor.Acceptor(
             listening.listen(self._host, self._port), lambda: client_connection.Connection(self)
         )
+        self._acceptor = accepting
         accepting.start()
         ready.set()
         try:
@@ -70,8 +75,18 @@
                     connection.enforce_timeouts(now_ms)
         finally:
             accepting.abort()
-            for connection in list(self.connections):
-                connection.abort()
+            self._abort_connections(clock.monotonic_ms())
+
+    def _abort_connections(self, now_ms: int) -> None:
+        unfinished = [connection.unfinished for connection in self.connections]
+        self.cuts.record(cut_log.CutCause.STOP, unfinished, now_ms)
+        for connection in list(self.connections):
+            connection.abort()
+
+    @property
+    def accept_failures(self) -> int:
+        """The number of errors of ``accept``."""
+        return self._acceptor.failures if self._acceptor is not None else 0
 
     @property
     def is_busy(self) -> bool:
@@ -100,7 +115,11 @@
 
         :param request: the request.
         """
-        return self._policy(request)
+        try:
+            return self._policy(request)
+        except Exception:
+            _LOGGER.exception("pipelining policy failed; the request runs alone")
+            return False
 
     async def _process(
         self, exchange: client_connection.Exchange, connection: client_connection.Connection
