--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -241,6 +241,11 @@
         self.metrics.set_limits(
             self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
         )
+        self.metrics.set_connections(
+            self.settings.entry_id,
+            self.client_server.cuts.counts,
+            self.client_server.accept_failures,
+        )
         return self.metrics.render()
 
     @property
--- a/sassafraslock/services/client_connection.py
+++ b/sassafraslock/services/client_connection.py
@@ -18,6 +18,7 @@
 from sassafraslock.services import cut_log, graceful_close, request_reader
 
 MAX_PIPELINED = 32
+NEW_CONNECTION_MS = 200  # a new connection's first request may take so long to arrive
 SEPARATE_WRITE_BYTES = 64 << 10  # bodies from this size on are written without a copy
 REQUEST_OVERHEAD_BYTES = 2 << 10  # memory of the headers, the task and the objects of a request
 UNAVAILABLE = 503
@@ -291,6 +292,24 @@
         is_receiving = self._reader.is_receiving or bool(self._unparsed)
         return cut_log.Unfinished(self._client, len(self._exchanges), lost_bytes, is_receiving)
 
+    def close_if_idle(self, now_ms: int) -> None:
+        """Close the connection if nothing would be lost; its first request may be on the way.
+
+        :param now_ms: the current monotonic time.
+        """
+        transport = self._transport
+        if transport is None or self._is_finishing or self.unfinished or self._unsent_bytes:
+            return
+        age_ms = now_ms - self._reader.times.idle_since_ms
+        is_unused = not self._written_bytes and age_ms < NEW_CONNECTION_MS
+        if not is_unused and not graceful_close.unread_bytes(transport):
+            transport.close()
+
+    def reject_incomplete(self) -> None:
+        """Reject the request that is being received, if there is one."""
+        if self._reader.is_receiving:
+            self._reader.reject(LATE)
+
     def enforce_timeouts(self, now_ms: int) -> None:
         """Close the connection if the client exceeds a time limit.
 
--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -11,7 +11,14 @@
 REFUSE_AFTER_MS = 3_200
 DRAIN_RATIO = 0.85
 STOP_POLL_S = 0.05
-SEND_ANSWERS_S = 0.01  # for the answers of interrupted requests
+SETTLE_S = 0.02  # for answers that have arrived while the event loop was busy
+
+
+class ClientServer(typing.Protocol):
+    """Holds the connections of clients."""
+
+    async def close_connections(self) -> None:
+        """Close each connection once its requests are answered and its client has the answers."""
 
 
 class DepartingEntry(typing.Protocol):
@@ -19,6 +26,10 @@
 
     settings: edge_settings.EdgeSettings
 
+    @property
+    def client_server(self) -> ClientServer:
+        """The server of the clients' connections."""
+
     @property
     def in_flight(self) -> int:
         """The number of requests in flight."""
@@ -46,7 +57,7 @@
     :data:`REFUSE_AFTER_MS`, in the second half of the grace period only those whose deadline leaves
     time enough. Then it refuses new requests and waits for those in flight, until
     :data:`DRAIN_RATIO` of the grace period has passed. What is then still in flight is answered as
-    failed.
+    failed. The rest of the stop is for clients to read their answers.
     """
 
     __slots__ = ("_entry",)
@@ -63,7 +74,7 @@
         await anyio.sleep_forever()
 
     async def stop(self) -> None:
-        """Drain the entry; returns once no request is in flight, or when the time is up."""
+        """Drain the entry; returns once no request is unanswered and no answer unsent."""
         started_ms = clock.monotonic_ms()
         bounds = self._entry.settings.bounds
         events.log(
@@ -84,9 +95,10 @@
             if elapsed_ms < serving_ms:
                 continue
             self._entry.refuse_new_requests()
-            if not self._entry.in_flight:
-                return
-            if elapsed_ms >= drain_ms:
+            if self._entry.in_flight and elapsed_ms >= drain_ms:
+                await anyio.sleep(SETTLE_S)
                 self._entry.interrupt_requests()
-                await anyio.sleep(SEND_ANSWERS_S)
-                return
+                break
+            if not self._entry.in_flight:
+                break
+        await self._entry.client_server.close_connections()
--- a/sassafraslock/services/http_server.py
+++ b/sassafraslock/services/http_server.py
@@ -12,6 +12,8 @@
 from sassafraslock.services import acceptor, client_connection, cut_log
 
 TIMEOUT_CHECK_INTERVAL_S = 1.0
+CLOSE_POLL_S = 0.05
+RECEIVE_MS = 500  # at a stop, the time for the rest of a request that has begun to arrive
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -83,6 +85,24 @@
         for connection in list(self.connections):
             connection.abort()
 
+    async def close_connections(self) -> None:
+        """Stop listening, answer what has been received, and close each connection after that.
+
+        Returns once all connections are closed. The caller limits the time, since clients may
+        read their answers slowly.
+        """
+        self.closing = True
+        if self._acceptor is not None:
+            self._acceptor.close()
+        started_ms = clock.monotonic_ms()
+        while self.connections or (self._acceptor is not None and self._acceptor.is_opening):
+            now_ms = clock.monotonic_ms()
+            for connection in list(self.connections):
+                connection.close_if_idle(now_ms)
+                if now_ms - started_ms >= RECEIVE_MS:
+                    connection.reject_incomplete()
+            await anyio.sleep(CLOSE_POLL_S)
+
     @property
     def accept_failures(self) -> int:
         """The number of errors of ``accept``."""
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -8,6 +8,7 @@
 import aioprometheus.renderer
 
 from sassafraslock import http_messages
+from sassafraslock.services import cut_log
 
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -28,6 +29,8 @@
         "_in_flight",
         "_limited",
         "_invalid_limits",
+        "_connections_cut",
+        "_accept_failures",
     )
 
     def __init__(self) -> None:
@@ -51,6 +54,12 @@
         self._invalid_limits = self._gauge(
             "invalid_server_limits", "Answers that named an invalid rate limit."
         )
+        self._connections_cut = self._gauge(
+            "connections_cut", "Connections of clients closed with requests or answers unfinished."
+        )
+        self._accept_failures = self._gauge(
+            "accept_failures", "Connections of clients that could not be accepted."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -93,6 +102,19 @@
         self._limited.set(labels, limited)
         self._invalid_limits.set(labels, invalid)
 
+    def set_connections(
+        self, entry_id: str, cut: typing.Mapping[cut_log.CutCause, int], accept_failures: int
+    ) -> None:
+        """Set the gauges of the clients' connections.
+
+        :param entry_id: the entry.
+        :param cut: the number of connections so far that were cut, by cause.
+        :param accept_failures: the number so far that could not be accepted.
+        """
+        for cause, count in cut.items():
+            self._connections_cut.set({"entry": entry_id, "cause": cause.value}, count)
+        self._accept_failures.set({"entry": entry_id}, accept_failures)
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -1,9 +1,13 @@
 """A planned stop while requests go on arriving: each one is answered, or was never taken."""
 
+import time
+import types
+
 import anyio
 import pytest
 
-from sassafraslock import http_messages
+from sassafraslock import edge_settings, http_messages
+from sassafraslock.services import departure
 from tests import edge_world, fact_source
 
 NAMES = edge_world.NAMES
@@ -89,3 +93,49 @@
     routes = [fact_source.route(timeout_ms=5_000)]
     routes.append(fact_source.route("w", "/w/", idempotent=False, timeout_ms=5_000))
     edge_world.run_scenario(scenario, routes=routes)
+
+
+class StalledEntry:
+    """Its event loop stalls past the end of the grace period, while its answers arrive."""
+
+    def __init__(self):
+        self.settings = types.SimpleNamespace(
+            bounds=edge_settings.Bounds(grace_ms=500), entry_id="e-1"
+        )
+        self.client_server = self
+        self.in_flight = 1
+        self.interrupted = False
+
+    def begin_leaving(self):
+        pass
+
+    def refuse_unfinishable_requests(self, finish_by_ms):
+        pass
+
+    def refuse_new_requests(self):
+        pass
+
+    def interrupt_requests(self):
+        self.interrupted = self.in_flight > 0
+
+    async def close_connections(self):
+        pass
+
+    async def stall(self):
+        await anyio.sleep(0.2)
+        time.sleep(0.6)
+        for _ in range(5):
+            await anyio.sleep(0)
+        self.in_flight = 0
+
+
+# Guards against answers that arrived during a stall and are not passed on when the stop ends.
+def test_requests_whose_answers_arrived_during_a_stall_are_not_interrupted():
+    async def main():
+        entry = StalledEntry()
+        async with anyio.create_task_group() as group:
+            group.start_soon(entry.stall)
+            await departure.Departure(entry).stop()
+            assert not entry.interrupted and not entry.in_flight
+
+    anyio.run(main)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -324,6 +324,8 @@
         assert metrics.header(b"content-type").startswith(b"text/plain")
         assert b"sassafraslock_request_seconds_bucket" in metrics.body
         assert b"sassafraslock_facts_age_seconds" in metrics.body
+        assert b'sassafraslock_connections_cut{cause="stop",entry="e-1"} 0' in metrics.body
+        assert b'sassafraslock_accept_failures{entry="e-1"} 0' in metrics.body
         assert (await world.send(path="/dump", address=alone)).status == 404
         dump = msgspec.json.decode((await world.send(path="/dump", address=operators)).body)
         assert dump["replica"]["state"]["positions"]["servers"] > 0
