--- a/sassafraslock/services/client_connection.py
+++ b/sassafraslock/services/client_connection.py
@@ -172,7 +172,7 @@
         """
         events.log(events.Event.CLIENT_CUT, reason, client=self._client)
         if self._exchanges or self._is_blocked or self._reader.ended:
-            self._cut(cut_log.CutCause.MEMORY)
+            self.cut(cut_log.CutCause.MEMORY)
             return
         self._reader.reject(UNAVAILABLE)
 
@@ -265,7 +265,8 @@
         transport = self._transport
         if transport is not None and not transport.is_closing():
             idle_timeout_ms = self._server.limits.idle_timeout_ms
-            graceful_close.GracefulClose(transport, idle_timeout_ms).start()
+            closing = graceful_close.GracefulClose(transport, self._cut_blocked, idle_timeout_ms)
+            closing.start()
 
     @property
     def _is_finishing(self) -> bool:
@@ -302,8 +303,8 @@
             return
         age_ms = now_ms - self._reader.times.idle_since_ms
         is_unused = not self._written_bytes and age_ms < NEW_CONNECTION_MS
-        if not is_unused and not graceful_close.unread_bytes(transport):
-            transport.close()
+        if not is_unused:
+            self._close_idle(transport)
 
     def reject_incomplete(self) -> None:
         """Reject the request that is being received, if there is one."""
@@ -321,7 +322,7 @@
         if self._transport is None:
             return
         if self._is_read_stalled(now_ms):
-            self._cut(cut_log.CutCause.BLOCKED)
+            self._cut_blocked()
             return
         if self._is_finishing or self._exchanges:
             return
@@ -329,7 +330,16 @@
         if expiry is client_timeouts.Expiry.LATE:
             self._reader.reject(LATE)
         elif expiry is client_timeouts.Expiry.IDLE:
-            self._transport.close()
+            self._close_idle(self._transport)
+
+    def _close_idle(self, transport: asyncio.Transport) -> None:
+        """Close the connection between two requests, unless bytes wait to be read."""
+        if graceful_close.unread_bytes(transport):
+            return
+        if self._unsent_bytes:
+            self._finish()
+        else:
+            transport.close()
 
     def _is_read_stalled(self, now_ms: int) -> bool:
         """Return whether the client has stopped reading; one that reads slowly has not."""
@@ -338,7 +348,14 @@
         self._progress.update(self._delivered_bytes, now_ms)
         return self._progress.is_stalled(self._server.limits.idle_timeout_ms, now_ms)
 
-    def _cut(self, cause: cut_log.CutCause) -> None:
+    def _cut_blocked(self) -> None:
+        self.cut(cut_log.CutCause.BLOCKED)
+
+    def cut(self, cause: cut_log.CutCause) -> None:
+        """Abort the connection, and count it if that loses something.
+
+        :param cause: why.
+        """
         self._server.cuts.record(cause, [self.unfinished], clock.monotonic_ms())
         self.abort()
 
--- a/sassafraslock/services/cut_log.py
+++ b/sassafraslock/services/cut_log.py
@@ -15,6 +15,7 @@
     """Why an entry cuts a client's connection."""
 
     BLOCKED = "blocked"  # the client does not read its responses
+    FAULT = "fault"  # an error of this program
     MEMORY = "memory"
     STOP = "stop"
 
--- a/sassafraslock/services/graceful_close.py
+++ b/sassafraslock/services/graceful_close.py
@@ -6,6 +6,7 @@
 import fcntl
 import struct
 import termios
+import typing
 
 from sassafraslock import clock
 from sassafraslock.decisions import client_timeouts
@@ -63,10 +64,16 @@
     long as a connection may be idle.
     """
 
-    __slots__ = ("_transport", "_idle_timeout_ms", "_progress", "_was_unsent")
+    __slots__ = ("_transport", "_abort", "_idle_timeout_ms", "_progress", "_was_unsent")
 
-    def __init__(self, transport: asyncio.Transport, idle_timeout_ms: int) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        abort: typing.Callable[[], None],
+        idle_timeout_ms: int,
+    ) -> None:
         self._transport = transport
+        self._abort = abort
         self._idle_timeout_ms = idle_timeout_ms
         self._progress = client_timeouts.ReadProgress(0, clock.monotonic_ms())
         self._was_unsent = False
@@ -91,6 +98,6 @@
         now_ms = clock.monotonic_ms()
         self._progress.update(-unsent, now_ms)
         if unsent and self._progress.is_stalled(self._idle_timeout_ms, now_ms):
-            self._transport.abort()
+            self._abort()
             return
         self._check_later()
--- a/sassafraslock/services/http_server.py
+++ b/sassafraslock/services/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import typing
 
 import anyio
 
@@ -72,13 +73,23 @@
         try:
             while True:
                 await anyio.sleep(TIMEOUT_CHECK_INTERVAL_S)
-                now_ms = clock.monotonic_ms()
-                for connection in list(self.connections):
-                    connection.enforce_timeouts(now_ms)
+                self._enforce_timeouts(clock.monotonic_ms())
         finally:
             accepting.abort()
             self._abort_connections(clock.monotonic_ms())
 
+    def _enforce_timeouts(self, now_ms: int) -> None:
+        self._check_each(lambda connection: connection.enforce_timeouts(now_ms))
+
+    def _check_each(self, check: typing.Callable[[client_connection.Connection], None]) -> None:
+        """Call a function for each connection; a fault costs its connection alone."""
+        for connection in list(self.connections):
+            try:
+                check(connection)
+            except Exception:
+                _LOGGER.exception("check of a connection failed; it is closed")
+                connection.cut(cut_log.CutCause.FAULT)
+
     def _abort_connections(self, now_ms: int) -> None:
         unfinished = [connection.unfinished for connection in self.connections]
         self.cuts.record(cut_log.CutCause.STOP, unfinished, now_ms)
@@ -96,13 +107,14 @@
             self._acceptor.close()
         started_ms = clock.monotonic_ms()
         while self.connections or (self._acceptor is not None and self._acceptor.is_opening):
-            now_ms = clock.monotonic_ms()
-            for connection in list(self.connections):
-                connection.close_if_idle(now_ms)
-                if now_ms - started_ms >= RECEIVE_MS:
-                    connection.reject_incomplete()
+            self._close_idle(started_ms, clock.monotonic_ms())
             await anyio.sleep(CLOSE_POLL_S)
 
+    def _close_idle(self, started_ms: int, now_ms: int) -> None:
+        self._check_each(lambda connection: connection.close_if_idle(now_ms))
+        if now_ms - started_ms >= RECEIVE_MS:
+            self._check_each(client_connection.Connection.reject_incomplete)
+
     @property
     def accept_failures(self) -> int:
         """The number of errors of ``accept``."""
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -7,13 +7,14 @@
 import pytest
 
 from sassafraslock import edge_settings, http_messages, kernel, routing_table
-from sassafraslock.services import departure, http_server
+from sassafraslock.services import client_connection, cut_log, departure, http_server
 from tests import loopback
 
 HOST, PORT = loopback.HOST, 24_360
 GRACE_MS = 3_000
 SERVED_UNTIL_S = 1.7  # of a stop with this grace period
 LARGE_BYTES = 16 << 20  # more than the buffers of both kernels hold
+FITTING_BYTES = 1 << 20  # the buffers of the kernels hold it
 SMALL_BUFFER_BYTES = 4 << 10
 STEP_BYTES = 64 << 10  # a slow client pauses after each step
 
@@ -39,7 +40,8 @@
             self.in_flight -= 1
         if "odd" in request.target:
             return http_messages.Response(200, [(b"x", None)], b"odd")
-        body = bytes(LARGE_BYTES) if "large" in request.target else request.target.encode()
+        sizes = {"/large": LARGE_BYTES, "/fitting": FITTING_BYTES}
+        body = bytes(sizes.get(request.target, 0)) or request.target.encode()
         return http_messages.Response(200, [], body)
 
 
@@ -353,3 +355,43 @@
         assert count_answers(received) == 2
 
     run_server(scenario)
+
+
+# Guards against connections that stay open for ever since their clients do not read to the end.
+@pytest.mark.parametrize("headers", ["", "connection: close\r\n"])
+@pytest.mark.parametrize(("path", "cut"), [("/large", 1), ("/fitting", 0)])
+def test_a_client_that_stops_reading_is_cut_in_the_end(path, cut, headers):
+    async def scenario(server, handler):
+        client = connect()
+        await send(client, get(path, headers))
+        await anyio.sleep(0.1)
+        while server.connections:
+            await anyio.sleep(0.05)
+        assert server.cuts.counts[cut_log.CutCause.BLOCKED] == cut
+        received, _ = await receive_all(client)
+        assert len(received) > FITTING_BYTES
+
+    run_server(scenario, routing_table.Limits(idle_timeout_ms=200))
+
+
+# Guards against a fault in one connection that ends the server, and with it all connections.
+def test_a_fault_while_a_connection_is_checked_costs_that_connection_alone(monkeypatch):
+    async def scenario(server, handler):
+        faulty, other = connect(), connect()
+        await send(faulty, get("/a")[:20])
+        await anyio.sleep(0.05)
+        check = client_connection.Connection.enforce_timeouts
+
+        def enforce_timeouts(connection, now_ms):
+            if connection.unfinished.is_receiving:
+                raise RuntimeError("broken")
+            check(connection, now_ms)
+
+        monkeypatch.setattr(client_connection.Connection, "enforce_timeouts", enforce_timeouts)
+        received, _ = await receive_all(faulty)
+        assert received == b"" and server.cuts.counts[cut_log.CutCause.FAULT] == 1
+        await send(other, get("/b", "connection: close\r\n"))
+        received, _ = await receive_all(other)
+        assert count_answers(received) == 1
+
+    run_server(scenario)
