--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -255,6 +255,11 @@
         rejected = self.routing_state.rejections.counts + self.gossip.rejections.counts
         self.metrics.set_rejected(self.settings.entry_id, rejected)
         self.metrics.set_rejected_settings(self.settings.entry_id, self.settings_watch.rejected)
+        self.metrics.set_connections(
+            self.settings.entry_id,
+            self.client_server.cuts.counts,
+            self.client_server.accept_failures,
+        )
         return self.metrics.render()
 
     @property
