--- a/sassafraslock/header_names.py
+++ b/sassafraslock/header_names.py
@@ -20,6 +20,7 @@
     ``signature``: in a server's response, present if the server itself produced all of it.
     ``load``: in a server's response, its reported load.
     ``rate_limit``: in a server's response, the requests per second that it takes from all entries.
+    ``leaving``: in a server's response, ``1`` if the server is about to end and wants no requests.
     ``cold_ms``: in a server's response, the remaining time of its cold start.
     ``error``: in a refusal by the proxy, the kind of the error.
     ``refused_not_run``: in a refusal by the proxy, whether the request was certainly not run.
@@ -39,5 +40,6 @@
     idempotency_key: bytes = b"sassafraslock-key"
     load: bytes = b"sassafraslock-load"
     rate_limit: bytes = b"sassafraslock-limit"
+    leaving: bytes = b"sassafraslock-leaving"
     cold_ms: bytes = b"sassafraslock-cold-ms"
     server_id: bytes = b"sassafraslock-server-id"
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -25,10 +25,11 @@
 class Backend:
     """A server whose ``mode`` selects its behavior.
 
-    ``ok``, ``shed`` (503, not run), ``busy`` (503 after a run), ``fail`` (500), ``misdirect`` (421,
-    as another server), ``silent`` (no response) or ``unsigned`` (200 without a signature). If
-    ``limit`` is not empty, all responses name it as the server's rate limit. A run takes
-    ``work_s``.
+    ``ok``, ``shed`` (503, not run), ``throttle`` (429, not run), ``busy`` (503 after a run),
+    ``fail`` (500), ``misdirect`` (421, as another server), ``silent`` (no response) or ``unsigned``
+    (200 without a signature). If ``limit`` is not empty, all responses name it as the server's rate
+    limit; so with ``leaving``. All responses but 2xx have ``retry_after``, unless it is empty. A
+    run takes ``work_s``.
     """
 
     server_id: str
@@ -38,6 +39,8 @@
     seen: list = dataclasses.field(default_factory=list)
     cancelled: int = 0
     limit: bytes = b""
+    leaving: tuple = ()
+    retry_after: tuple = ()
     work_s: float = 0.0
 
     async def __call__(self, request):
@@ -46,10 +49,14 @@
         headers = [(NAMES.request_id, request_id), (NAMES.load, b"1,0,3")]
         if self.limit:
             headers.append((NAMES.rate_limit, self.limit))
+        headers += [(NAMES.leaving, value) for value in self.leaving]
+        if self.mode not in ("ok", "unsigned"):
+            headers += [(b"retry-after", value) for value in self.retry_after]
         if self.mode == "misdirect" or request.header(NAMES.target_server) != self.server_id:
             return http_messages.Response(421, headers)
-        if self.mode == "shed":
-            return http_messages.Response(503, [*headers, (NAMES.not_run, b"1")])
+        if self.mode in ("shed", "throttle"):
+            status = 503 if self.mode == "shed" else 429
+            return http_messages.Response(status, [*headers, (NAMES.not_run, b"1")])
         self.ran[request_id] += 1
         await anyio.sleep(self.work_s)
         if self.mode == "silent":
