--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -6,7 +6,7 @@
 import enum
 
 from sassafraslock import errors, routing_table
-from sassafraslock.decisions import object_memory, registry, route_latency
+from sassafraslock.decisions import backpressure, object_memory, registry, route_latency
 
 # Another server must be expected to answer within this share of the home's time, less the margin.
 LEAVE_HOME_RATIO = 0.75
@@ -15,6 +15,7 @@
 QUEUE_LIMIT_BY_PRIORITY = (2.5, 2.0, 1.4)  # times the target latency, most urgent first
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 1_000
+NO_SERVER_RETRY_AFTER_MS = 300
 
 
 class Selection(enum.Enum):
@@ -28,6 +29,31 @@
     COLD_LIMIT = "cold limit of the home"
 
 
+@dataclasses.dataclass(slots=True)
+class LeftOut:
+    """How many servers a placement left out for what they ask of this entry.
+
+    :param limited: those that name a rate limit of which this entry has used its part.
+    :param leaving: those that said that they leave, of all regions.
+    """
+
+    limited: int = 0
+    leaving: int = 0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether any of the servers may take requests again."""
+        return self.limited > 0
+
+    def add(self, hold: backpressure.Hold) -> None:
+        """Count a usable server that was left out.
+
+        :param hold: why it was.
+        """
+        if hold is backpressure.Hold.RATE_LIMITED:
+            self.limited += 1
+
+
 @dataclasses.dataclass(slots=True)
 class PlacementRequest:
     """A request that needs a server, with the state of its attempts.
@@ -40,8 +66,7 @@
     :param shed: whether the last server rejected the request because it was full.
     :param own_region_only: whether the links to other regions have no capacity left for it.
     :param entry_count: how many entries share the servers' connections.
-    :param limited_servers: how many servers the latest placement left out since they name a rate
-        limit that this entry has used its part of.
+    :param left_out: the servers that the latest placement left out for what they ask.
     :param replacement: the server for the next attempt, chosen when the last attempt was abandoned
         because its server did not answer.
     """
@@ -57,7 +82,7 @@
     shed: bool = False
     own_region_only: bool = False
     entry_count: int = 1
-    limited_servers: int = 0
+    left_out: LeftOut = dataclasses.field(default_factory=LeftOut)
     replacement: Choice | None = None
 
     @property
@@ -194,13 +219,27 @@
     """
     soonest_ms = min((w for w in waits_ms if w), default=MAX_RETRY_AFTER_MS)
     wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, soonest_ms))
+    limited = request.left_out.limited
     reason = (
-        f"{request.limited_servers} servers of {request.service.name} name a rate limit that leaves"
+        f"{limited} servers of {request.service.name} name a rate limit that leaves"
         " no room, and no other one is available; retry later"
     )
     return errors.Refusal(errors.ErrorKind.SERVER_RATE_LIMIT, reason, wait_ms)
 
 
+def no_server_refusal(request: PlacementRequest, usable: int) -> errors.Refusal:
+    """Return the refusal of a request for which no server is available.
+
+    :param request: the request.
+    :param usable: how many servers of the service may get requests at all.
+    """
+    service = request.service.name
+    reason = f"none of the {usable} servers of {service} is available for the request"
+    if request.left_out.leaving:
+        reason += f"; {request.left_out.leaving} others leave"
+    return errors.Refusal(errors.ErrorKind.NO_SERVER, reason, NO_SERVER_RETRY_AFTER_MS)
+
+
 def too_late_refusal(chosen: Choice, request: PlacementRequest) -> QueueRefusal:
     """Return the refusal of a request that even the best server would answer too late.
 
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -4,20 +4,19 @@
 
 from sassafraslock import errors, routing_table
 from sassafraslock.decisions import (
+    backpressure,
     candidates,
     cold_start,
     entry_view,
-    hashing,
     join_probes,
     load_view,
     object_memory,
+    region_choice,
     region_plan,
     registry,
     route_latency,
     server_health,
-    server_limits,
     server_ranking,
-    server_rate_limiter,
     windows,
 )
 
@@ -28,7 +27,6 @@
 QUEUED_KNOWN_SHARE = 0.7
 CONNECTION_RATIO = 0.5  # share of a server's connections that all entries together may use
 MIN_CONNECTIONS = 2
-GOLDEN_RATIO = 0.618033988749895  # its multiples modulo 1 are evenly distributed
 
 
 class Placer:
@@ -38,18 +36,17 @@
         "registry",
         "health",
         "objects",
-        "plans",
         "region",
         "_entries",
         "cold_limiter",
         "_latencies",
         "loads",
-        "rate_limiter",
+        "backpressure",
         "_ranking",
         "_placed_count",
         "_spilled_count",
         "_join_probes",
-        "_turn_numbers",
+        "_regions",
     )
 
     def __init__(
@@ -58,26 +55,30 @@
         servers: registry.Registry,
         entries: entry_view.EntryView,
         cold_limiter: cold_start.ColdStartLimiter,
-        rate_limiter: server_rate_limiter.ServerRateLimiter | None = None,
+        asked: backpressure.Backpressure | None = None,
     ) -> None:
         self.registry = servers
         self.health: dict[str, server_health.ServerHealth] = {}
         self.objects = object_memory.ObjectMemory()
-        self.plans: dict[tuple[str, frozenset[str]], region_plan.RegionPlan] = {}
+        self._regions = region_choice.RegionChooser(region)
         self.region = region
         self._entries = entries
         self.cold_limiter = cold_limiter
-        self.rate_limiter = rate_limiter or server_rate_limiter.ServerRateLimiter(
-            cold_limiter.own_id, server_limits.ServerLimits(), entries
+        self.backpressure = asked or backpressure.Backpressure(
+            cold_limiter.own_id, servers, entries
         )
         self._latencies: dict[str, route_latency.RouteLatency] = {}
         self.loads = load_view.LoadView(servers, self.health_of)
         self._ranking = server_ranking.ServerRanking(servers)
-        self._turn_numbers: dict[str, int] = {}
         self._join_probes = join_probes.JoinProbes(servers, self.health_of)
         self._placed_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
         self._spilled_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
 
+    @property
+    def plans(self) -> dict[tuple[str, frozenset[str]], region_plan.RegionPlan]:
+        """The plan of each service and set of allowed regions."""
+        return self._regions.plans
+
     def health_of(self, server: registry.Server) -> server_health.ServerHealth:
         """Return this entry's health record of a server's current start, created on first use.
 
@@ -100,36 +101,39 @@
             self._latencies[route.name] = latency
         return latency
 
-    def discard_removed(self) -> None:
+    def discard_removed(self, now_ms: int) -> None:
         """Discard the state of servers that left the registry.
 
         Health records with requests in flight are kept.
+
+        :param now_ms: the current monotonic time.
         """
         start_ids = {registry.start_id(s) for s in self.registry.servers.values()}
         self.health = {k: v for k, v in self.health.items() if k in start_ids or v.in_flight}
         self.cold_limiter.retain(start_ids)
-        self.rate_limiter.retain(self.registry.by_start_hash().keys())
+        self.backpressure.retain(self.registry.by_start_hash().keys(), now_ms)
 
     def place(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> candidates.Choice | errors.Refusal:
         """Return the server for a request, or a refusal with the reason.
 
-        The request counts towards the rate limits of the chosen server.
+        The request counts towards what the chosen server takes.
 
         :param request: the request.
         :param now_ms: the current monotonic time.
         """
-        request.limited_servers = 0
+        leaving = self.registry.departing_count(request.service.name)
+        request.left_out = candidates.LeftOut(leaving=leaving)
         choice = self._select(request, now_ms)
         if isinstance(choice, candidates.Choice):
-            self.rate_limiter.acquire(choice.server, now_ms)
+            self.backpressure.acquire(choice.server, now_ms)
         return choice
 
     def _select(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> candidates.Choice | errors.Refusal:
-        planned = self._planned_region(request)
+        planned = self._regions.planned(request)
         choices = self._choices(request, planned, planned, CANDIDATES, now_ms)
         chosen = candidates.best_choice(choices, request.shed)
         if chosen is not None:
@@ -147,38 +151,14 @@
             return chosen
         return self._cold_fallback(request, choices, now_ms)
 
-    def _planned_region(self, request: candidates.PlacementRequest) -> str:
-        if request.own_region_only:
-            return self.region
-        plan = self.plans.get((request.service.name, request.route.regions))
-        if plan is None or not plan.weights:
-            allowed = request.route.regions
-            return self.region if not allowed or self.region in allowed else min(allowed)
-        if not request.route.sticky:
-            return self._next_region(request.service.name, plan.weights)
-        key, weights = f"region|{request.key}", plan.weights
-        return max(weights, key=lambda r: hashing.rendezvous_score(key, r, weights[r]))
-
-    def _next_region(self, service: str, weights: dict[str, float]) -> str:
-        """Return the next region of a low-discrepancy sequence.
-
-        Even short runs of requests follow the weights.
-        """
-        number = self._turn_numbers.get(service, 0) + 1
-        self._turn_numbers[service] = number
-        point = number * GOLDEN_RATIO % 1.0
-        for region in sorted(weights, key=lambda r: (r != self.region, r)):
-            point -= weights[region]
-            if point < 0:
-                return region
-        return max(weights, key=lambda r: weights[r])
-
     def _join_probe(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> candidates.Choice | None:
         """Return a recently joined server that has not answered this entry yet, if there is one."""
         for server in self._join_probes.due(request.service.name, now_ms):
-            if _is_allowed(request.route, server) and self.rate_limiter.may_send(server, now_ms):
+            if not _is_allowed(request.route, server):
+                continue
+            if self.backpressure.hold(server, now_ms) is None:
                 probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
                 probe.selection = candidates.Selection.JOIN_PROBE
                 return probe
@@ -216,7 +196,7 @@
     ) -> list[candidates.Choice]:
         """Return the usable servers of a region in the object's rendezvous order, its home first.
 
-        If the home is unavailable, cold or at its rate limit, the next server becomes a home as
+        If the home is unavailable, cold or wants no request now, the next server becomes a home as
         well, since the home takes few requests only. All entries agree on that server, so it soon
         has the object in memory. A home that is full or was tried already has no such substitute.
         Besides the first servers, the list holds all those known to have the object in memory.
@@ -235,8 +215,9 @@
             if full or server.server_id in request.tried:
                 is_home = False
                 continue
-            if not self.rate_limiter.may_send(server, now_ms):
-                request.limited_servers += 1
+            hold = self.backpressure.hold(server, now_ms)
+            if hold is not None:
+                request.left_out.add(hold)
                 continue
             choices.append(self._evaluate(request, server, health, is_home, now_ms))
             is_home = is_home and choices[-1].is_cold
@@ -305,7 +286,7 @@
             return None
         allowed = SPILL_RATIO * self._placed_count.total(now_ms)
         serving = {s.region for s in self.registry.usable_servers(request.service.name)}
-        is_served = planned in serving and (chosen is not None or request.limited_servers > 0)
+        is_served = planned in serving and (chosen is not None or request.left_out.is_held)
         if is_served and self._spilled_count.total(now_ms) + 1 > allowed:
             return None
         regions = serving - {planned}
@@ -363,7 +344,7 @@
                 continue
             if server.server_id in request.tried:
                 continue
-            if not self.rate_limiter.may_send(server, now_ms):
+            if self.backpressure.hold(server, now_ms) is not None:
                 continue
             health = self.health_of(server)
             if health.is_available(now_ms):
@@ -375,15 +356,11 @@
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> errors.Refusal:
         usable = self.registry.usable_servers(request.service.name)
-        if request.limited_servers:
+        if request.left_out.is_held:
             allowed = [s for s in usable if _is_allowed(request.route, s)]
-            waits_ms = [self.rate_limiter.wait_ms(s, now_ms) for s in allowed]
+            waits_ms = [self.backpressure.wait_ms(s, now_ms) for s in allowed]
             return candidates.rate_limit_refusal(request, waits_ms)
-        reason = (
-            f"none of the {len(usable)} servers of {request.service.name} is available for the"
-            " request"
-        )
-        return errors.Refusal(errors.ErrorKind.NO_SERVER, reason, 300)
+        return candidates.no_server_refusal(request, len(usable))
 
 
 def _is_allowed(route: routing_table.Route, server: registry.Server) -> bool:
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import collections.abc
 import dataclasses
 import enum
 
@@ -116,6 +118,8 @@
         "generation",
         "_by_start_hash",
         "_indexed_generation",
+        "_departing",
+        "_departing_counts",
     )
 
     def __init__(self) -> None:
@@ -126,6 +130,8 @@
         self._by_service: dict[str, list[Server]] = {}
         self._by_start_hash: dict[int, Server] = {}
         self._indexed_generation = -1
+        self._departing: collections.abc.Container[int] = frozenset()
+        self._departing_counts: collections.Counter[str] = collections.Counter()
 
     def apply_report(self, report: ServerReport, now_ms: int, joined: bool, cold_ms: int) -> None:
         """Add a server or update it.
@@ -150,12 +156,12 @@
         server.held_until_ms = None
         was_draining, server.draining = server.draining, report.state is ServerState.DRAINING
         if was_draining != server.draining:
-            self._mark_changed()
+            self.mark_changed()
 
     def _add(self, report: ServerReport, now_ms: int) -> Server:
         server = Server(report, now_ms)
         self.servers[report.server_id] = server
-        self._mark_changed()
+        self.mark_changed()
         return server
 
     def apply_removal(self, server_id: str, now_ms: int, hold_until_ms: int) -> bool:
@@ -165,17 +171,18 @@
         :param now_ms: the current monotonic time.
         :param hold_until_ms: the time until which the server is kept, because its row may have
             expired only while the store was unavailable and may be written again. A time in the
-            past removes the server at once. Draining servers are never held.
+            past removes the server at once. Servers that drain or leave are never held.
         :returns: whether the server was registered.
         """
         server = self.servers.get(server_id)
         if server is None:
             return False
-        if hold_until_ms > now_ms and not server.draining:
+        is_leaving = server.draining or self._is_departing(server)
+        if hold_until_ms > now_ms and not is_leaving:
             server.held_until_ms = hold_until_ms
             return True
         del self.servers[server_id]
-        self._mark_changed()
+        self.mark_changed()
         return True
 
     def remove_expired(self, now_ms: int) -> list[str]:
@@ -189,7 +196,7 @@
         for server_id in expired:
             del self.servers[server_id]
         if expired:
-            self._mark_changed()
+            self.mark_changed()
         return expired
 
     def apply_evacuation(self, zone: str, evacuated: bool, now_ms: int) -> None:
@@ -210,18 +217,16 @@
                 if server.report.zone == zone:
                     cold_until_ms = now_ms + EVACUATION_COLD_MS
                     server.cold_until_ms = max(server.cold_until_ms, cold_until_ms)
-        self._mark_changed()
+        self.mark_changed()
 
     def usable_servers(self, service: str) -> list[Server]:
         """Return the servers of a service that may get new requests.
 
-        These are neither draining nor in an evacuated zone. Health is not considered.
+        These neither drain nor leave nor are in an evacuated zone. Health is not considered.
 
         :param service: the service; an unknown one has no servers.
         """
-        if self._is_stale:
-            self._is_stale = False
-            self._rebuild()
+        self._refresh()
         return self._by_service.get(service, [])
 
     def by_start_hash(self) -> dict[int, Server]:
@@ -231,17 +236,48 @@
             self._by_start_hash = {start_hash(s): s for s in self.servers.values()}
         return self._by_start_hash
 
-    def _mark_changed(self) -> None:
+    def exclude(self, departing: collections.abc.Container[int]) -> None:
+        """Leave out starts of servers that leave, whatever their rows say.
+
+        :param departing: the hashes of the ids of these starts; :meth:`mark_changed` is called
+            whenever it has changed.
+        """
+        self._departing = departing
+
+    def departing_count(self, service: str) -> int:
+        """Return how many servers of a service are left out since they leave.
+
+        :param service: the service.
+        """
+        self._refresh()
+        return self._departing_counts[service]
+
+    def _refresh(self) -> None:
+        if self._is_stale:
+            self._is_stale = False
+            self._rebuild()
+
+    def mark_changed(self) -> None:
+        """Take up a change of which servers are usable."""
         self.generation += 1
         self._is_stale = True
 
     def _rebuild(self) -> None:
         self._by_service = {}
+        self._departing_counts.clear()
         latest_start_ms = self._latest_start_ms()
         for server in self.servers.values():
-            if self._is_usable(server, latest_start_ms):
+            if not self._is_usable(server, latest_start_ms):
+                continue
+            if self._is_departing(server):
+                self._departing_counts[server.report.service] += 1
+            else:
                 self._by_service.setdefault(server.report.service, []).append(server)
 
+    def _is_departing(self, server: Server) -> bool:
+        """Return whether a server said that it leaves, whether or not its row does."""
+        return start_hash(server) in self._departing
+
     def _latest_start_ms(self) -> dict[str, int]:
         """Return the time of the latest start at each address."""
         latest_ms: dict[str, int] = {}
--- a/sassafraslock/decisions/server_limits.py
+++ b/sassafraslock/decisions/server_limits.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from sassafraslock.decisions import heard_from
+
 MAX_KNOWN = 4_096  # beyond this, limits of further servers are not recorded
 MAX_REPORTS = 64  # per gossip message
 # How long the end of a limit is kept and sent to peers, so that no older report revives the limit.
@@ -55,6 +57,7 @@
 
     per_s: float | None
     heard_ms: int
+    source: heard_from.HeardFrom = heard_from.HeardFrom.SERVER
 
 
 class ServerLimits:
@@ -77,6 +80,14 @@
         known = self._known.get(start_hash)
         return known.per_s if known is not None else None
 
+    def source_of(self, start_hash: int) -> heard_from.HeardFrom | None:
+        """Return who told this entry of a server's limit, ``None`` if it named none.
+
+        :param start_hash: the hash of the id of the server's start.
+        """
+        known = self._known.get(start_hash)
+        return known.source if known is not None else None
+
     @property
     def has_any(self) -> bool:
         """Whether any limit is in force or ended recently."""
@@ -86,22 +97,29 @@
         """Return the limits in force by the hash of the server's start."""
         return {h: k.per_s for h, k in self._known.items() if k.per_s is not None}
 
-    def record_named(self, start_hash: int, per_s: float, now_ms: int) -> bool:
-        """Record a limit that a server named in an answer to this entry.
+    def record_named(
+        self,
+        start_hash: int,
+        per_s: float,
+        now_ms: int,
+        source: heard_from.HeardFrom = heard_from.HeardFrom.SERVER,
+    ) -> bool:
+        """Record a limit that a server named in an answer.
 
         :param start_hash: the hash of the id of the server's start.
         :param per_s: the limit.
-        :param now_ms: the current monotonic time.
+        :param now_ms: the monotonic time of the answer.
+        :param source: who told this entry.
         :returns: whether the limit changed.
         """
         known = self._known.get(start_hash)
         if known is None:
             if len(self._known) >= MAX_KNOWN:
                 return False
-            self._known[start_hash] = _KnownLimit(per_s, now_ms)
+            self._known[start_hash] = _KnownLimit(per_s, now_ms, source)
             return True
         changed = known.per_s != per_s
-        known.per_s, known.heard_ms = per_s, now_ms
+        known.per_s, known.heard_ms, known.source = per_s, now_ms, source
         return changed
 
     def record_unnamed(self, start_hash: int, sent_ms: int, now_ms: int) -> bool:
@@ -141,13 +159,14 @@
         known = self._known.get(report.start_hash)
         if known is None:
             return report.per_s is not None and self.record_named(
-                report.start_hash, report.per_s, heard_ms
+                report.start_hash, report.per_s, heard_ms, heard_from.HeardFrom.PEER
             )
         starts_or_ends = (known.per_s is None) != (report.per_s is None)
         if heard_ms <= known.heard_ms + (REPORT_DELAY_MS if starts_or_ends else 0):
             return False
         changed = known.per_s != report.per_s
         known.per_s, known.heard_ms = report.per_s, heard_ms
+        known.source = heard_from.HeardFrom.PEER
         return changed
 
     def retain(self, start_hashes: collections.abc.Set[int]) -> None:
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -24,23 +24,22 @@
     routing_table,
 )
 from sassafraslock.decisions import (
+    backpressure,
     cold_start,
     message_quota,
     placement,
     registry,
     retry_budget,
     roster,
-    server_limits,
-    server_rate_limiter,
 )
 from sassafraslock.path import access_log, pipeline, send
 from sassafraslock.services import (
+    backpressure_watch,
     claims,
     departure,
     directory,
     gossip,
     http_server,
-    limit_watch,
     log_writer,
     metrics,
     operator_api,
@@ -97,8 +96,8 @@
         reader = peer_copies.PeerCopyReader(self.gossip, lambda: self.replica.version)
         self.replica.set_fallback(reader)
         self.metrics = metrics.Metrics()
-        self.limits = server_limits.ServerLimits()
-        self.limit_watch = limit_watch.LimitWatch(self.limits, servers, names.rate_limit)
+        self.backpressure = self._build_backpressure(servers)
+        self.watch = backpressure_watch.BackpressureWatch(self.backpressure, servers, names)
         self.pipeline = self._build_pipeline(servers, names, keys)
         placer = self.pipeline.placer
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
@@ -116,10 +115,15 @@
     def _subscribe(self, placer: placement.Placer) -> None:
         self.gossip.loads = placer.loads
         self.gossip.objects = placer.objects
-        self.gossip.limits = self.limit_watch
+        self.gossip.limits = self.watch.limits
+        self.gossip.departures = self.watch.departing
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
 
+    def _build_backpressure(self, servers: registry.Registry) -> backpressure.Backpressure:
+        started_ms = clock.monotonic_ms()
+        return backpressure.Backpressure(self.settings.entry_id, servers, self.gossip, started_ms)
+
     def _build_pipeline(
         self,
         servers: registry.Registry,
@@ -130,10 +134,9 @@
         cold = cold_start.ColdStartLimiter(
             self.settings.entry_id, bounds.cold_overage, bounds.cold_slack
         )
-        limiter = server_rate_limiter.ServerRateLimiter(
-            self.settings.entry_id, self.limits, self.gossip, clock.monotonic_ms()
+        placer = placement.Placer(
+            self.settings.region, servers, self.gossip, cold, self.backpressure
         )
-        placer = placement.Placer(self.settings.region, servers, self.gossip, cold, limiter)
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
@@ -146,11 +149,11 @@
             self.routing_state,
             placer,
             budget,
-            send.Sender(self.upstream, names, self.limit_watch, self.settings.entry_id),
+            send.Sender(self.upstream, names, self.watch, self.settings.entry_id),
             names,
             log,
             self.poison,
-            self.limit_watch,
+            self.watch,
             self.gossip.roster.entry_count,
             self._region_entry_count,
             keys,
@@ -160,6 +163,7 @@
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
         self.kernel.register("beliefs", kernel.PassiveService(self.routing_state))
+        self.kernel.register("backpressure", kernel.PassiveService(self.watch))
         self.kernel.register("messages", kernel.PassiveService(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
@@ -238,9 +242,7 @@
             status.servers,
             status.in_flight,
         )
-        self.metrics.set_limits(
-            self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
-        )
+        self.metrics.set_backpressure(self.settings.entry_id, self.watch.gauges())
         return self.metrics.render()
 
     @property
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -78,8 +78,7 @@
             fields["target_ms"] = context.routed.route.target_latency_ms
         if context.response is not None:
             fields["status"] = context.response.status
-        if context.limited_servers:
-            fields["limited_servers"] = context.limited_servers
+        fields |= _left_out_fields(context.left_out)
         if context.refusal is not None:
             fields["kind"] = context.refusal.kind
         if isinstance(context.refusal, candidates.QueueRefusal) and context.refusal.choice:
@@ -89,6 +88,12 @@
         return fields
 
 
+def _left_out_fields(left_out: candidates.LeftOut) -> dict[str, object]:
+    """Return how many servers were left out for what they ask, without those that are none."""
+    counts = {"limited_servers": left_out.limited, "leaving_servers": left_out.leaving}
+    return {name: count for name, count in counts.items() if count}
+
+
 def _choice_fields(choice: candidates.Choice) -> dict[str, object]:
     fields: dict[str, object] = {
         "server": choice.server.server_id,
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -5,7 +5,7 @@
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, placement, quarantine, registry, server_health
 from sassafraslock.path import judge, route, send
-from sassafraslock.services import limit_watch, poison_watch, server_connection
+from sassafraslock.services import backpressure_watch, poison_watch, server_connection
 
 ESTIMATED_HEAD_BYTES = 400  # first line and headers of a request or an answer
 INITIAL_ANSWER_BYTES = 16 << 10
@@ -16,19 +16,19 @@
 class AttemptRecorder:
     """Records the load, the failures and the latency of servers, and the answer sizes of routes."""
 
-    __slots__ = ("_placer", "_names", "_poison", "_limit_watch", "_mean_answer_bytes")
+    __slots__ = ("_placer", "_names", "_poison", "_watch", "_mean_answer_bytes")
 
     def __init__(
         self,
         placer: placement.Placer,
         names: header_names.HeaderNames,
         poison: poison_watch.PoisonWatch,
-        limit_watcher: limit_watch.LimitWatch,
+        watch: backpressure_watch.BackpressureWatch,
     ) -> None:
         self._placer = placer
         self._names = names
         self._poison = poison
-        self._limit_watch = limit_watcher
+        self._watch = watch
         self._mean_answer_bytes: dict[str, float] = {}
 
     def mean_answer_bytes(self, route_: routing_table.Route) -> float:
@@ -91,9 +91,7 @@
             health.record_replaced(now_ms)
             self._log_ejection(attempt, health, now_ms)
             return
-        self._limit_watch.record_answer(
-            attempt.choice.server, exchange.response, attempt.sent_ms, now_ms
-        )
+        self._watch.record_answer(attempt.choice.server, exchange.response, attempt.sent_ms, now_ms)
         health.record_answer(verdict in (judge.Verdict.FAILED, judge.Verdict.BROKEN), now_ms)
         if verdict is judge.Verdict.ANSWERED:
             self._record_latency(routed, placement_request, attempt, health)
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -25,7 +25,7 @@
     route,
     send,
 )
-from sassafraslock.services import claims, limit_watch, poison_watch, routing_state
+from sassafraslock.services import backpressure_watch, claims, poison_watch, routing_state
 
 SOFT_TIMEOUT_RATIO = 2.0  # of the attempt's expected time
 SOFT_TIMEOUT_TARGET_RATIO = 1.2  # of the route's target latency; the greater time applies
@@ -75,7 +75,7 @@
         names: header_names.HeaderNames,
         observer: request_context.RequestObserver,
         poison: poison_watch.PoisonWatch,
-        limit_watcher: limit_watch.LimitWatch,
+        watch: backpressure_watch.BackpressureWatch,
         entry_count: typing.Callable[[], int],
         region_entry_count: typing.Callable[[], int],
         claims_service: claims.Claims | None = None,
@@ -92,7 +92,7 @@
         self.placer = placer
         self.splitter = split.Splitter()
         self.budget = budget
-        self.recorder = attempt_recorder.AttemptRecorder(placer, names, poison, limit_watcher)
+        self.recorder = attempt_recorder.AttemptRecorder(placer, names, poison, watch)
         self._routing_state = state
         self._sender = sender
         self._names = names
@@ -220,7 +220,7 @@
                 return refusals.deadline_refusal(context)
             choice = placement_request.replacement or self.placer.place(placement_request, now_ms)
             placement_request.replacement = None
-            context.limited_servers = placement_request.limited_servers
+            context.left_out = placement_request.left_out
             if isinstance(choice, errors.Refusal):
                 return refusals.final_refusal(context, choice)
             if not self._acquire_link_tokens(routed, choice, now_ms):
--- a/sassafraslock/path/request_context.py
+++ b/sassafraslock/path/request_context.py
@@ -6,6 +6,7 @@
 import typing
 
 from sassafraslock import errors, http_messages
+from sassafraslock.decisions import candidates
 from sassafraslock.path import judge, read, route, send
 
 
@@ -14,15 +15,15 @@
     """The state of one request in the pipeline, which is logged when the request ends.
 
     ``routed`` is none until a route matched, and ``response`` is none if the client closed its
-    connection first. ``limited_servers`` counts the servers that the last placement left out
-    because of their rate limits. ``refusal`` is set if the response is this entry's own error
+    connection first. ``left_out`` counts the servers that the last placement left out for what they
+    ask of this entry. ``refusal`` is set if the response is this entry's own error
     response.
     """
 
     incoming: read.IncomingRequest
     routed: route.RoutedRequest | None = None
     attempts: list[tuple[send.Attempt, judge.Verdict]] = dataclasses.field(default_factory=list)
-    limited_servers: int = 0
+    left_out: candidates.LeftOut = dataclasses.field(default_factory=candidates.LeftOut)
     refusal: errors.Refusal | None = None
     response: http_messages.Response | None = None
 
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -9,7 +9,7 @@
 from sassafraslock import clock, header_names, http_messages
 from sassafraslock.decisions import candidates, registry, server_health
 from sassafraslock.path import route
-from sassafraslock.services import limit_watch, server_connection, upstream
+from sassafraslock.services import backpressure_watch, server_connection, upstream
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,19 +33,19 @@
     Servers are told the ``entry_id``, if the entry header has a name.
     """
 
-    __slots__ = ("_upstream", "_names", "_limit_watch", "_entry_id")
+    __slots__ = ("_upstream", "_names", "_watch", "_entry_id")
 
     def __init__(
         self,
         connections: upstream.Upstream,
         names: header_names.HeaderNames,
-        limit_watcher: limit_watch.LimitWatch,
+        watch: backpressure_watch.BackpressureWatch,
         entry_id: str,
     ) -> None:
         self._entry_id = entry_id.encode("latin-1")
         self._upstream = connections
         self._names = names
-        self._limit_watch = limit_watcher
+        self._watch = watch
 
     async def send(
         self,
@@ -98,7 +98,7 @@
 
     def _head_observer(self, server: registry.Server) -> server_connection.HeadObserver:
         def observe(status: int, headers: http_messages.Headers) -> None:
-            self._limit_watch.record_head(server, status, headers, clock.monotonic_ms())
+            self._watch.record_head(server, status, headers, clock.monotonic_ms())
 
         return observe
 
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -1,7 +1,8 @@
 """Gossip between entries over UDP.
 
 It spreads which entries are alive and ready, the store version that each has reached, suspected
-poison requests, servers' reported loads and rate limits, and which objects they have handled.
+poison requests, servers' reported loads and rate limits, which of them leave, and which objects
+they have handled.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 
 from sassafraslock import clock, events
 from sassafraslock.decisions import (
+    departing_servers,
     gossip_targets,
     load_reports,
     message_auth,
@@ -39,8 +41,9 @@
     """One gossip datagram before compression.
 
     ``records`` holds the sender's record, first, and those of some live entries; ``beats`` holds
-    heartbeat counters of other live entries. ``limits`` goes to all entries, ``loads`` to entries
-    nearby only, and ``objects`` to entries of the same region.
+    heartbeat counters of other live entries. ``limits`` and ``departures`` go to all entries,
+    ``loads`` to entries nearby only, and ``objects`` to entries of the same region. New fields go
+    to the end, as entries of former versions ignore what follows the last field that they know.
     """
 
     records: list[roster.MemberRecord]
@@ -49,6 +52,7 @@
     loads: list[load_reports.LoadReport] = []
     objects: list[object_memory.ObjectReport] = []
     limits: list[server_limits.LimitReport] = []
+    departures: list[departing_servers.DepartureReport] = []
 
 
 class ReportExchange(typing.Protocol[ReportT]):
@@ -95,6 +99,7 @@
         "loads",
         "objects",
         "limits",
+        "departures",
         "token",
     )
 
@@ -118,6 +123,7 @@
         self.loads: ReportExchange[load_reports.LoadReport] | None = None
         self.objects: ReportExchange[object_memory.ObjectReport] | None = None
         self.limits: ReportExchange[server_limits.LimitReport] | None = None
+        self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -208,8 +214,9 @@
         others = members[RECORDS_PER_MESSAGE : RECORDS_PER_MESSAGE + HEARTBEATS_PER_MESSAGE]
         heartbeats = [m.heartbeat() for m in others]
         limits = self.limits.recent_reports(now_ms) if self.limits is not None else []
+        departures = self.departures.recent_reports(now_ms) if self.departures is not None else []
         suspects = self._poison.recent_suspects(now_ms)
-        return Message([own, *records], heartbeats, suspects, limits=limits)
+        return Message([own, *records], heartbeats, suspects, limits=limits, departures=departures)
 
     def pack(self, message: Message) -> bytes:
         """Encode and compress a message, and sign it with the peer token.
@@ -271,6 +278,8 @@
             self.objects.merge_reports(message.objects, now_ms)
         if self.limits is not None:
             self.limits.merge_reports(message.limits, now_ms)
+        if self.departures is not None:
+            self.departures.merge_reports(message.departures, now_ms)
 
     def _log_liveness_changes(self, now_ms: int) -> None:
         live = {m.record.entry_id for m in self.roster.live(now_ms)}
--- a/sassafraslock/services/limit_watch.py
+++ b/sassafraslock/services/limit_watch.py
@@ -2,30 +2,29 @@
 
 from __future__ import annotations
 
-import logging
-
 from sassafraslock import events, http_messages
-from sassafraslock.decisions import registry, server_limits
+from sassafraslock.decisions import heard_from, registry, server_limits
+from sassafraslock.services import invalid_headers
 
 
 class LimitWatch:
     """Records the limits in the heads of answers.
 
-    ``invalid_heads`` counts the heads with a limit that is not a plain decimal number or that is
-    there more than once; such a limit is logged once for each start of a server, and changes
-    nothing.
+    A limit that is not a plain decimal number, or that is there more than once, changes nothing.
     """
 
-    __slots__ = ("limits", "invalid_heads", "_registry", "_header", "_logged_invalid")
+    __slots__ = ("limits", "invalid", "_registry", "_header")
 
     def __init__(
         self, limits: server_limits.ServerLimits, servers: registry.Registry, header: bytes
     ) -> None:
         self.limits = limits
         self._registry = servers
-        self.invalid_heads = 0
+        self.invalid = invalid_headers.InvalidHeaders(
+            events.Event.SERVER_LIMIT_INVALID,
+            "server named an invalid rate limit, which is ignored; it must be one decimal number",
+        )
         self._header = header
-        self._logged_invalid: set[str] = set()
 
     def record_head(
         self, server: registry.Server, status: int, headers: http_messages.Headers, now_ms: int
@@ -44,12 +43,12 @@
             return
         per_s = server_limits.parse(values[0]) if len(values) == 1 else None
         if per_s is None:
-            self._record_invalid(server, values)
+            self.invalid.record(server, values)
             return
         start_hash = registry.start_hash(server)
         previous = self.limits.limit_of(start_hash)
         if self.limits.record_named(start_hash, per_s, now_ms):
-            _log_change(server, per_s, previous, "server")
+            _log_change(server, per_s, previous, heard_from.HeardFrom.SERVER)
 
     def record_answer(
         self,
@@ -70,7 +69,7 @@
         start_hash = registry.start_hash(server)
         previous = self.limits.limit_of(start_hash)
         if self.limits.record_unnamed(start_hash, sent_ms, now_ms):
-            _log_change(server, None, previous, "server")
+            _log_change(server, None, previous, heard_from.HeardFrom.SERVER)
 
     def recent_reports(self, now_ms: int) -> list[server_limits.LimitReport]:
         """Return the limits to send to other entries.
@@ -92,25 +91,14 @@
                 continue
             previous = self.limits.limit_of(report.start_hash)
             if self.limits.merge(report, now_ms):
-                _log_change(server, report.per_s, previous, "peer")
-
-    def _record_invalid(self, server: registry.Server, values: list[bytes]) -> None:
-        self.invalid_heads += 1
-        start_id = registry.start_id(server)
-        if start_id in self._logged_invalid or len(self._logged_invalid) >= server_limits.MAX_KNOWN:
-            return
-        self._logged_invalid.add(start_id)
-        events.log(
-            events.Event.SERVER_LIMIT_INVALID,
-            "server named an invalid rate limit, which is ignored; it must be one decimal number",
-            logging.WARNING,
-            server=server.server_id,
-            values=[value[:40].decode("latin-1") for value in values[:4]],
-        )
+                _log_change(server, report.per_s, previous, heard_from.HeardFrom.PEER)
 
 
 def _log_change(
-    server: registry.Server, per_s: float | None, previous: float | None, heard_from: str
+    server: registry.Server,
+    per_s: float | None,
+    previous: float | None,
+    source: heard_from.HeardFrom,
 ) -> None:
     message = "server takes any rate again" if per_s is None else "server named a rate limit"
     events.log(
@@ -120,5 +108,5 @@
         service=server.report.service,
         limit_per_s=per_s,
         previous_per_s=previous,
-        heard_from=heard_from,
+        heard_from=source,
     )
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 import aioprometheus
@@ -15,6 +16,20 @@
 LATENCY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BackpressureGauges:
+    """How many servers ask for what in their answers, and how many answers asked invalidly.
+
+    :param limited: servers that name a rate limit.
+    :param leaving: servers that say that they leave.
+    """
+
+    limited: int
+    invalid_limits: int
+    leaving: int
+    invalid_leaving: int
+
+
 class Metrics:
     """The process's counters, gauges and histograms."""
 
@@ -28,6 +43,8 @@
         "_in_flight",
         "_limited",
         "_invalid_limits",
+        "_leaving",
+        "_invalid_leaving",
     )
 
     def __init__(self) -> None:
@@ -51,6 +68,10 @@
         self._invalid_limits = self._gauge(
             "invalid_server_limits", "Answers that named an invalid rate limit."
         )
+        self._leaving = self._gauge("servers_leaving", "Servers that say that they leave.")
+        self._invalid_leaving = self._gauge(
+            "invalid_server_leaving", "Answers that said invalidly whether their server leaves."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -82,16 +103,17 @@
         self._servers.set(labels, servers)
         self._in_flight.set(labels, in_flight)
 
-    def set_limits(self, entry_id: str, limited: int, invalid: int) -> None:
-        """Set the gauges of the rate limits that servers name.
+    def set_backpressure(self, entry_id: str, gauges: BackpressureGauges) -> None:
+        """Set the gauges of what servers ask for.
 
         :param entry_id: the entry.
-        :param limited: the number of servers that name one.
-        :param invalid: the number of answers so far that named an invalid one.
+        :param gauges: the values.
         """
         labels = {"entry": entry_id}
-        self._limited.set(labels, limited)
-        self._invalid_limits.set(labels, invalid)
+        self._limited.set(labels, gauges.limited)
+        self._invalid_limits.set(labels, gauges.invalid_limits)
+        self._leaving.set(labels, gauges.leaving)
+        self._invalid_leaving.set(labels, gauges.invalid_leaving)
 
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -78,7 +78,7 @@
         while True:
             now_ms = clock.monotonic_ms()
             self._placer.registry.remove_expired(now_ms)
-            self._placer.discard_removed()
+            self._placer.discard_removed(now_ms)
             self.update(now_ms)
             await anyio.sleep(INTERVAL_S)
 
@@ -188,7 +188,7 @@
         """Return the slots of a server that are expected to be usable."""
         ratio = COLD_CAPACITY_RATIO if server.is_cold(now_ms) else 1.0
         slots = server.report.slots * ratio
-        per_s = self._placer.rate_limiter.limits.limit_of(registry.start_hash(server))
+        per_s = self._placer.backpressure.limits.limit_of(registry.start_hash(server))
         if per_s is None:
             return slots
         per_s = max(per_s, server_rate_limiter.MIN_RATE_PER_S)
--- a/tests/test_limit_watch.py
+++ b/tests/test_limit_watch.py
@@ -41,7 +41,7 @@
     for now_ms in (20, 30):
         watcher.record_head(SERVER, 200, answer(*values).headers, now_ms)
         watcher.record_answer(SERVER, answer(*values), now_ms, now_ms + 5)
-    assert limit_of(watcher) == 2.0 and watcher.invalid_heads == 2
+    assert limit_of(watcher) == 2.0 and watcher.invalid.count == 2
     assert sum("invalid rate limit" in r.message for r in caplog.records) == 1
 
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -121,7 +121,7 @@
     region_planner.update(100)
     assert weights(region_planner) == {"a": 1.0}
     server = region_planner._placer.registry.servers["a"]
-    limits = region_planner._placer.rate_limiter.limits
+    limits = region_planner._placer.backpressure.limits
     limits.record_named(registry.start_hash(server), 1.0, 100)
     previous = 1.0
     for now_ms in range(600, 5_600, 500):
--- a/tests/test_rate_limited_placement.py
+++ b/tests/test_rate_limited_placement.py
@@ -25,7 +25,7 @@
 
 def name_limit(placer, server_id, per_s, now_ms):
     start_hash = registry.start_hash(placer.registry.servers[server_id])
-    placer.rate_limiter.limits.record_named(start_hash, per_s, now_ms)
+    placer.backpressure.limits.record_named(start_hash, per_s, now_ms)
 
 
 def place_many(placer, count, now_ms, **more):
@@ -103,7 +103,7 @@
 def test_a_draining_server_gets_nothing_whatever_limit_it_names():
     placer = build(limits={"i-1": 50.0})
     placer.registry.servers["i-1"].draining = True
-    placer.registry._mark_changed()
+    placer.registry.mark_changed()
     assert place_many(placer, 60, 1_000)["i-1"] == 0
 
 
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -40,7 +40,7 @@
         for number in range(3):
             response = await world.send("POST", f"/w/{number}", b"body")
             assert (response.status, response.body) == (200, b"body")
-        assert len(home.seen) == 3 and not world.edge.limits.in_force()
+        assert len(home.seen) == 3 and not world.edge.backpressure.limits.in_force()
 
     edge_world.run_scenario(scenario)
 
@@ -53,7 +53,7 @@
         for backend in world.backends.values():
             backend.mode, backend.limit = mode, b"5"
         await world.send("POST", "/w/1", b"x", limit_ms=200)
-        assert bool(world.edge.limits.in_force()) == (mode != "silent")
+        assert bool(world.edge.backpressure.limits.in_force()) == (mode != "silent")
         metrics = await world.send(path="/metrics", address=world.settings.metrics_address)
         assert b"sassafraslock_servers_limited" in metrics.body
 
