--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -34,16 +34,18 @@
     """How many servers a placement left out for what they ask of this entry.
 
     :param limited: those that name a rate limit of which this entry has used its part.
+    :param paused: those that asked for a pause, or have a slow start after it.
     :param leaving: those that said that they leave, of all regions.
     """
 
     limited: int = 0
+    paused: int = 0
     leaving: int = 0
 
     @property
     def is_held(self) -> bool:
         """Whether any of the servers may take requests again."""
-        return self.limited > 0
+        return self.limited + self.paused > 0
 
     def add(self, hold: backpressure.Hold) -> None:
         """Count a usable server that was left out.
@@ -52,6 +54,8 @@
         """
         if hold is backpressure.Hold.RATE_LIMITED:
             self.limited += 1
+        elif hold is backpressure.Hold.PAUSED:
+            self.paused += 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -210,21 +214,22 @@
     return min(limit_ms, request.remaining_ms)
 
 
-def rate_limit_refusal(request: PlacementRequest, waits_ms: list[int | None]) -> errors.Refusal:
-    """Return the refusal of a request whose servers are all unavailable or at their rate limits.
+def held_refusal(request: PlacementRequest, waits_ms: list[int]) -> errors.Refusal:
+    """Return the refusal of a request since servers want none now, and no other is available.
+
+    Its retry-after time is that until the first server may get a request, however long.
 
     :param request: the request.
-    :param waits_ms: for each server, the time until this entry may send to it again, ``None`` for
-        those to which only other entries send.
+    :param waits_ms: for each server, the time until this entry may send to it.
     """
-    soonest_ms = min((w for w in waits_ms if w), default=MAX_RETRY_AFTER_MS)
-    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, soonest_ms))
-    limited = request.left_out.limited
+    wait_ms = max(MIN_RETRY_AFTER_MS, min(waits_ms, default=MAX_RETRY_AFTER_MS))
+    limited, paused = request.left_out.limited, request.left_out.paused
     reason = (
-        f"{limited} servers of {request.service.name} name a rate limit that leaves"
-        " no room, and no other one is available; retry later"
+        f"of the servers of {request.service.name}, {paused} asked for a pause, {limited} name a"
+        " rate limit that leaves no room, and no other one is available; retry later"
     )
-    return errors.Refusal(errors.ErrorKind.SERVER_RATE_LIMIT, reason, wait_ms)
+    kind = errors.ErrorKind.SERVER_PAUSED if paused else errors.ErrorKind.SERVER_RATE_LIMIT
+    return errors.Refusal(kind, reason, wait_ms)
 
 
 def no_server_refusal(request: PlacementRequest, usable: int) -> errors.Refusal:
--- a/sassafraslock/decisions/departing_servers.py
+++ b/sassafraslock/decisions/departing_servers.py
@@ -11,8 +11,6 @@
 from sassafraslock.decisions import heard_from
 
 MAX_REPORTS = 64  # per gossip message
-# A row may be lost and written again for the same start, which still leaves.
-ABSENT_RETENTION_MS = 60_000
 
 
 class DepartureReport(msgspec.Struct, frozen=True, array_like=True):
@@ -33,20 +31,18 @@
     :param heard_ms: when the server first said so.
     :param source: who told this entry; the server, if it did so itself at any time.
     :param sent_count: how many gossip messages held it.
-    :param absent_since_ms: since when the server has no row; None while it has one.
     """
 
     heard_ms: int
     source: heard_from.HeardFrom
     sent_count: int = 0
-    absent_since_ms: int | None = None
 
 
 class DepartingServers:
     """The starts of servers that leave; each is identified by its hash.
 
-    A start that leaves does not come back: only the removal of its row ends the record, after
-    :data:`ABSENT_RETENTION_MS`. Records are made for registered servers only, which bounds them.
+    A start that leaves does not come back: only the removal of its row ends the record. Records are
+    made for registered servers only, which bounds them.
     """
 
     __slots__ = ("_departures",)
@@ -96,16 +92,9 @@
             departure.sent_count += 1
         return [DepartureReport(h, max(0, now_ms - d.heard_ms)) for h, d in chosen]
 
-    def retain(self, start_hashes: collections.abc.Set[int], now_ms: int) -> None:
-        """Discard the records of servers that have had no row for a while.
+    def retain(self, start_hashes: collections.abc.Set[int]) -> None:
+        """Discard the records of all servers except the given ones.
 
-        :param start_hashes: the hashes of the ids of all registered starts.
-        :param now_ms: the current monotonic time.
+        :param start_hashes: the hashes of the ids of the starts to keep.
         """
-        for start_hash, departure in list(self._departures.items()):
-            if start_hash in start_hashes:
-                departure.absent_since_ms = None
-            elif departure.absent_since_ms is None:
-                departure.absent_since_ms = now_ms
-            elif now_ms - departure.absent_since_ms >= ABSENT_RETENTION_MS:
-                del self._departures[start_hash]
+        self._departures = {h: d for h, d in self._departures.items() if h in start_hashes}
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -355,13 +355,38 @@
     def _no_server_refusal(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> errors.Refusal:
-        usable = self.registry.usable_servers(request.service.name)
         if request.left_out.is_held:
-            allowed = [s for s in usable if _is_allowed(request.route, s)]
-            waits_ms = [self.backpressure.wait_ms(s, now_ms) for s in allowed]
-            return candidates.rate_limit_refusal(request, waits_ms)
+            return self._held_refusal(request, now_ms)
+        usable = self.registry.usable_servers(request.service.name)
         return candidates.no_server_refusal(request, len(usable))
 
+    def paused_refusal(
+        self, request: candidates.PlacementRequest, now_ms: int
+    ) -> errors.Refusal | None:
+        """Return a refusal if all servers for a request asked for a pause, otherwise ``None``.
+
+        :param request: the request, of which all attempts were made.
+        :param now_ms: the current monotonic time.
+        """
+        allowed = self._allowed_servers(request)
+        holds = [self.backpressure.hold(server, now_ms) for server in allowed]
+        if not holds or any(hold is not backpressure.Hold.PAUSED for hold in holds):
+            return None
+        request.left_out.paused = len(holds)
+        return self._held_refusal(request, now_ms)
+
+    def _held_refusal(self, request: candidates.PlacementRequest, now_ms: int) -> errors.Refusal:
+        default_ms = candidates.MAX_RETRY_AFTER_MS
+        waits_ms = [
+            self.backpressure.wait_ms(server, now_ms, default_ms)
+            for server in self._allowed_servers(request)
+        ]
+        return candidates.held_refusal(request, waits_ms)
+
+    def _allowed_servers(self, request: candidates.PlacementRequest) -> list[registry.Server]:
+        usable = self.registry.usable_servers(request.service.name)
+        return [server for server in usable if _is_allowed(request.route, server)]
+
 
 def _is_allowed(route: routing_table.Route, server: registry.Server) -> bool:
     return not route.regions or server.region in route.regions
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -234,7 +234,8 @@
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format, with the gauges brought up to date."""
-        status = self.status(clock.monotonic_ms())
+        now_ms = clock.monotonic_ms()
+        status = self.status(now_ms)
         self.metrics.set_status(
             self.settings.entry_id,
             status.ready,
@@ -242,7 +243,7 @@
             status.servers,
             status.in_flight,
         )
-        self.metrics.set_backpressure(self.settings.entry_id, self.watch.gauges())
+        self.metrics.set_backpressure(self.settings.entry_id, self.watch.gauges(now_ms))
         return self.metrics.render()
 
     @property
--- a/sassafraslock/errors.py
+++ b/sassafraslock/errors.py
@@ -23,6 +23,7 @@
     LINK_FULL = "link-full"
     NO_SERVER = "no-server"
     SERVER_RATE_LIMIT = "server-rate-limit"
+    SERVER_PAUSED = "server-paused"
     STORE_UNAVAILABLE = "store-unavailable"
     QUARANTINED = "quarantined"
     NOT_READY = "not-ready"
@@ -66,6 +67,7 @@
     ErrorKind.LINK_FULL: ErrorProperties(503, True, 6, 200),
     ErrorKind.NO_SERVER: ErrorProperties(503, True, 6, 1000),
     ErrorKind.SERVER_RATE_LIMIT: ErrorProperties(503, True, 6, 1000),
+    ErrorKind.SERVER_PAUSED: ErrorProperties(503, True, 6, 1000),
     ErrorKind.STORE_UNAVAILABLE: ErrorProperties(503, True, 7, 1000),
     ErrorKind.QUARANTINED: ErrorProperties(503, True, 8, 1000),
     ErrorKind.NOT_READY: ErrorProperties(503, True, 7, 500),
--- a/sassafraslock/http_messages.py
+++ b/sassafraslock/http_messages.py
@@ -28,6 +28,8 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
 MISDIRECTED = 421  # another server than the named one has the address
 _BODILESS_STATUSES = (204, 304)
 
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -90,7 +90,11 @@
 
 def _left_out_fields(left_out: candidates.LeftOut) -> dict[str, object]:
     """Return how many servers were left out for what they ask, without those that are none."""
-    counts = {"limited_servers": left_out.limited, "leaving_servers": left_out.leaving}
+    counts = {
+        "limited_servers": left_out.limited,
+        "paused_servers": left_out.paused,
+        "leaving_servers": left_out.leaving,
+    }
     return {name: count for name, count in counts.items() if count}
 
 
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -248,7 +248,8 @@
             if not self._may_retry(routed, placement_request, attempt, verdict):
                 if verdict is judge.Verdict.FAILED and response is not None:
                     return refusals.checked_response(routed, response)
-                return refusals.final_refusal(context, None)
+                refusal = self.placer.paused_refusal(placement_request, clock.monotonic_ms())
+                return refusals.final_refusal(context, refusal)
 
     def _is_poison(self, routed: route.RoutedRequest, now_ms: int) -> bool:
         known = self._poison.quarantine
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -98,7 +98,7 @@
 
     def _head_observer(self, server: registry.Server) -> server_connection.HeadObserver:
         def observe(status: int, headers: http_messages.Headers) -> None:
-            self._watch.record_head(server, status, headers, clock.monotonic_ms())
+            self._watch.record_head(server, status, headers, clock.monotonic_ms(), clock.wall_ms())
 
         return observe
 
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -22,12 +22,15 @@
 
     :param limited: servers that name a rate limit.
     :param leaving: servers that say that they leave.
+    :param paused: servers that asked for a pause that has not ended.
     """
 
     limited: int
     invalid_limits: int
     leaving: int
     invalid_leaving: int
+    paused: int
+    invalid_pauses: int
 
 
 class Metrics:
@@ -45,6 +48,8 @@
         "_invalid_limits",
         "_leaving",
         "_invalid_leaving",
+        "_paused",
+        "_invalid_pauses",
     )
 
     def __init__(self) -> None:
@@ -72,6 +77,10 @@
         self._invalid_leaving = self._gauge(
             "invalid_server_leaving", "Answers that said invalidly whether their server leaves."
         )
+        self._paused = self._gauge("servers_paused", "Servers in a pause that they asked for.")
+        self._invalid_pauses = self._gauge(
+            "invalid_server_pauses", "Rejections that asked for an invalid pause."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -114,6 +123,8 @@
         self._invalid_limits.set(labels, gauges.invalid_limits)
         self._leaving.set(labels, gauges.leaving)
         self._invalid_leaving.set(labels, gauges.invalid_leaving)
+        self._paused.set(labels, gauges.paused)
+        self._invalid_pauses.set(labels, gauges.invalid_pauses)
 
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -23,6 +23,8 @@
 RATE_WINDOW_MS = 10_000
 PRIOR_SLOTS_PER_REGION = 1.0
 COLD_CAPACITY_RATIO = 0.3
+PAUSED_CAPACITY_RATIO = 0.05
+LONG_PAUSE_MS = 5_000  # a plan takes seconds to move, so it does not follow shorter pauses
 LOG_INTERVAL_MS = 2_000
 
 
@@ -40,8 +42,10 @@
     """Measures the demand of this entry's clients and plans its split between regions.
 
     A region's demand is smoothed by :class:`demand_peaks.DemandPeaks`. A cold server counts with
-    :data:`COLD_CAPACITY_RATIO` of its slots, one that names a rate limit with the slots that this
-    rate keeps busy.
+    :data:`COLD_CAPACITY_RATIO` of its slots, one whose pause lasts longer than
+    :data:`LONG_PAUSE_MS` with :data:`PAUSED_CAPACITY_RATIO`, one that names a rate limit with the
+    slots that this rate keeps busy. Where all servers of a region ask for a pause, the plan moves
+    away by steps, as the region keeps some capacity.
     """
 
     __slots__ = (
@@ -187,8 +191,11 @@
     def _capacity(self, server: registry.Server, now_ms: int) -> float:
         """Return the slots of a server that are expected to be usable."""
         ratio = COLD_CAPACITY_RATIO if server.is_cold(now_ms) else 1.0
+        asked, start_hash = self._placer.backpressure, registry.start_hash(server)
+        if asked.pauses.left_ms(start_hash, now_ms) > LONG_PAUSE_MS:
+            ratio = PAUSED_CAPACITY_RATIO
         slots = server.report.slots * ratio
-        per_s = self._placer.backpressure.limits.limit_of(registry.start_hash(server))
+        per_s = asked.limits.limit_of(start_hash)
         if per_s is None:
             return slots
         per_s = max(per_s, server_rate_limiter.MIN_RATE_PER_S)
--- a/tests/test_server_pause.py
+++ b/tests/test_server_pause.py
@@ -1,7 +1,11 @@
 """A complete entry on loopback with servers that ask for a pause when they reject a request."""
 
+import email.utils
+
 import anyio
+import pytest
 
+from sassafraslock import clock
 from tests import edge_world
 
 REQUESTS = 10
@@ -18,3 +22,94 @@
         assert [len(backend.seen) for backend in world.backends.values()] == [1, 1]
 
     edge_world.run_scenario(scenario)
+
+
+def date():
+    return email.utils.formatdate(clock.wall_ms() / 1_000 + 30, usegmt=True).encode()
+
+
+HEADS = [("shed", (b"30",), True), ("shed", (b"1", b"30"), True), ("shed", (b"x", b"30"), True)]
+HEADS += [("busy", (b"30",), True), ("throttle", (b"30",), True), ("shed", (date(),), True)]
+HEADS += [("shed", (v,), False) for v in (b"", b"0", b"-1", b"nan", b"1e400", b"9" * 1_000)]
+HEADS += [("fail", (b"30",), False), ("misdirect", (b"30",), False), ("shed", (), False)]
+
+
+@pytest.mark.parametrize("mode, values, pauses", HEADS, ids=lambda v: str(v)[:20])
+def test_rejections_with_a_valid_time_ask_for_a_pause(mode, values, pauses):
+    """So 503 does, whether or not the request may have run, and 429; 500 and 421 do not."""
+
+    async def scenario(world):
+        home = world.servers_by_preference()[0]
+        home.mode, home.retry_after = mode, values
+        await world.send("POST", "/w/1", b"x")
+        assert len(home.seen) == 1
+        asked, now_ms = world.edge.backpressure.pauses, clock.monotonic_ms()
+        assert asked.paused_count(now_ms) == int(pauses)
+        for number in range(4):
+            await world.send("POST", f"/w/{number}", b"x")
+        assert (len(home.seen) == 1) or not pauses
+        metrics = await world.send(path="/metrics", address=world.settings.metrics_address)
+        assert b'sassafraslock_servers_paused{entry="e-1"} %d' % pauses in metrics.body
+
+    edge_world.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_where_all_servers_pause_callers_are_told_at_once_when_the_first_is_free(attempts):
+    """Guards against callers that wait for their deadline, or come back long before the end."""
+
+    async def scenario(world):
+        home, other = world.servers_by_preference()
+        home.mode, home.retry_after = "shed", (b"40",)
+        other.mode, other.retry_after = "shed", (b"20",)
+        started_ms = clock.monotonic_ms()
+        refused = [await world.send("POST", f"/w/{n}", b"x") for n in range(4)][1:]
+        assert clock.monotonic_ms() - started_ms < 1_000 and world.runs == 0
+        for response in refused:
+            assert response.header(b"sassafraslock-error") == b"server-paused"
+            assert response.status == 503 and 18 <= float(response.header(b"retry-after")) <= 25
+
+    routes = [edge_world.fact_source.route("w", "/w/", idempotent=False, attempts=attempts)]
+    edge_world.run_scenario(scenario, routes=routes)
+
+
+def test_after_a_pause_requests_return_one_by_one():
+    async def scenario(world):
+        home, other = world.servers_by_preference()
+        other.mode, other.retry_after = "shed", (b"30",)
+        home.mode, home.retry_after = "shed", (b"0.3",)
+        assert (await world.send()).status == 503
+        home.mode, home.work_s = "ok", 0.1
+        await anyio.sleep(0.4)
+        statuses = []
+
+        async def send():
+            statuses.append((await world.send()).status)
+
+        async with anyio.create_task_group() as group:
+            for _ in range(REQUESTS):
+                group.start_soon(send)
+            await anyio.sleep(0.05)
+            assert len(home.seen) == 2 and len(other.seen) == 1
+        assert statuses.count(200) == 1 and statuses.count(503) == REQUESTS - 1
+        for _ in range(REQUESTS):
+            assert (await world.send()).status == 200
+
+    edge_world.run_scenario(scenario)
+
+
+def test_a_new_start_of_a_server_is_in_no_pause():
+    async def scenario(world):
+        home, other = world.servers_by_preference()
+        for backend in (home, other):
+            backend.mode, backend.retry_after = "shed", (b"30",)
+        assert (await world.send()).status == 503
+        home.mode = "ok"
+        address = f"{edge_world.HOST}:{home.port}"
+        world.source.put_server(home.server_id, address, born_ms=7)
+        with anyio.fail_after(5):
+            while (await world.send()).status != 200:
+                await anyio.sleep(0.05)
+        assert len(home.seen) == 2 and len(other.seen) == 1
+
+    edge_world.run_scenario(scenario)
