--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -67,6 +67,8 @@
         """
         now_ms = attempt.sent_ms + attempt.took_ms
         exchange = attempt.exchange
+        if exchange is not None and exchange.outcome is server_connection.Outcome.WITHHELD:
+            return
         if verdict is judge.Verdict.NOT_SENT:
             health.record_connect_failure(now_ms)
             self._log_ejection(attempt, health, now_ms)
--- a/sassafraslock/path/judge.py
+++ b/sassafraslock/path/judge.py
@@ -9,6 +9,7 @@
 from sassafraslock.services import server_connection
 
 SERVER_ERROR = 500
+NOTHING_SENT = (server_connection.Outcome.NOT_CONNECTED, server_connection.Outcome.WITHHELD)
 
 
 class Verdict(enum.Enum):
@@ -44,7 +45,7 @@
     exchange = attempt.exchange
     if exchange is None:
         return Verdict.SILENT
-    if exchange.outcome is server_connection.Outcome.NOT_CONNECTED:
+    if exchange.outcome in NOTHING_SENT:
         return Verdict.NOT_SENT
     if exchange.outcome is not server_connection.Outcome.ANSWERED or exchange.response is None:
         return Verdict.BROKEN
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -27,6 +27,21 @@
     abandoned: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _ServerObserver:
+    """Passes the heads of one server's answers on, and tells whether it wants requests."""
+
+    server: registry.Server
+    watch: backpressure_watch.BackpressureWatch
+
+    def __call__(self, status: int, headers: http_messages.Headers) -> None:
+        now_ms = clock.monotonic_ms()
+        self.watch.record_head(self.server, status, headers, now_ms, clock.wall_ms())
+
+    def may_send(self) -> bool:
+        return not self.watch.is_closed(self.server, clock.monotonic_ms())
+
+
 class Sender:
     """Sends requests to servers, and cancels them at the deadline or the soft timeout.
 
@@ -76,7 +91,7 @@
                 data,
                 routed.incoming.request_id,
                 routed.incoming.request.method == "HEAD",
-                self._head_observer(choice.server),
+                _ServerObserver(choice.server, self._watch),
             )
         )
         abandoned = False
@@ -96,12 +111,6 @@
         outcome = exchange.result() if exchange.done() and not exchange.cancelled() else None
         return Attempt(choice, outcome, sent_ms, took_ms, abandoned)
 
-    def _head_observer(self, server: registry.Server) -> server_connection.HeadObserver:
-        def observe(status: int, headers: http_messages.Headers) -> None:
-            self._watch.record_head(server, status, headers, clock.monotonic_ms(), clock.wall_ms())
-
-        return observe
-
     def _encode(
         self, routed: route.RoutedRequest, server: registry.Server, remaining_ms: int
     ) -> bytes:
--- a/sassafraslock/services/backpressure_watch.py
+++ b/sassafraslock/services/backpressure_watch.py
@@ -70,6 +70,14 @@
         if response.status not in pause_watch.STATUSES:
             self._asked.pauses.record_answer(registry.start_hash(server), sent_ms)
 
+    def is_closed(self, server: registry.Server, now_ms: int) -> bool:
+        """Return whether a server wants nothing at all now, not even what was placed already.
+
+        :param server: the server.
+        :param now_ms: the current monotonic time.
+        """
+        return self._asked.is_closed(server, now_ms)
+
     def gauges(self, now_ms: int) -> metrics.BackpressureGauges:
         """Return how many registered servers ask for what, and the invalid heads so far.
 
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -28,13 +28,15 @@
 class Outcome(enum.Enum):
     """How an exchange with a server ended.
 
-    ``NOT_CONNECTED``: nothing was sent. ``BROKEN``: the connection ended before the whole
-    response. ``MALFORMED``: the response was aborted because it is not valid HTTP, exceeds a
+    ``NOT_CONNECTED`` and ``WITHHELD``: nothing was sent; the latter since the server wanted no
+    requests any more once the connection was open. ``BROKEN``: the connection ended before the
+    whole response. ``MALFORMED``: the response was aborted because it is not valid HTTP, exceeds a
     limit, or took memory that other messages need.
     """
 
     ANSWERED = "answered"
     NOT_CONNECTED = "not connected"
+    WITHHELD = "withheld"
     BROKEN = "broken"
     MALFORMED = "garbled"
 
@@ -43,7 +45,8 @@
 class Exchange:
     """The result of sending a request to a server.
 
-    :attr:`Outcome.NOT_CONNECTED` alone guarantees that the server received nothing.
+    :attr:`Outcome.NOT_CONNECTED` and :attr:`Outcome.WITHHELD` alone guarantee that the server
+    received nothing.
     ``response`` is set if the outcome is ``ANSWERED``, otherwise ``reason`` describes the error.
     ``connect_ms`` is -1 if an idle connection was reused.
     """
@@ -72,6 +75,9 @@
         :param headers: the headers, with names in lower case.
         """
 
+    def may_send(self) -> bool:
+        """Return whether the server may still get the request, which is about to be written."""
+
 
 class Connection(asyncio.Protocol):
     """A connection to a server, which runs one request at a time.
@@ -125,6 +131,10 @@
                 )
             )
             return self._future
+        if self.observe_head is not None and not self.observe_head.may_send():
+            reason = "the server asked for no further requests before this one was sent"
+            self._complete(Exchange(Outcome.WITHHELD, reason=reason))
+            return self._future
         self._transport.write(data)
         return self._future
 
--- a/tests/test_limit_watch.py
+++ b/tests/test_limit_watch.py
@@ -89,14 +89,18 @@
     script, limits = HEARD[name]
     heard = set()
 
-    def observe(status, headers):
-        heard.update(float(v) for n, v in headers if n == HEADER)
+    class Observer:
+        def __call__(self, status, headers):
+            heard.update(float(v) for n, v in headers if n == HEADER)
+
+        def may_send(self):
+            return True
 
     async def scenario(connections):
         with anyio.fail_after(5):
             address = f"{test_upstream.HOST}:{test_upstream.PORT}"
             data = b"GET / HTTP/1.1\r\n\r\n"
-            await connections.exchange(address, data, test_upstream.ID, False, observe)
+            await connections.exchange(address, data, test_upstream.ID, False, Observer())
         await anyio.sleep(0.05)
         assert heard == limits
 
--- a/tests/test_server_pause.py
+++ b/tests/test_server_pause.py
@@ -98,6 +98,38 @@
     edge_world.run_scenario(scenario)
 
 
+# Guards against requests that reach a server after it asked for none, as connecting took a while.
+@pytest.mark.parametrize("asks", ["pause", "leaving"])
+def test_requests_whose_connection_opens_too_late_go_elsewhere(asks, monkeypatch):
+    async def scenario(world):
+        home, other = world.servers_by_preference()
+        if asks == "pause":
+            home.mode, home.retry_after = "shed", (b"30",)
+        home.leaving = (b"1",) if asks == "leaving" else ()
+        connect, connecting = world.edge.upstream._connect, []
+
+        async def connect_slowly(address):
+            connecting.append(address)
+            await anyio.sleep(0.2 if len(connecting) > 1 else 0)
+            return await connect(address)
+
+        monkeypatch.setattr(type(world.edge.upstream), "_connect", staticmethod(connect_slowly))
+        statuses = []
+
+        async def send(path):
+            statuses.append((await world.send("POST", path, b"x")).status)
+
+        async with anyio.create_task_group() as group:
+            for number in range(3):
+                group.start_soon(send, f"/w/{number}")
+        home_address = f"{edge_world.HOST}:{home.port}"
+        assert connecting.count(home_address) == 3 and len(home.seen) == 1
+        assert statuses == [200] * 3
+        assert not any(h.connect_failures for h in world.edge.pipeline.placer.health.values())
+
+    edge_world.run_scenario(scenario)
+
+
 def test_a_new_start_of_a_server_is_in_no_pause():
     async def scenario(world):
         home, other = world.servers_by_preference()
