--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -259,6 +259,12 @@
 @click.option(
     "--limit-journal", default="limits", help="A file that gets a line a request with --limit-seed."
 )
+@click.option(
+    "--leave-after", type=click.FloatRange(0), help="Seconds after which it says that it leaves."
+)
+@click.option(
+    "--retry-after", type=click.FloatRange(0), help="Seconds of the pause that rejections ask for."
+)
 def standin_backend(
     server_id: str,
     host: str,
@@ -269,6 +275,8 @@
     limit: float | None,
     limit_seed: int,
     limit_journal: str,
+    leave_after: float | None,
+    retry_after: float | None,
 ) -> None:
     """Run a stand-in of a backend server.
 
@@ -284,8 +292,13 @@
     :param limit: the rate limit that answers name, none for no limit.
     :param limit_seed: the seed of limits that change by turns, 0 for none.
     :param limit_journal: the file that gets a line for each request with such limits.
+    :param leave_after: the seconds after which answers say that the server leaves, none for never.
+    :param retry_after: the seconds of the pause that rejections ask for, none for no pause.
     """
     behaviour = backend.Behaviour(work_ms=work_ms, journal_path=journal, limit_per_s=limit)
+    behaviour.retry_after_s = retry_after
+    if leave_after is not None:
+        behaviour.leaves_at_ms = clock.monotonic_ms() + int(1_000 * leave_after)
     if limit_seed:
         behaviour.limits = limit_schedule.LimitSchedule(
             limit_seed, limit_journal, clock.monotonic_ms()
--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -224,9 +224,11 @@
     """
     wait_ms = max(MIN_RETRY_AFTER_MS, min(waits_ms, default=MAX_RETRY_AFTER_MS))
     limited, paused = request.left_out.limited, request.left_out.paused
+    causes = [f"{paused} asked for a pause"] if paused else []
+    causes += [f"{limited} name a rate limit that leaves no room"] if limited else []
     reason = (
-        f"of the servers of {request.service.name}, {paused} asked for a pause, {limited} name a"
-        " rate limit that leaves no room, and no other one is available; retry later"
+        f"of the servers of {request.service.name}, {' and '.join(causes)}, and no other one is"
+        " available; retry later"
     )
     kind = errors.ErrorKind.SERVER_PAUSED if paused else errors.ErrorKind.SERVER_RATE_LIMIT
     return errors.Refusal(kind, reason, wait_ms)
--- a/sassafraslock/explain.py
+++ b/sassafraslock/explain.py
@@ -36,9 +36,17 @@
         events.Event.SERVER_GONE,
         events.Event.SERVER_EJECTED,
         events.Event.SERVER_LIMIT_CHANGED,
+        events.Event.SERVER_LEAVING,
+        events.Event.SERVER_PAUSED,
         events.Event.REQUEST_QUARANTINED,
     )
 )
+# Which events tell of the servers that a field of a request counts, and what the field says.
+LEFT_OUT: dict[str, tuple[events.Event, str]] = {
+    "limited_servers": (events.Event.SERVER_LIMIT_CHANGED, "at their rate limits"),
+    "paused_servers": (events.Event.SERVER_PAUSED, "in pauses that they asked for"),
+    "leaving_servers": (events.Event.SERVER_LEAVING, "since they leave"),
+}
 
 LogLine = dict[str, typing.Any]
 
@@ -88,8 +96,9 @@
         f"  route {line.get('route')}, service {line.get('service')},"
         f" revision {line.get('revision')}, facts {line.get('facts_age_ms')} ms old",
     ]
-    if line.get("limited_servers"):
-        report.append(f"  servers left out at their rate limits: {line['limited_servers']}")
+    for field, (_, text) in LEFT_OUT.items():
+        if line.get(field):
+            report.append(f"  servers left out {text}: {line[field]}")
     for number, attempt in enumerate(line.get("attempts", ()), 1):
         report.append(f"  attempt {number}: {_describe_attempt(attempt)}")
     if not line.get("attempts"):
@@ -111,27 +120,31 @@
 
 def _describe_earlier_events(lines: list[LogLine], request: LogLine) -> list[str]:
     """Describe events of entries and of the tried servers shortly before the request ended."""
+    asked = _latest_asked(lines, request)
     servers = {attempt["server"] for attempt in request.get("attempts", ())}
-    if request.get("limited_servers"):
-        servers |= _limited_servers(lines, request.get("service"))
+    servers |= {line["server"] for line in asked}
     until_s = request["time_s"]
     report: list[str] = []
     for line in lines:
-        if not until_s - CONTEXT_S <= line["time_s"] <= until_s:
-            continue
+        if line["time_s"] > until_s:
+            break
+        is_recent = line["time_s"] >= until_s - CONTEXT_S
         concerns_server = line["event"] in SERVER_EVENTS and _servers_of(line) & servers
-        if concerns_server or line["event"] in ENTRY_EVENTS:
+        is_context = is_recent and (concerns_server or line["event"] in ENTRY_EVENTS)
+        if is_context or line in asked:
             report.append(f"  before: {line['time_s']:.3f} {line['name']}: {_summary(line)}")
     return report
 
 
-def _limited_servers(lines: list[LogLine], service: str | None) -> set[str]:
-    """Return the servers of a service that named a rate limit at any time."""
-    return {
-        line["server"]
-        for line in lines
-        if line["event"] == events.Event.SERVER_LIMIT_CHANGED and line.get("service") == service
-    }
+def _latest_asked(lines: list[LogLine], request: LogLine) -> list[LogLine]:
+    """Return the latest event, however old, of each server that a request may have left out."""
+    told_by = {event for field, (event, _) in LEFT_OUT.items() if request.get(field)}
+    latest: dict[tuple[int, str], LogLine] = {}
+    for line in lines:
+        is_asked = line["event"] in told_by and line.get("service") == request.get("service")
+        if is_asked and line["time_s"] <= request["time_s"]:
+            latest[line["event"], line["server"]] = line
+    return list(latest.values())
 
 
 def _servers_of(line: LogLine) -> set[str]:
--- a/sassafraslock/report/causes.py
+++ b/sassafraslock/report/causes.py
@@ -32,6 +32,8 @@
     EXPECTED_QUEUE = "the best server's queue, as expected"
     NO_SERVER = "no server available"
     RATE_LIMIT = "rate limits that servers name"
+    PAUSED = "pauses that servers ask for"
+    LEAVING_SERVERS = "servers that leave"
     REJECTED = "rejected by the servers tried"
     NO_CAPACITY = "no capacity"
     NOT_READY = "an entry that starts or stops"
@@ -92,8 +94,12 @@
     """
     if line.best is not None:
         return Cause.EXPECTED_QUEUE
+    if line.kind == errors.ErrorKind.SERVER_PAUSED:
+        return Cause.PAUSED
     if line.attempts:
         return Cause.REJECTED
+    if line.kind == errors.ErrorKind.NO_SERVER and line.leaving_servers:
+        return Cause.LEAVING_SERVERS
     return _REFUSALS.get(line.kind, line.kind or Cause.UNKNOWN)
 
 
--- a/sassafraslock/report/log_lines.py
+++ b/sassafraslock/report/log_lines.py
@@ -50,6 +50,7 @@
     took_ms: float = 0.0
     kind: str = ""
     limit_ms: float = 0.0
+    leaving_servers: int = 0
     best: Candidate | None = None
     attempts: list[Attempt] = []
 
--- a/sassafraslock/services/departing_watch.py
+++ b/sassafraslock/services/departing_watch.py
@@ -38,7 +38,7 @@
         :param now_ms: the current monotonic time.
         """
         values = [value.strip(b" \t") for name, value in headers if name == self._header]
-        if not values:
+        if not self._header or not values:
             return
         if any(value != LEAVING for value in values):
             self.invalid.record(server, values)
--- a/sassafraslock/standin/backend.py
+++ b/sassafraslock/standin/backend.py
@@ -22,6 +22,8 @@
     ``poison`` is a text whose presence in a request's path or body crashes the server, empty for
     none. ``journal_path`` is the file that gets a line for each run with a key, empty for none.
     ``limit_per_s`` is the rate limit that all answers name, unless there are ``limits`` by turns.
+    All answers from the monotonic time ``leaves_at_ms`` on say that the server leaves. Rejections
+    ask for a pause of ``retry_after_s``.
     """
 
     work_ms: int = 20
@@ -34,6 +36,8 @@
     journal_path: str = ""
     limit_per_s: float | None = None
     limits: limit_schedule.LimitSchedule | None = None
+    leaves_at_ms: int | None = None
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,6 +126,17 @@
             limit = self.behaviour.limits.record(entry_id, clock.monotonic_ms())
         return [] if limit is None else [(NAMES.rate_limit, f"{limit:g}".encode())]
 
+    def _asked_headers(self, request: asgi.Request) -> list[tuple[bytes, bytes]]:
+        """Return the headers by which the server asks for less, or for nothing more."""
+        leaves_at_ms = self.behaviour.leaves_at_ms
+        leaves = leaves_at_ms is not None and clock.monotonic_ms() >= leaves_at_ms
+        return self._limit_headers(request) + ([(NAMES.leaving, b"1")] if leaves else [])
+
+    def _pause_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the header by which a rejection asks for a pause, if the server wants one."""
+        pause_s = self.behaviour.retry_after_s
+        return [] if pause_s is None else [(b"retry-after", f"{pause_s:g}".encode())]
+
     def crash(self) -> None:
         """Close the listener and all connections for ``restart_ms``."""
         self.stats.crashes += 1
@@ -138,7 +153,7 @@
         if request.path == "/healthz":
             await self._send_health(send)
             return
-        limit_headers = self._limit_headers(request)
+        asked_headers = self._asked_headers(request)
         body = await asgi.read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return
@@ -148,7 +163,8 @@
                 _echoed_id(request),
                 (NAMES.not_run, b"true"),
                 (NAMES.load, self._load_header()),
-                *limit_headers,
+                *asked_headers,
+                *self._pause_headers(),
             ]
             await asgi.send_response(send, 503, headers, b"shedding")
             return
@@ -156,7 +172,7 @@
         if poison and poison in request.path.encode() + b"\n" + body:
             self.crash()
             await anyio.sleep_forever()
-        await self._queue_and_respond(request, body, limit_headers, send)
+        await self._queue_and_respond(request, body, asked_headers, send)
 
     async def _send_health(self, send: asgi.Send) -> None:
         load = self.behaviour.reported_load
@@ -168,7 +184,7 @@
         self,
         request: asgi.Request,
         body: bytes,
-        limit_headers: list[tuple[bytes, bytes]],
+        asked_headers: list[tuple[bytes, bytes]],
         send: asgi.Send,
     ) -> None:
         self.stats.waiting += 1
@@ -185,7 +201,7 @@
             (b"x-server", self.server_id.encode()),
             (b"x-echo", request.header(b"x-echo").encode()),
             (NAMES.load, load),
-            *limit_headers,
+            *asked_headers,
         ]
         filler = b"." * max(0, self.behaviour.response_bytes - len(body))
         await asgi.send_response(send, 200, headers, body + filler)
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -54,6 +54,16 @@
     assert (attempt["expected_ms"], attempt["queue_ms"]) == (500, 91)
 
 
+def test_a_line_counts_the_servers_that_were_left_out_for_what_they_ask(logged):
+    ended = context()
+    ended.left_out = candidates.LeftOut(paused=2, leaving=1)
+    ended.response = http_messages.Response(200)
+    record(ended)
+    [(_, fields)] = logged
+    assert (fields["paused_servers"], fields["leaving_servers"]) == (2, 1)
+    assert "limited_servers" not in fields
+
+
 def test_a_refusal_for_a_queue_names_the_best_server_and_the_limit_that_it_missed(logged):
     ended = context()
     routed = ended.routed
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,6 +11,10 @@
 PAGE = (pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md").read_text()
 EXAMPLES = {
     "refused": ("78f837ddcf512da9", ["status 503", "load 11.0", "not run after 3 ms"]),
+    "paused": (
+        "f6a1c3d09b7e4258",
+        ["status 503", "2 asked for a pause", "for_ms=20222", "no attempt"],
+    ),
     "timed out": ("49db1ef59c80c3f2", ["status 504", "expected 543 ms", "silent after 2000 ms"]),
     "may have run": (
         "26230febd117e37c",
@@ -59,3 +63,21 @@
     report = "\n".join(explain.explain([*limits, refusal], "q"))
     assert "left out at their rate limits: 1" in report
     assert "limit_per_s=1.5" in report and "limit_per_s=2.5" not in report
+
+
+@pytest.mark.parametrize(
+    "field, number, told, text",
+    [
+        ("paused_servers", 5012, {"for_ms": 60_000}, "in pauses that they asked for: 1"),
+        ("leaving_servers", 5010, {"heard_from": "peer"}, "since they leave: 1"),
+    ],
+)
+def test_what_servers_asked_for_is_shown_however_long_ago(field, number, told, text):
+    """Guards against a refusal whose cause was logged more than ten seconds before."""
+    event = {"event": number, "name": "asked", "message": "asked", "server": "i-1", "service": "s"}
+    lines = [{**event, **told, "time_s": 5.0}, {**event, "time_s": 6.0, "service": "other"}]
+    refusal = {"time_s": 50.0, "event": 6002, "name": "request_refused", "message": "none left"}
+    refusal |= {"request": "q", "service": "s", field: 1}
+    report = "\n".join(explain.explain([*lines, refusal], "q"))
+    assert text in report and report.count("before:") == 1
+    assert all(f"{name}={value}" in report for name, value in told.items())
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sassafraslock import edge_settings, routing_table
-from sassafraslock.decisions import cold_start, placement, registry, roster
+from sassafraslock.decisions import cold_start, heard_from, placement, registry, roster
 from sassafraslock.services import planner, routing_state
 from tests import fact_source
 
@@ -132,3 +132,36 @@
         assert previous - local <= 0.15
         previous = local
     assert previous < 0.8
+
+
+@pytest.mark.parametrize("pause_ms, moves", [(4_000, False), (3_600_000, True)])
+def test_a_plan_leaves_a_region_in_a_long_pause_by_steps(pause_ms, moves):
+    """Pattern: all servers of a region ask for a pause. Short ones end before a plan has moved."""
+    region_planner, members = build({"a": 10, "b": 10})
+    record = roster.MemberRecord("x", 1, 1, "b", "b-1", "h:3", "h:4", demand={"s": 5.0})
+    members.merge_record(record, 100)
+    region_planner.record_demand("s", 50_000, 100)
+    region_planner.update(100)
+    assert weights(region_planner) == {"a": 1.0}
+    placer = region_planner._placer
+    start_hash = registry.start_hash(placer.registry.servers["a"])
+    placer.backpressure.pauses.record(start_hash, pause_ms, 100)
+    previous = 1.0
+    for now_ms in range(600, 5_600, 500):
+        members.merge_heartbeat(roster.Heartbeat("x", 1, now_ms), now_ms)
+        region_planner.record_demand("s", 2_500, now_ms)
+        region_planner.update(now_ms)
+        local = weights(region_planner)["a"]
+        assert previous - local <= 0.15
+        previous = local
+    assert (previous < 0.8) == moves
+
+
+def test_the_slots_of_a_server_that_leaves_do_not_count():
+    region_planner, _ = build({"a": 10, "b": 10})
+    region_planner.update(0)
+    placer = region_planner._placer
+    start_hash = registry.start_hash(placer.registry.servers["a"])
+    placer.backpressure.record_departure(start_hash, heard_from.HeardFrom.PEER, 100)
+    region_planner.update(200)
+    assert weights(region_planner) == {"b": 1.0}
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -107,6 +107,9 @@
     [
         ({"kind": "no-server"}, causes.Cause.NO_SERVER),
         ({"kind": "server-rate-limit"}, causes.Cause.RATE_LIMIT),
+        ({"kind": "server-paused", "attempts": []}, causes.Cause.PAUSED),
+        ({"kind": "server-paused", "attempts": [attempt()]}, causes.Cause.PAUSED),
+        ({"kind": "no-server", "attempts": [], "leaving_servers": 2}, causes.Cause.LEAVING_SERVERS),
         ({"kind": "no-capacity", "attempts": [attempt()]}, causes.Cause.REJECTED),
         ({"kind": "no-capacity", "attempts": []}, causes.Cause.NO_CAPACITY),
         ({"kind": "leaving", "attempts": []}, causes.Cause.NOT_READY),
