--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -13,6 +13,7 @@
 from sassafraslock import (
     clock,
     edge_settings,
+    entry_gauges,
     entry_interfaces,
     events,
     facts,
@@ -26,23 +27,22 @@
     signals,
 )
 from sassafraslock.decisions import (
+    backpressure,
     cold_start,
     message_quota,
     placement,
     registry,
     retry_budget,
     roster,
-    server_limits,
-    server_rate_limiter,
 )
 from sassafraslock.path import access_log, pipeline, retry_gate, send
 from sassafraslock.services import (
+    backpressure_watch,
     claims,
     departure,
     directory,
     gossip,
     http_server,
-    limit_watch,
     log_writer,
     metrics,
     operator_api,
@@ -99,8 +99,8 @@
         reader = peer_copies.PeerCopyReader(self.gossip, lambda: self.replica.version)
         self.replica.set_fallback(reader)
         self.metrics = metrics.Metrics()
-        self.limits = server_limits.ServerLimits()
-        self.limit_watch = limit_watch.LimitWatch(self.limits, servers, names.rate_limit)
+        self.backpressure = self._build_backpressure(servers)
+        self.watch = backpressure_watch.BackpressureWatch(self.backpressure, servers, names)
         self.pipeline = self._build_pipeline(servers, names, keys)
         placer = self.pipeline.placer
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
@@ -118,10 +118,15 @@
     def _subscribe(self, placer: placement.Placer) -> None:
         self.gossip.loads = placer.loads
         self.gossip.objects = placer.objects
-        self.gossip.limits = self.limit_watch
+        self.gossip.limits = self.watch.limits
+        self.gossip.departures = self.watch.departing
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
 
+    def _build_backpressure(self, servers: registry.Registry) -> backpressure.Backpressure:
+        started_ms = clock.monotonic_ms()
+        return backpressure.Backpressure(self.settings.entry_id, servers, self.gossip, started_ms)
+
     def _build_pipeline(
         self,
         servers: registry.Registry,
@@ -132,10 +137,9 @@
         cold = cold_start.ColdStartLimiter(
             self.settings.entry_id, bounds.cold_overage, bounds.cold_slack
         )
-        limiter = server_rate_limiter.ServerRateLimiter(
-            self.settings.entry_id, self.limits, self.gossip, clock.monotonic_ms()
+        placer = placement.Placer(
+            self.settings.region, servers, self.gossip, cold, self.backpressure
         )
-        placer = placement.Placer(self.settings.region, servers, self.gossip, cold, limiter)
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
             bounds.retry_slack,
@@ -151,11 +155,11 @@
             self.routing_state,
             placer,
             retry_gate.RetryGate(budget, self.gossip.roster.sharing_count),
-            send.Sender(self.upstream, names, self.limit_watch, self.settings.entry_id),
+            send.Sender(self.upstream, names, self.watch, self.settings.entry_id),
             names,
             log,
             self.poison,
-            self.limit_watch,
+            self.watch,
             self.gossip.roster.entry_count,
             self._region_entry_count,
             keys,
@@ -166,6 +170,7 @@
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
         self.kernel.register("beliefs", kernel.PassiveService(self.routing_state))
         self.kernel.register("settings", kernel.PassiveService(self.settings_watch))
+        self.kernel.register("backpressure", kernel.PassiveService(self.watch))
         self.kernel.register("messages", kernel.PassiveService(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
@@ -235,31 +240,7 @@
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format, with the gauges brought up to date."""
-        status = self.status(clock.monotonic_ms())
-        self.metrics.set_status(
-            self.settings.entry_id,
-            status.ready,
-            status.facts_age_ms,
-            status.servers,
-            status.in_flight,
-        )
-        now_ms = clock.monotonic_ms()
-        live_entries = 1 + len(self.gossip.roster.live(now_ms))
-        self.metrics.set_entries(
-            self.settings.entry_id, self.gossip.roster.entry_count(), live_entries
-        )
-        self.metrics.set_retries(self.settings.entry_id, self.pipeline.retries, now_ms)
-        self.metrics.set_limits(
-            self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
-        )
-        rejected = self.routing_state.rejections.counts + self.gossip.rejections.counts
-        self.metrics.set_rejected(self.settings.entry_id, rejected)
-        self.metrics.set_rejected_settings(self.settings.entry_id, self.settings_watch.rejected)
-        self.metrics.set_connections(
-            self.settings.entry_id,
-            self.client_server.cuts.counts,
-            self.client_server.accept_failures,
-        )
+        entry_gauges.update(self, clock.monotonic_ms())
         return self.metrics.render()
 
     @property
--- /dev/null
+++ b/sassafraslock/entry_gauges.py
@@ -0,0 +1,27 @@
+"""Brings the gauges in an entry's metrics up to date."""
+
+from __future__ import annotations
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from sassafraslock import edge
+
+
+def update(entry: edge.Edge, now_ms: int) -> None:
+    """Set all gauges to the present state of an entry.
+
+    :param entry: the entry.
+    :param now_ms: the current monotonic time.
+    """
+    gauges, entry_id, members = entry.metrics, entry.settings.entry_id, entry.gossip.roster
+    status = entry.status(now_ms)
+    gauges.set_status(entry_id, status.ready, status.facts_age_ms, status.servers, status.in_flight)
+    gauges.set_entries(entry_id, members.entry_count(), 1 + len(members.live(now_ms)))
+    gauges.set_retries(entry_id, entry.pipeline.retries, now_ms)
+    rejected = entry.routing_state.rejections.counts + entry.gossip.rejections.counts
+    gauges.set_rejected(entry_id, rejected)
+    gauges.set_rejected_settings(entry_id, entry.settings_watch.rejected)
+    clients = entry.client_server
+    gauges.set_connections(entry_id, clients.cuts.counts, clients.accept_failures)
+    gauges.set_backpressure(entry_id, entry.watch.gauges(now_ms))
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 import aioprometheus
@@ -17,6 +18,23 @@
 LATENCY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BackpressureGauges:
+    """How many servers ask for what in their answers, and how many answers asked invalidly.
+
+    :param limited: servers that name a rate limit.
+    :param leaving: servers that say that they leave.
+    :param paused: servers that asked for a pause that has not ended.
+    """
+
+    limited: int
+    invalid_limits: int
+    leaving: int
+    invalid_leaving: int
+    paused: int
+    invalid_pauses: int
+
+
 class Metrics:
     """The process's counters, gauges and histograms."""
 
@@ -40,6 +58,10 @@
         "_rejected_settings",
         "_connections_cut",
         "_accept_failures",
+        "_leaving",
+        "_invalid_leaving",
+        "_paused",
+        "_invalid_pauses",
     )
 
     def __init__(self) -> None:
@@ -96,6 +118,14 @@
         self._accept_failures = self._gauge(
             "accept_failures", "Connections of clients that could not be accepted."
         )
+        self._leaving = self._gauge("servers_leaving", "Servers that say that they leave.")
+        self._invalid_leaving = self._gauge(
+            "invalid_server_leaving", "Answers that said invalidly whether their server leaves."
+        )
+        self._paused = self._gauge("servers_paused", "Servers in a pause that they asked for.")
+        self._invalid_pauses = self._gauge(
+            "invalid_server_pauses", "Rejections that asked for an invalid pause."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -127,16 +157,19 @@
         self._servers.set(labels, servers)
         self._in_flight.set(labels, in_flight)
 
-    def set_limits(self, entry_id: str, limited: int, invalid: int) -> None:
-        """Set the gauges of the rate limits that servers name.
+    def set_backpressure(self, entry_id: str, gauges: BackpressureGauges) -> None:
+        """Set the gauges of what servers ask for.
 
         :param entry_id: the entry.
-        :param limited: the number of servers that name one.
-        :param invalid: the number of answers so far that named an invalid one.
+        :param gauges: the values.
         """
         labels = {"entry": entry_id}
-        self._limited.set(labels, limited)
-        self._invalid_limits.set(labels, invalid)
+        self._limited.set(labels, gauges.limited)
+        self._invalid_limits.set(labels, gauges.invalid_limits)
+        self._leaving.set(labels, gauges.leaving)
+        self._invalid_leaving.set(labels, gauges.invalid_leaving)
+        self._paused.set(labels, gauges.paused)
+        self._invalid_pauses.set(labels, gauges.invalid_pauses)
 
     def set_entries(self, entry_id: str, known: int, live: int) -> None:
         """Set the gauges of the entries that this one knows.
--- a/tests/test_limit_watch.py
+++ b/tests/test_limit_watch.py
@@ -41,7 +41,7 @@
     for now_ms in (20, 30):
         watcher.record_head(SERVER, 200, answer(*values).headers, now_ms)
         watcher.record_answer(SERVER, answer(*values), now_ms, now_ms + 5)
-    assert limit_of(watcher) == 2.0 and watcher.invalid_heads == 2
+    assert limit_of(watcher) == 2.0 and watcher.invalid.count == 2
     assert sum("invalid rate limit" in r.message for r in caplog.records) == 1
 
 
@@ -89,14 +89,18 @@
     script, limits = HEARD[name]
     heard = set()
 
-    def observe(status, headers):
-        heard.update(float(v) for n, v in headers if n == HEADER)
+    class Observer:
+        def __call__(self, status, headers):
+            heard.update(float(v) for n, v in headers if n == HEADER)
+
+        def may_send(self):
+            return True
 
     async def scenario(connections):
         with anyio.fail_after(5):
             address = f"{test_upstream.HOST}:{test_upstream.PORT}"
             data = b"GET / HTTP/1.1\r\n\r\n"
-            await connections.exchange(address, data, test_upstream.ID, False, observe)
+            await connections.exchange(address, data, test_upstream.ID, False, Observer())
         await anyio.sleep(0.05)
         assert heard == limits
 
