--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -14,6 +14,7 @@
     region_choice,
     region_plan,
     registry,
+    roster,
     route_latency,
     server_health,
     server_ranking,
@@ -182,9 +183,13 @@
     def _responsible_entries(self, server: registry.Server) -> list[str]:
         """Return the entries from which a server's assigned entries are chosen.
 
-        These are the live entries of its region, or all live entries if the region has none.
+        These are the live entries of its region, or all live entries if the region has none. An
+        entry that hears too few others, which may hear each other, chooses from all known ones.
         """
-        return self._entries.live_ids(server.region) or self._entries.live_ids()
+        live, known = self._entries.live_ids(), self._entries.known_ids()
+        if len(live) < roster.HEARD_RATIO * len(known):
+            return self._entries.known_ids(server.region) or known
+        return self._entries.live_ids(server.region) or live
 
     def _choices(
         self,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -20,6 +20,9 @@
     def live_ids(self, region=""):
         return self.ids if region in ("", "a") else []
 
+    def known_ids(self, region=""):
+        return self.live_ids(region)
+
 
 def route(regions=(), priority=1, idempotent=True, sticky=True):
     to = (routing_table.Destination("s", 1.0),)
@@ -193,6 +196,30 @@
     assert isinstance(placer.place(request_for(), 0), errors.Refusal)
 
 
+# Guards against cold servers that get too much: entries that hear nobody took themselves for the
+# assigned ones, each with a share of the rate.
+def test_entries_that_hear_nobody_do_not_all_send_to_a_cold_server():
+    class AloneEntries(Entries):
+        def __init__(self, own_id):
+            super().__init__(12)
+            self.own_id = own_id
+
+        def live_ids(self, region=""):
+            return [self.own_id]
+
+        def known_ids(self, region=""):
+            return self.ids
+
+    sent = 0
+    for number in range(12):
+        own_id = f"e-{number}"
+        placer = build({"x": "a-1"}, own_id=own_id, entries=AloneEntries(own_id))
+        placer.registry.servers["x"].cold_until_ms = 10_000
+        results = [placer.place(request_for(str(n)), n * 10) for n in range(100)]
+        sent += sum(isinstance(result, candidates.Choice) for result in results)
+    assert 0 < sent <= SERVICE.cold_per_s * 1.5 + 5.0
+
+
 def test_a_server_that_joined_gets_a_request_once_it_is_warm():
     placer = build(SERVERS)
     ready = registry.ServerState.READY
--- a/tests/test_rate_limited_placement.py
+++ b/tests/test_rate_limited_placement.py
@@ -11,13 +11,8 @@
 SERVERS = test_placement.SERVERS
 
 
-class Entries(test_placement.Entries):
-    def known_ids(self, region=""):
-        return self.live_ids(region)
-
-
 def build(servers=SERVERS, limits=None, **more):
-    placer = test_placement.build(servers, entries=Entries(), **more)
+    placer = test_placement.build(servers, entries=test_placement.Entries(), **more)
     for server_id, per_s in (limits or {}).items():
         name_limit(placer, server_id, per_s, 0)
     return placer
