--- a/benchmarks/endless.py
+++ b/benchmarks/endless.py
@@ -69,7 +69,8 @@
 
     async def ask() -> None:
         with anyio.move_on_after(SECONDS):
-            ends.append(await connections.exchange(address, b"GET / HTTP/1.1\r\n\r\n", b"r", False))
+            request = b"GET / HTTP/1.1\r\n\r\n"
+            ends.append(await connections.exchange(address, lambda: request, b"r", False))
 
     async with anyio.create_task_group() as group:
         for _ in range(SERVERS):
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -82,13 +82,12 @@
         """
         sent_ms = clock.monotonic_ms()
         remaining_ms = routed.remaining_ms(sent_ms)
-        data = self._encode(routed, choice.server, remaining_ms)
         health.in_flight += 1
         health.probing = health.connect_failures > 0
         exchange = asyncio.ensure_future(
             self._upstream.exchange(
                 choice.server.report.address,
-                data,
+                lambda: self._encode(routed, choice.server),
                 routed.incoming.request_id,
                 routed.incoming.request.method == "HEAD",
                 _ServerObserver(choice.server, self._watch),
@@ -111,9 +110,8 @@
         outcome = exchange.result() if exchange.done() and not exchange.cancelled() else None
         return Attempt(choice, outcome, sent_ms, took_ms, abandoned)
 
-    def _encode(
-        self, routed: route.RoutedRequest, server: registry.Server, remaining_ms: int
-    ) -> bytes:
+    def _encode(self, routed: route.RoutedRequest, server: registry.Server) -> bytes:
+        remaining_ms = routed.remaining_ms(clock.monotonic_ms())
         names, request = self._names, routed.incoming.request
         replaced = (names.deadline_ms, names.target_server, names.request_id, names.entry)
         headers = [
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import typing
 
 import anyio
 
@@ -80,7 +81,7 @@
     async def exchange(
         self,
         address: str,
-        data: bytes,
+        encode: typing.Callable[[], bytes],
         request_id: bytes,
         head_only: bool,
         observe_head: server_connection.HeadObserver | None = None,
@@ -91,7 +92,7 @@
         connection.
 
         :param address: the server's IP address and port.
-        :param data: the encoded request.
+        :param encode: returns the encoded request, once the connection is open.
         :param request_id: the id that the response must carry.
         :param head_only: whether the request is a HEAD.
         :param observe_head: gets the head of each response on the connection, until its next use.
@@ -109,7 +110,7 @@
             else:
                 idle_ms = clock.monotonic_ms() - connection.idle_since_ms
             connection.observe_head = observe_head
-            exchange = await connection.send(data, request_id, head_only)
+            exchange = await connection.send(encode(), request_id, head_only)
             exchange.connect_ms = connect_ms
             self._adapt_idle_limit(exchange, idle_ms)
             if connection.release(clock.monotonic_ms()):
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -11,7 +11,7 @@
     edge_settings,
     facts,
 )
-from sassafraslock.services import http_server
+from sassafraslock.services import http_server, upstream
 from tests import edge_world, fact_source
 
 
@@ -30,6 +30,24 @@
     edge_world.run_scenario(scenario)
 
 
+# Guards against servers that are told more time than is left: the time that connecting took counted
+# as left.
+def test_a_server_is_told_the_time_that_is_left_once_the_connection_is_open(monkeypatch):
+    connect = upstream.Upstream._connect
+
+    async def connect_slowly(connections, address):
+        await anyio.sleep(0.4)
+        return await connect(connections, address)
+
+    async def scenario(world):
+        monkeypatch.setattr(upstream.Upstream, "_connect", connect_slowly)
+        assert (await world.send("POST", "/w/1", b"body", limit_ms=1_500)).status == 200
+        seen = world.servers_by_preference()[0].seen[-1]
+        assert int(seen.header(edge_world.NAMES.deadline_ms)) <= 1_100
+
+    edge_world.run_scenario(scenario)
+
+
 UNSAFE = {
     "shed": (200, 1),
     "misdirect": (200, 1),
--- a/tests/test_limit_watch.py
+++ b/tests/test_limit_watch.py
@@ -99,8 +99,9 @@
     async def scenario(connections):
         with anyio.fail_after(5):
             address = f"{test_upstream.HOST}:{test_upstream.PORT}"
-            data = b"GET / HTTP/1.1\r\n\r\n"
-            await connections.exchange(address, data, test_upstream.ID, False, Observer())
+            await connections.exchange(
+                address, lambda: b"GET / HTTP/1.1\r\n\r\n", test_upstream.ID, False, Observer()
+            )
         await anyio.sleep(0.05)
         assert heard == limits
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -80,7 +80,7 @@
 async def ask(connections, request_id=ID):
     with anyio.fail_after(5):
         return await connections.exchange(
-            f"{HOST}:{PORT}", b"GET / HTTP/1.1\r\n\r\n", request_id, False
+            f"{HOST}:{PORT}", lambda: b"GET / HTTP/1.1\r\n\r\n", request_id, False
         )
 
 
@@ -142,7 +142,7 @@
     async def scenario():
         connections = upstream.Upstream(b"x-id")
         assert not await connections.is_reachable(address)
-        exchange = await connections.exchange(address, b"", ID, False)
+        exchange = await connections.exchange(address, lambda: b"", ID, False)
         assert exchange.outcome is Outcome.NOT_CONNECTED
         assert connections.open_connections(address) == 0
 
