--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -29,7 +29,6 @@
     signals,
 )
 from sassafraslock.decisions import client_blocks
-from sassafraslock.services import log_writer
 from sassafraslock.standin import backend, limit_schedule
 
 EXIT_SERVICE_FAILED = 11
@@ -69,7 +68,7 @@
         entry.run_process, process, log_lines, watched.reload, signals.PROCESS
     )
     signals.PROCESS.ignore()
-    log_writer.write(log_lines.pop_text())
+    log_lines.write_rest()
     if failed_service:
         click.echo(
             f"service {failed_service} failed repeatedly; see its events in the log", err=True
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,5 +1,6 @@
 """Signals from the first instructions of a process to its exit, with real processes."""
 
+import contextlib
 import os
 import signal
 import time
@@ -113,3 +114,18 @@
         entry.wait_until_serving()
         os.close(reader)
         assert entry.stop() == 0
+
+
+def test_a_reader_of_the_log_that_stands_still_does_not_hold_up_the_exit(tmp_path):
+    """The write of the log waited for the reader without end, so that only SIGKILL ended it."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, b"x" * 4_096)
+    os.set_blocking(writer, True)
+    with entry_process.EntryProcess(tmp_path, stdout=writer) as entry:
+        entry.wait_until_serving()
+        assert entry.stop() == 0
+    os.close(reader)
+    os.close(writer)
