--- a/tests/test_attempt_recorder.py
+++ b/tests/test_attempt_recorder.py
@@ -25,6 +25,7 @@
 
 
 @hypothesis.given(st.binary() | st.from_regex(rb"[0-9]*,[0-9]*,[0-9]*"))
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_no_load_raises(value):
     found = attempt_recorder._parse_load(value)
     assert found is None or 0 <= found.remaining(True) < 2_000_000
--- a/tests/test_block_loader.py
+++ b/tests/test_block_loader.py
@@ -88,6 +88,7 @@
 
 
 @hypothesis.given(st.binary(), st.integers(-300, 300))
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_no_bytes_raise_anything_but_the_documented_error(raw, part):
     for data in (raw, page(part << 8, raw, raw), msgspec.msgpack.encode(raw)):
         try:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -35,6 +35,7 @@
 
 
 @hypothesis.given(ODD_QUERY)
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_an_odd_query_is_one_of_an_unknown_place(query):
     request = http_messages.Request("GET", f"/resolve?{query}", [], b"", "c", 0)
     zone, region = request.parameter("zone"), request.parameter("region")
--- a/tests/test_export_decoder.py
+++ b/tests/test_export_decoder.py
@@ -122,6 +122,7 @@
 
 
 @hypothesis.given(st.lists(VALUES | ROWS), VALUES, st.binary())
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_what_is_decoded_can_be_sent_on(changes, age_ms, raw):
     for data in (encode(changes), encode(changes, age_ms=age_ms), raw):
         try:
--- a/tests/test_field_types.py
+++ b/tests/test_field_types.py
@@ -15,12 +15,14 @@
 
 
 @hypothesis.given(st.ip_addresses(), st.integers(-10, 70_000))
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_every_ip_address_with_a_port_is_an_address(ip, port):
     mapped = ip.version == 6 and "." in str(ip)
     assert is_address(f"{ip}:{port}") is (1 <= port <= 65_535 and not mapped)
 
 
 @hypothesis.given(st.text("0123456789abcdef:.%[] \n\0", max_size=24))
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_no_other_text_is_an_address(text):
     if is_address(text):
         host, port = field_types.split_address(text)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -232,6 +232,7 @@
 
 
 @hypothesis.given(st.binary() | MSGPACK.map(msgspec.msgpack.encode), st.lists(MUTATED))
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_no_datagram_raises_and_what_it_leaves_can_be_sent_on(raw, mutations):
     odd = list(GOOD)
     for place, value in mutations:
--- a/tests/test_read.py
+++ b/tests/test_read.py
@@ -39,6 +39,7 @@
 
 
 @hypothesis.given(st.binary(), st.binary(), st.binary())
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_no_header_raises(timeout, host, key):
     headers = [(NAMES.deadline_ms, timeout), (b"host", host), (NAMES.object_key, key)]
     request = http_messages.Request("GET", "/", headers, b"", "c", 0)
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -288,6 +288,7 @@
 
 
 @hypothesis.given(st.sampled_from(list(facts.Topic)), st.text(), VALUES, st.booleans())
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_no_row_raises(topic, key, value, tombstone):
     for name in (key, "config", f"evacuate/{key}"):
         found = decode(topic, name, value, tombstone=tombstone)
--- a/tests/test_settings_source.py
+++ b/tests/test_settings_source.py
@@ -281,6 +281,7 @@
 
 
 @hypothesis.given(st.text(), st.binary() | DOCUMENTS.map(row))
+@hypothesis.settings(deadline=None, derandomize=True)
 def test_no_row_of_a_team_raises(name, value):
     class Table:
         async def transact(self, transaction):
