--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -35,100 +35,54 @@
     invalid_pauses: int
 
 
+_GAUGES = {
+    "ready": "1 if the entry takes clients.",
+    "facts_age_seconds": "Time since the store answered.",
+    "servers": "Servers known.",
+    "requests_in_flight": "Requests being answered.",
+    "servers_limited": "Servers that name a rate limit.",
+    "invalid_server_limits": "Answers that named an invalid rate limit.",
+    "servers_leaving": "Servers that say that they leave.",
+    "invalid_server_leaving": "Answers that said invalidly whether their server leaves.",
+    "servers_paused": "Servers in a pause that they asked for.",
+    "invalid_server_pauses": "Rejections that asked for an invalid pause.",
+    "entries_known": "Entries that share limits, this and silent ones included.",
+    "entries_live": "Entries that are heard, this one included.",
+    "retries_in_window": "Retries in the window of the budget.",
+    "retries_allowed": "Retries that this entry may send in the window of the budget.",
+    "rejected_entries": "Entries in rows and messages of others that could not be used.",
+    "rejected_settings": "Readings of the settings file that were refused.",
+    "connections_cut": "Connections of clients closed with requests or answers unfinished.",
+    "accept_failures": "Connections of clients that could not be accepted.",
+}
+_COUNTERS = {
+    "requests_total": "Requests by service and result.",
+    "retries_granted_total": "Retries that the budget granted.",
+    "retries_refused_total": "Retries that the budget refused.",
+}
+
+
 class Metrics:
     """The process's counters, gauges and histograms."""
 
-    __slots__ = (
-        "registry",
-        "_requests",
-        "_latency",
-        "_ready",
-        "_facts_age",
-        "_servers",
-        "_in_flight",
-        "_limited",
-        "_invalid_limits",
-        "_known_entries",
-        "_live_entries",
-        "_retries",
-        "_retries_allowed",
-        "_retries_granted",
-        "_retries_refused",
-        "_rejected",
-        "_rejected_settings",
-        "_connections_cut",
-        "_accept_failures",
-        "_leaving",
-        "_invalid_leaving",
-        "_paused",
-        "_invalid_pauses",
-    )
+    __slots__ = ("registry", "_gauges", "_counters", "_latency")
 
     def __init__(self) -> None:
         self.registry = aioprometheus.Registry()
-        self._requests = aioprometheus.Counter(
-            "sassafraslock_requests_total",
-            "Requests by service and result.",
-            registry=self.registry,
-        )
+        self._counters = {
+            name: aioprometheus.Counter(f"sassafraslock_{name}", text, registry=self.registry)
+            for name, text in _COUNTERS.items()
+        }
         self._latency = aioprometheus.Histogram(
             "sassafraslock_request_seconds",
             "Time from head to whole answer.",
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self._ready = self._gauge("ready", "1 if the entry takes clients.")
-        self._facts_age = self._gauge("facts_age_seconds", "Time since the store answered.")
-        self._servers = self._gauge("servers", "Servers known.")
-        self._in_flight = self._gauge("requests_in_flight", "Requests being answered.")
-        self._limited = self._gauge("servers_limited", "Servers that name a rate limit.")
-        self._invalid_limits = self._gauge(
-            "invalid_server_limits", "Answers that named an invalid rate limit."
-        )
-        self._rejected = self._gauge(
-            "rejected_entries", "Entries in rows and messages of others that could not be used."
-        )
-
-        self._known_entries = self._gauge(
-            "entries_known", "Entries that share limits, this and silent ones included."
-        )
-        self._live_entries = self._gauge(
-            "entries_live", "Entries that are heard, this one included."
-        )
-        self._retries = self._gauge("retries_in_window", "Retries in the window of the budget.")
-        self._retries_allowed = self._gauge(
-            "retries_allowed", "Retries that this entry may send in the window of the budget."
-        )
-        self._retries_granted = aioprometheus.Counter(
-            "sassafraslock_retries_granted_total",
-            "Retries that the budget granted.",
-            registry=self.registry,
-        )
-        self._retries_refused = aioprometheus.Counter(
-            "sassafraslock_retries_refused_total",
-            "Retries that the budget refused.",
-            registry=self.registry,
-        )
-        self._rejected_settings = self._gauge(
-            "rejected_settings", "Readings of the settings file that were refused."
-        )
-        self._connections_cut = self._gauge(
-            "connections_cut", "Connections of clients closed with requests or answers unfinished."
-        )
-        self._accept_failures = self._gauge(
-            "accept_failures", "Connections of clients that could not be accepted."
-        )
-        self._leaving = self._gauge("servers_leaving", "Servers that say that they leave.")
-        self._invalid_leaving = self._gauge(
-            "invalid_server_leaving", "Answers that said invalidly whether their server leaves."
-        )
-        self._paused = self._gauge("servers_paused", "Servers in a pause that they asked for.")
-        self._invalid_pauses = self._gauge(
-            "invalid_server_pauses", "Rejections that asked for an invalid pause."
-        )
-
-    def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
-        return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
+        self._gauges = {
+            name: aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
+            for name, text in _GAUGES.items()
+        }
 
     def record_request(self, service: str, result: str, seconds: float) -> None:
         """Count a request and record its duration.
@@ -137,7 +91,7 @@
         :param result: ``answered``, ``abandoned`` or the kind of the refusal.
         :param seconds: the time from the request's first byte to its complete response.
         """
-        self._requests.inc({"service": service, "result": result})
+        self._counters["requests_total"].inc({"service": service, "result": result})
         self._latency.observe({"service": service}, seconds)
 
     def set_status(
@@ -152,10 +106,10 @@
         :param in_flight: the number of requests that are not answered yet.
         """
         labels = {"entry": entry_id}
-        self._ready.set(labels, int(ready))
-        self._facts_age.set(labels, facts_age_ms / 1000)
-        self._servers.set(labels, servers)
-        self._in_flight.set(labels, in_flight)
+        self._gauges["ready"].set(labels, int(ready))
+        self._gauges["facts_age_seconds"].set(labels, facts_age_ms / 1000)
+        self._gauges["servers"].set(labels, servers)
+        self._gauges["requests_in_flight"].set(labels, in_flight)
 
     def set_backpressure(self, entry_id: str, gauges: BackpressureGauges) -> None:
         """Set the gauges of what servers ask for.
@@ -164,12 +118,12 @@
         :param gauges: the values.
         """
         labels = {"entry": entry_id}
-        self._limited.set(labels, gauges.limited)
-        self._invalid_limits.set(labels, gauges.invalid_limits)
-        self._leaving.set(labels, gauges.leaving)
-        self._invalid_leaving.set(labels, gauges.invalid_leaving)
-        self._paused.set(labels, gauges.paused)
-        self._invalid_pauses.set(labels, gauges.invalid_pauses)
+        self._gauges["servers_limited"].set(labels, gauges.limited)
+        self._gauges["invalid_server_limits"].set(labels, gauges.invalid_limits)
+        self._gauges["servers_leaving"].set(labels, gauges.leaving)
+        self._gauges["invalid_server_leaving"].set(labels, gauges.invalid_leaving)
+        self._gauges["servers_paused"].set(labels, gauges.paused)
+        self._gauges["invalid_server_pauses"].set(labels, gauges.invalid_pauses)
 
     def set_entries(self, entry_id: str, known: int, live: int) -> None:
         """Set the gauges of the entries that this one knows.
@@ -179,8 +133,8 @@
         :param live: the number of those whose heartbeats arrive.
         """
         labels = {"entry": entry_id}
-        self._known_entries.set(labels, known)
-        self._live_entries.set(labels, live)
+        self._gauges["entries_known"].set(labels, known)
+        self._gauges["entries_live"].set(labels, live)
 
     def set_retries(self, entry_id: str, retries: retry_gate.RetryGate, now_ms: int) -> None:
         """Set the gauges of the retry budget, by service.
@@ -191,10 +145,10 @@
         """
         for service, usage in retries.usage(now_ms).items():
             labels = {"entry": entry_id, "service": service}
-            self._retries.set(labels, usage.retries)
-            self._retries_allowed.set(labels, usage.allowed)
-            self._retries_granted.set(labels, retries.granted.get(service, 0))
-            self._retries_refused.set(labels, retries.refused.get(service, 0))
+            self._gauges["retries_in_window"].set(labels, usage.retries)
+            self._gauges["retries_allowed"].set(labels, usage.allowed)
+            self._counters["retries_granted_total"].set(labels, retries.granted.get(service, 0))
+            self._counters["retries_refused_total"].set(labels, retries.refused.get(service, 0))
 
     def set_rejected(self, entry_id: str, counts: typing.Mapping[str, int]) -> None:
         """Set the gauges of the entries that others wrote and that could not be used.
@@ -203,7 +157,7 @@
         :param counts: the number so far, by the topic of the row or the kind of the message.
         """
         for source, count in counts.items():
-            self._rejected.set({"entry": entry_id, "source": source}, count)
+            self._gauges["rejected_entries"].set({"entry": entry_id, "source": source}, count)
 
     def set_rejected_settings(self, entry_id: str, rejected: int) -> None:
         """Set the gauge of refused settings.
@@ -211,7 +165,7 @@
         :param entry_id: the entry.
         :param rejected: how often settings were refused since the start.
         """
-        self._rejected_settings.set({"entry": entry_id}, rejected)
+        self._gauges["rejected_settings"].set({"entry": entry_id}, rejected)
 
     def set_connections(
         self, entry_id: str, cut: typing.Mapping[cut_log.CutCause, int], accept_failures: int
@@ -223,8 +177,8 @@
         :param accept_failures: the number so far that could not be accepted.
         """
         for cause, count in cut.items():
-            self._connections_cut.set({"entry": entry_id, "cause": cause.value}, count)
-        self._accept_failures.set({"entry": entry_id}, accept_failures)
+            self._gauges["connections_cut"].set({"entry": entry_id, "cause": cause.value}, count)
+        self._gauges["accept_failures"].set({"entry": entry_id}, accept_failures)
 
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
