--- a/sassafraslock/decisions/backpressure.py
+++ b/sassafraslock/decisions/backpressure.py
@@ -40,7 +40,6 @@
         "limits",
         "_limiter",
         "_registry",
-        "_registered",
         "_absent_since_ms",
     )
 
@@ -58,7 +57,6 @@
             own_id, self.limits, entries, started_ms
         )
         self._registry = servers
-        self._registered: set[int] = set()
         self._absent_since_ms: dict[int, int] = {}
         servers.exclude(self.departures)
 
@@ -93,7 +91,8 @@
         :param server: the server.
         :param now_ms: the current monotonic time.
         """
-        self.pauses.acquire(registry.start_hash(server), now_ms)
+        if self.pauses:
+            self.pauses.acquire(registry.start_hash(server), now_ms)
         self._limiter.acquire(server, now_ms)
 
     def wait_ms(self, server: registry.Server, now_ms: int, default_ms: int) -> int:
@@ -110,16 +109,21 @@
         return max(pause_ms, limit_ms) or default_ms
 
     def record_departure(
-        self, start_hash: int, source: heard_from.HeardFrom, heard_ms: int
+        self, server: registry.Server, source: heard_from.HeardFrom, heard_ms: int, now_ms: int
     ) -> bool:
         """Record that a server leaves, so that it is not among the usable ones any more.
 
-        :param start_hash: the hash of the id of the server's start.
+        :param server: the server.
         :param source: who told this entry.
         :param heard_ms: when the server said so.
+        :param now_ms: the current monotonic time.
         :returns: whether this is new.
         """
-        is_new = self.departures.record(start_hash, source, heard_ms)
+        ends = not server.report.born_ms
+        if ends and now_ms - heard_ms >= departing_servers.UNKNOWN_START_MS:
+            return False
+        start_hash = registry.start_hash(server)
+        is_new = self.departures.record(start_hash, source, heard_ms, ends)
         if is_new:
             self._registry.mark_changed()
         return is_new
@@ -148,15 +152,17 @@
         :param start_hashes: the hashes of the ids of all registered starts.
         :param now_ms: the current monotonic time.
         """
-        for start_hash in self._registered - start_hashes:
-            self._absent_since_ms[start_hash] = now_ms
-        self._registered = set(start_hashes)
+        asked = {*self.departures, *self.pauses, *self.limits.in_force()}
         self._absent_since_ms = {
-            h: since_ms
+            h: self._absent_since_ms.get(h, now_ms) for h in asked if h not in start_hashes
+        }
+        recent = {
+            h
             for h, since_ms in self._absent_since_ms.items()
-            if h not in start_hashes and now_ms - since_ms < ABSENT_RETENTION_MS
+            if now_ms - since_ms < ABSENT_RETENTION_MS
         }
-        kept = self._registered | self._absent_since_ms.keys()
-        self.departures.retain(kept)
+        kept = start_hashes | recent
+        if self.departures.retain(kept, now_ms):
+            self._registry.mark_changed()
         self.pauses.retain(kept)
         self._limiter.retain(kept)
--- a/sassafraslock/decisions/server_pauses.py
+++ b/sassafraslock/decisions/server_pauses.py
@@ -80,6 +80,9 @@
     def __len__(self) -> int:
         return len(self._pauses)
 
+    def __iter__(self) -> collections.abc.Iterator[int]:
+        return iter(self._pauses)
+
     def record(self, start_hash: int, pause_ms: int, now_ms: int) -> bool:
         """Record that a server asked for a pause; of several, the one that ends last holds.
 
--- a/sassafraslock/services/departing_watch.py
+++ b/sassafraslock/services/departing_watch.py
@@ -43,7 +43,7 @@
         if any(value != LEAVING for value in values):
             self.invalid.record(server, values)
             return
-        self._record(server, registry.start_hash(server), heard_from.HeardFrom.SERVER, now_ms)
+        self._record(server, heard_from.HeardFrom.SERVER, now_ms, now_ms)
 
     def recent_reports(self, now_ms: int) -> list[departing_servers.DepartureReport]:
         """Return the servers that leave, to send to other entries.
@@ -63,17 +63,16 @@
             server = servers.get(report.start_hash)
             if server is not None:
                 heard_ms = now_ms - max(0, report.age_ms)
-                source = heard_from.HeardFrom.PEER
-                self._record(server, report.start_hash, source, heard_ms)
+                self._record(server, heard_from.HeardFrom.PEER, heard_ms, now_ms)
 
     def _record(
         self,
         server: registry.Server,
-        start_hash: int,
         source: heard_from.HeardFrom,
         heard_ms: int,
+        now_ms: int,
     ) -> None:
-        if self._asked.record_departure(start_hash, source, heard_ms):
+        if self._asked.record_departure(server, source, heard_ms, now_ms):
             events.log(
                 events.Event.SERVER_LEAVING,
                 "server says that it leaves; it gets no new requests",
