--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,11 +6,10 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import os
 import pathlib
-import random
 import signal
-import subprocess
 import sys
 
 import anyio
@@ -18,7 +17,7 @@
 
 from sassafraslock import clock
 from sassafraslock.services import http_server
-from soak import platform_server
+from soak import faults, platform_server, stage
 from tests import platform_standin
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -26,9 +25,24 @@
 FRONT, CONTROL, DIRECTORY, READINESS, GOSSIP, STORE, SERVER = range(8_161, 8_168)
 GRACE_S = 6.0
 START_DELAY_S = 0.3  # of a process that has ended
+POLL_S = 0.02
+READINESS_REQUEST = b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 24, 10.0
 SERVICES = {"desk": 9, "ledger": 6}
 SLOTS = 3
+TIMEOUT_S = 2.5
+MAX_ATTEMPTS = 3
+SEEDS = 3
+
+
+class Writing(enum.StrEnum):
+    """How a settings file is written; only the first two leave a whole one."""
+
+    REPLACED = "replaced"
+    IN_PLACE = "in place"
+    BAD = "bad"
+    HALF = "half"
+    GONE = "gone"
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,116 +50,178 @@
     """A signal that an entry got, and when."""
 
     at_ms: int
-    entry: str
+    entry_ip: str
     number: signal.Signals
 
 
-class EntryProcess:
-    """One entry: ``platform/main.py`` with a settings file of its own."""
+@dataclasses.dataclass(slots=True)
+class Exit:
+    """The end of a process: its code, and the signals that should end it sent before."""
+
+    at_ms: int
+    entry: str
+    code: int
+    asked: bool
+    killed: bool
+
+    @property
+    def is_expected(self) -> bool:
+        """Whether the process ended as it was asked to."""
+        return (self.asked and self.code == 0) or (self.killed and self.code == -signal.SIGKILL)
 
-    def __init__(self, name: str, ip: str, zone: str, folder: pathlib.Path) -> None:
-        self.name = name
+
+class EntryProcess(stage.Process):
+    """One entry: ``platform/main.py`` with a settings file of its own.
+
+    ``harmed`` holds the spans in which it was killed or suspended, and ``overran`` the stops that
+    outlasted the grace period.
+    """
+
+    def __init__(self, name: str, ip: str, zone: str, folder: pathlib.Path, code: pathlib.Path):
+        self.settings_path = folder / f"{name}.toml"
+        environment = {**os.environ, "SASSAFRASLOCK_SETTINGS": str(self.settings_path)}
+        program = str(code / "platform" / "main.py")
+        super().__init__(name, [sys.executable, program], folder, environment)
         self.ip = ip
         self.zone = zone
-        self.settings_path = folder / f"{name}.toml"
+        self.started_ms = 0
         self.stopping = False
+        self.listening = False
         self.signals: list[Signalled] = []
-        self.exit_codes: list[int] = []
-        self._log = folder / f"{name}.log"
-        self._child: subprocess.Popen[bytes] | None = None
+        self.exits: list[Exit] = []
+        self.harmed: list[faults.Span] = []
+        self.overran: list[Signalled] = []
 
     def start(self) -> None:
         """Start the process unless it runs."""
-        if self.is_running:
-            return
-        self.stopping = False
-        environment = {**os.environ, "SASSAFRASLOCK_SETTINGS": str(self.settings_path)}
-        with self._log.open("ab") as log:
-            self._child = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "main.py")],
-                cwd=ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
+        if not self.running:
+            self.stopping = self.listening = False
+            self.started_ms = clock.monotonic_ms()
+        super().start()
 
-    @property
-    def is_running(self) -> bool:
-        """Whether the process runs."""
-        return self._child is not None and self._child.poll() is None
+    def harm(self, number: signal.Signals, for_s: float) -> None:
+        """Kill or suspend the process.
+
+        :param number: the signal that does it.
+        :param for_s: how long the process will not run.
+        """
+        now_ms = clock.monotonic_ms()
+        self.harmed.append(faults.Span(self.ip, now_ms, now_ms + int(1_000 * for_s)))
+        self.signal(number)
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process runs.
 
         :param number: the signal.
         """
-        if self._child is not None and self.is_running:
-            self.signals.append(Signalled(clock.monotonic_ms(), self.name, number))
-            self._child.send_signal(number)
+        if self.running:
+            self.signals.append(Signalled(clock.monotonic_ms(), self.ip, number))
+        super().signal(number)
 
-    async def restart(self) -> None:
-        """Stop the process as the platform does, and start it again."""
+    async def stop(self) -> None:
+        """Stop the process as the platform does."""
+        if self.stopping:
+            return
         self.stopping = True
+        stop_ms = clock.monotonic_ms()
         self.signal(signal.SIGTERM)
         with anyio.move_on_after(GRACE_S):
-            while self.is_running:
-                await anyio.sleep(0.01)
-        await self.end()
-        await anyio.sleep(START_DELAY_S)
-        self.start()
-
-    async def end(self) -> None:
-        """Kill the process if it still runs, and keep its exit code."""
-        if self._child is None:
+            while self.running and self.started_ms <= stop_ms:
+                await anyio.sleep(POLL_S)
             return
-        if self.is_running:
-            self.signal(signal.SIGCONT)
-            self._child.kill()
-            while self.is_running:
-                await anyio.sleep(0.01)
-        self.exit_codes.append(self._child.wait())
-        self._child = None
+        if all(span.until_ms < stop_ms for span in self.harmed):
+            self.overran.append(Signalled(stop_ms, self.ip, signal.SIGTERM))
+        self.signal(signal.SIGKILL)
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether the process has started and is not asked to stop."""
+        return self.running and self.listening and not self.stopping
+
+    async def readiness(self) -> int:
+        """Return the status of the process's readiness, 0 if there is no answer."""
+        try:
+            with anyio.fail_after(1):
+                async with await anyio.connect_tcp(self.ip, READINESS) as stream:
+                    await stream.send(READINESS_REQUEST)
+                    head = await stream.receive()
+        except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
+            return 0
+        return int(head.split()[1])
+
+    def take_exit(self) -> bool:
+        """Note the end of the process and return true, or return false if it runs."""
+        if self._child is None or self.running:
+            return False
+        sent = {s.number for s in self.signals if s.at_ms >= self.started_ms}
+        asked = bool(sent & {signal.SIGTERM, signal.SIGINT})
+        code = self._child.returncode
+        killed = signal.SIGKILL in sent
+        self.exits.append(Exit(clock.monotonic_ms(), self.name, code, asked, killed))
+        return True
 
 
 class Fleet:
-    """The entries, the store and the servers of one run."""
+    """The entries, the store and the servers of one run.
+
+    The settings of an entry name only entries of its own group, of which there are ``groups``.
+    """
 
-    def __init__(self, folder: pathlib.Path, seed: int, entries_per_zone: int = 2) -> None:
+    def __init__(
+        self, folder: pathlib.Path, seed: int, entries_per_zone: int = 2, code: pathlib.Path = ROOT
+    ) -> None:
         self._folder = folder
-        self._rng = random.Random(seed)
-        prefix = f"127.{os.getpid() % 250 + 2}"
-        self.store = platform_standin.StoreStandin(STORE, host=f"{prefix}.200.1")
+        # Addresses of this run alone, since others may run beside it.
+        self._prefix = f"127.{os.getpid() % 90 + 2}.{os.getpid() // 90 % 15 * 16}"
+        self.store = platform_standin.StoreStandin(STORE, host=self._address(0, 0))
         self.servers: dict[str, platform_server.PlatformServer] = {}
-        self.entries: dict[str, EntryProcess] = {}
+        self.entries: list[EntryProcess] = []
+        self.groups = 1
+        self.version = 0
         for number in range(len(ZONES) * entries_per_zone):
             zone = list(ZONES)[number % len(ZONES)]
             name = f"front-{zone}-{number // len(ZONES) + 1}"
-            ip = f"{prefix}.1.{number + 1}"
-            self.entries[name] = EntryProcess(name, ip, zone, folder)
-        for entry in self.entries.values():
-            self.write_settings(entry)
+            self.entries.append(EntryProcess(name, self._address(1, number), zone, folder, code))
         for service, count in SERVICES.items():
             for number in range(count):
                 zone = list(ZONES)[number % len(ZONES)]
-                address = f"{prefix}.{2 + list(SERVICES).index(service)}.{number + 1}"
+                address = f"{self._address(2 + list(SERVICES).index(service), number)}:{SERVER}"
                 server_id = f"i-{service}-{number}"
                 self.servers[server_id] = platform_server.PlatformServer(
-                    server_id, service, zone, f"{address}:{SERVER}", SLOTS, seed + number
+                    server_id, service, zone, address, SLOTS, seed + number
                 )
 
-    def write_settings(self, entry: EntryProcess) -> None:
-        """Write an entry's settings file, replaced as a whole.
+    def _address(self, kind: int, number: int) -> str:
+        first, second, third = self._prefix.split(".")
+        return f"{first}.{second}.{int(third) + kind}.{number + 1}"
+
+    def write_settings(self, entry: EntryProcess, how: Writing = Writing.REPLACED) -> None:
+        """Write an entry's settings file.
 
         :param entry: the entry.
+        :param how: how, and whether it is whole.
         """
-        seeds = [f"{e.ip}:{CONTROL}" for e in list(self.entries.values())[:3]]
-        document = {
+        if how is Writing.GONE:
+            entry.settings_path.unlink(missing_ok=True)
+            return
+        text = tomli_w.dumps(self._settings(entry))
+        if how is Writing.REPLACED:
+            temporary = self._folder / f"{entry.name}.new"
+            temporary.write_text(text)
+            temporary.replace(entry.settings_path)
+            return
+        texts = {Writing.BAD: "nodeName = [", Writing.HALF: text[: len(text) // 2]}
+        entry.settings_path.write_text(texts.get(how, text))
+
+    def _settings(self, entry: EntryProcess) -> dict[str, object]:
+        group = self.entries.index(entry) % self.groups
+        return {
             "nodeName": entry.name,
             "zone": entry.zone,
             "region": ZONES[entry.zone],
             "ip": entry.ip,
             "internalPortRange": [GOSSIP, GOSSIP + 15],
-            "seeds": seeds,
+            "seeds": [f"{e.ip}:{CONTROL}" for e in self.entries[group :: self.groups][:SEEDS]],
             "zones": ZONES,
             "listen": {
                 "front": f"{entry.ip}:{FRONT}",
@@ -166,33 +242,23 @@
             },
             "platform": {"address": self.store.address},
         }
-        temporary = self._folder / f"{entry.name}.new"
-        temporary.write_text(tomli_w.dumps(document))
-        temporary.replace(entry.settings_path)
 
-    def put_intents(self, version: int, extra_routes: int = 0) -> None:
-        """Write the intents: a safe and an unsafe route of each service, and unused routes.
+    def put_intents(self, extra_routes: int = 0) -> None:
+        """Write a new version of the intents: two routes of each service, and unused routes.
 
-        :param version: the version of the intents.
         :param extra_routes: the number of unused routes.
         """
-        routes = []
-        for service in SERVICES:
-            for kind in ("safe", "unsafe"):
-                routes.append(
-                    {
-                        "host": platform_server.HOST_NAME,
-                        "prefix": f"/{service}/{kind}/",
-                        "routeType": kind,
-                        "service": service,
-                        "timeoutS": 2.5,
-                        "targetLatencyS": 0.3,
-                        "maxAttempts": 3,
-                    }
-                )
+        used = {"host": platform_server.HOST_NAME, "timeoutS": TIMEOUT_S, "targetLatencyS": 0.3}
+        used["maxAttempts"] = MAX_ATTEMPTS
+        routes: list[dict[str, object]] = [
+            {**used, "prefix": f"/{service}/{kind}/", "routeType": kind, "service": service}
+            for service in SERVICES
+            for kind in ("safe", "unsafe")
+        ]
         for number in range(extra_routes):
             routes.append({"host": f"h{number}.example", "prefix": "/x/", "service": "desk"})
-        row = platform_standin.intents_row(version, routes, services=list(SERVICES))
+        self.version += 1
+        row = platform_standin.intents_row(self.version, routes, services=list(SERVICES))
         self.store.put("op", "config", row)
 
     async def run_store_and_servers(self, group: anyio.abc.TaskGroup) -> None:
@@ -202,18 +268,30 @@
         """
         await group.start(_started, self.store)
         for server in self.servers.values():
-            host, _, port = server.address.rpartition(":")
-            await group.start(_started, http_server.HttpServer(server, host, int(port)))
+            await group.start(_started, server.listener)
             row = platform_standin.server_row(
                 service=server.service, address=server.address, zone=server.zone, slots=SLOTS
             )
             self.store.put("servers", server.server_id, row)
-        self.put_intents(1)
+        self.put_intents()
+
+    async def run_entry(self, entry: EntryProcess) -> None:
+        """Start an entry, and start it again after each end, until cancelled.
+
+        :param entry: the entry.
+        """
+        while True:
+            self.write_settings(entry)
+            entry.start()
+            while not entry.take_exit():
+                entry.listening = entry.listening or await entry.readiness() > 0
+                await anyio.sleep(POLL_S)
+            await anyio.sleep(START_DELAY_S)
 
-    async def end(self) -> None:
+    def kill_all(self) -> None:
         """Kill all processes of this run."""
-        for entry in self.entries.values():
-            await entry.end()
+        for entry in self.entries:
+            entry.kill()
 
 
 async def _started(service: http_server.HttpServer, *, task_status: anyio.abc.TaskStatus) -> None:
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -30,9 +30,16 @@
 class Process:
     """One child process, which is started, signalled and killed by its process id."""
 
-    def __init__(self, name: str, arguments: list[str], folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        folder: pathlib.Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
-        self._arguments = arguments
+        self._command = command
+        self._environment = environment
         self._log = folder / f"{name}.log"
         self._child: subprocess.Popen[bytes] | None = None
 
@@ -41,8 +48,9 @@
         if self.running:
             return
         with self._log.open("ab") as log:
-            command = [sys.executable, "-m", "sassafraslock", *self._arguments]
-            self._child = subprocess.Popen(command, stdout=log, stderr=log)
+            self._child = subprocess.Popen(
+                self._command, env=self._environment, stdout=log, stderr=log
+            )
 
     @property
     def running(self) -> bool:
@@ -150,7 +158,8 @@
         self._add(name, ["run", str(self.folder / f"{name}.toml")])
 
     def _add(self, name: str, arguments: list[str]) -> None:
-        self.processes[name] = Process(name, arguments, self.folder)
+        command = [sys.executable, "-m", "sassafraslock", *arguments]
+        self.processes[name] = Process(name, command, self.folder)
 
     def _write(self, name: str, document: dict[str, object]) -> None:
         (self.folder / name).write_text(tomli_w.dumps(document))
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -17,12 +17,14 @@
     """Faults to inject.
 
     Each call is answered with ``status`` if it is not 0, and not at all if ``silent``. A share
-    ``lost_ratio`` of the writes takes effect without an answer.
+    ``lost_ratio`` of the writes takes effect without an answer. Calls for ``denied_table`` are
+    answered with 503.
     """
 
     status: int = 0
     silent: bool = False
     lost_ratio: float = 0.0
+    denied_table: str = ""
 
 
 class StoreStandin:
@@ -71,9 +73,17 @@
             await anyio.sleep_forever()
         if self.faults.status:
             return http_messages.Response(self.faults.status)
+        if self._is_denied(request):
+            return http_messages.Response(503)
         handlers = {"/rows-get": self._get, "/rows-feed": self._feed, "/rows-tx": self._transact}
         return await handlers[request.path](request)
 
+    def _is_denied(self, request):
+        denied = self.faults.denied_table
+        written = msgspec.json.decode(request.body)["upserts"] if request.body else []
+        tables = {request.parameter("table"), *(row["table"] for row in written)}
+        return bool(denied) and denied in tables
+
     def _json(self, status, **fields):
         body = msgspec.json.encode({**fields, "ver": self.version, "nowS": 1.5})
         return http_messages.Response(status, [(b"content-type", b"application/json")], body)
