--- a/soak/planned_steps.py
+++ b/soak/planned_steps.py
@@ -43,6 +43,7 @@
     SLOW = "slow answers"
     STORE_ERRORS = "store answers 503"
     STORE_SILENT = "store is silent"
+    STORE_PART = "store withholds entries' registrations"
     APART = "restart without knowing each other"
     BURST = "burst"
 
@@ -131,6 +132,7 @@
             Kind.SERVER_PAUSE: (some, "paused", True, False),
             Kind.STORE_ERRORS: (store, "status", 503, 0),
             Kind.STORE_SILENT: (store, "silent", True, False),
+            Kind.STORE_PART: (store, "denied_table", REGISTRATIONS, ""),
             Kind.BURST: (self._clients, "pause_s", burst_s, self._pause_s),
         }[step.kind]
         for now in (value, usual):
--- a/tests/test_planned_work.py
+++ b/tests/test_planned_work.py
@@ -229,3 +229,13 @@
     verdict = planned.run_seed(SEEDS["planned_short"], size, tmp_path)
     assert verdict.broken == []
     assert verdict.ends["answered"] > 0
+
+
+# Each entry took the whole slack of the retry budget: 118 retries where 53 were allowed.
+def test_entries_that_cannot_find_each_other_keep_to_one_retry_budget(tmp_path):
+    kinds = [planned_steps.Kind.SHED]
+    size = planned.Options(seconds=3, clients=30, entries_per_zone=1, groups=6, kinds=kinds)
+    size.pause_s = 1.0
+    verdict = planned.run_seed(SEEDS["planned_apart"], size, tmp_path)
+    assert verdict.broken == []
+    assert verdict.ends["answered"] > 0
