--- a/soak/platform_client.py
+++ b/soak/platform_client.py
@@ -128,9 +128,9 @@
             method, body = ("GET", b"") if kind == "safe" else ("POST", b"x" * 300)
             data += http_messages.encode_request(method, f"/{service}/{kind}/1", headers, body)
         assert self._writer is not None
+        sent_ms = clock.monotonic_ms()
         self._writer.write(data)
         self._left -= count
-        sent_ms = clock.monotonic_ms()
         for attempt in attempts:
             attempt.sent_ms = sent_ms
             self.attempts.append(attempt)
