--- a/soak/planned_steps.py
+++ b/soak/planned_steps.py
@@ -155,8 +155,9 @@
         entries = self._entries(step)[:2] if planned else self._fleet.entries
         numbers, gap_s = SIGNALS[step.kind]
         async with anyio.create_task_group() as group:
-            for entry in entries if planned else []:
-                group.start_soon(entry.stop)
+            for entry in entries:
+                if planned and entry.takes_signals:
+                    group.start_soon(entry.stop)
             with anyio.move_on_after(fleet.GRACE_S if planned else step.for_s):
                 for number, entry in itertools.cycle(itertools.product(numbers, entries)):
                     if entry.takes_signals if planned else entry.is_calm:
