--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -12,6 +12,8 @@
     def live_ids(self, region=""):
         return ["e"]
 
+    known_ids = live_ids
+
 
 def build(capacity, splits=None, own="a"):
     servers, members = registry.Registry(), roster.Roster("e")
