--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -5,13 +5,14 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 
 from sassafraslock import clock, edge_settings, events
 
 REFUSE_AFTER_MS = 3_200
 DRAIN_RATIO = 0.85
 STOP_POLL_S = 0.05
-SETTLE_S = 0.02  # for answers that have arrived while the event loop was busy
+SETTLE_TURNS = 20  # of the event loop, for answers that arrived while it was busy
 
 
 class ClientServer(typing.Protocol):
@@ -96,9 +97,14 @@
                 continue
             self._entry.refuse_new_requests()
             if self._entry.in_flight and elapsed_ms >= drain_ms:
-                await anyio.sleep(SETTLE_S)
+                await _let_others_run()
                 self._entry.interrupt_requests()
                 break
             if not self._entry.in_flight:
                 break
         await self._entry.client_server.close_connections()
+
+
+async def _let_others_run() -> None:
+    for _ in range(SETTLE_TURNS):
+        await anyio.lowlevel.checkpoint()
