--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 import msgspec
 
+from sassafraslock import field_types
+
 SILENT_AFTER_MS = 3_000
 SILENT_PER_MEMBER_MS = 15
 REMOVE_AFTER_MS = 60_000
 # Removals are checked once a gossip round; a longer pause shows that this process was suspended.
 MAX_CHECK_PAUSE_MS = 5_000
 MAX_MEMBERS = 8_192
+# If the entries fall apart into groups, shares of a limit add up to at most one and a third: one
+# group may hear two thirds, and the others forget nobody.
+HEARD_RATIO = 2 / 3
+MAX_SERVICES = 4_096
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -21,17 +28,19 @@
     its first read. ``demand`` holds the recent concurrency of its clients' requests by service.
     """
 
-    entry_id: str
-    boot_ms: int
-    beat: int
-    region: str
-    zone: str
-    gossip_address: str
-    client_address: str
+    entry_id: field_types.Name
+    boot_ms: field_types.WallMs
+    beat: field_types.Beat
+    region: field_types.Name
+    zone: field_types.Name
+    gossip_address: field_types.Address
+    client_address: field_types.Address
     ready: bool = False
     leaving: bool = False
-    replica_version: int = 0
-    demand: dict[str, float] = {}
+    replica_version: field_types.Version = 0
+    demand: typing.Annotated[
+        dict[field_types.Name, field_types.Quantity], msgspec.Meta(max_length=MAX_SERVICES)
+    ] = {}
 
     @property
     def order(self) -> tuple[int, int]:
@@ -42,9 +51,9 @@
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """An entry's heartbeat counter without the rest of its record."""
 
-    entry_id: str
-    boot_ms: int
-    beat: int
+    entry_id: field_types.Reference
+    boot_ms: field_types.WallMs
+    beat: field_types.Beat
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,11 +61,18 @@
     """The newest record of another entry, with its newest heartbeat.
 
     ``heard_ms`` is the monotonic time at which this entry last saw the heartbeat increase.
+    ``is_registered_only`` is whether it is known from the store and was never heard.
     """
 
     record: MemberRecord
     heard_ms: int
     newest_order: tuple[int, int]
+    is_registered_only: bool = False
+
+    def forget_counter(self) -> None:
+        """Accept any heartbeat from now on, since a false one may have hidden those that came."""
+        self.record = msgspec.structs.replace(self.record, boot_ms=0, beat=0)
+        self.newest_order = self.record.order
 
     def heartbeat(self) -> Heartbeat:
         """Return the newest heartbeat, which may be newer than the record."""
@@ -66,12 +82,13 @@
 class Roster:
     """Records of all other entries; an entry whose heartbeat stops increasing counts as dead."""
 
-    __slots__ = ("own_id", "_members", "_checked_ms", "_resumed_ms")
+    __slots__ = ("own_id", "_members", "_checked_ms", "_resumed_ms", "_is_own_registered")
 
     def __init__(self, own_id: str) -> None:
         self.own_id = own_id
         self._checked_ms: int | None = None
         self._resumed_ms: int | None = None
+        self._is_own_registered = False
         self._members: dict[str, Member] = {}
 
     def merge_record(self, record: MemberRecord, now_ms: int) -> bool:
@@ -93,10 +110,11 @@
         self.merge_heartbeat(Heartbeat(record.entry_id, *record.order), now_ms)
         return True
 
-    def _add(self, record: MemberRecord, heard_ms: int) -> bool:
+    def _add(self, record: MemberRecord, heard_ms: int, is_registered_only: bool = False) -> bool:
         if len(self._members) >= MAX_MEMBERS:
             return False
-        self._members[record.entry_id] = Member(record, heard_ms, record.order)
+        member = Member(record, heard_ms, record.order, is_registered_only)
+        self._members[record.entry_id] = member
         return True
 
     def merge_heartbeat(self, beat: Heartbeat, now_ms: int) -> None:
@@ -109,6 +127,7 @@
         if known is not None and (beat.boot_ms, beat.beat) > known.newest_order:
             known.newest_order = (beat.boot_ms, beat.beat)
             known.heard_ms = now_ms
+            known.is_registered_only = False
 
     def apply_registration(self, record: MemberRecord, now_ms: int) -> None:
         """Add an entry that is registered in the store and not known from gossip.
@@ -119,8 +138,10 @@
         :param record: the entry's registration as a record.
         :param now_ms: the monotonic time.
         """
-        if record.entry_id != self.own_id and record.entry_id not in self._members:
-            self._add(record, now_ms - REMOVE_AFTER_MS // 2)
+        if record.entry_id == self.own_id:
+            self._is_own_registered = True
+        elif record.entry_id not in self._members:
+            self._add(record, now_ms - REMOVE_AFTER_MS // 2, is_registered_only=True)
 
     def live(self, now_ms: int) -> list[Member]:
         """Return the other entries whose heartbeat increased within the failure timeout.
@@ -144,10 +165,20 @@
         """
         return len(self._members) + 1
 
+    def sharing_count(self) -> int | None:
+        """Return :meth:`entry_count`, or none if the other entries cannot be known yet.
+
+        They are known once a peer was heard, or once this entry's own registration was read from
+        the store, which then holds those of the others.
+        """
+        heard_any = any(not m.is_registered_only for m in self._members.values())
+        return self.entry_count() if heard_any or self._is_own_registered else None
+
     def remove_dead(self, now_ms: int) -> list[str]:
         """Remove members without a heartbeat for :data:`REMOVE_AFTER_MS` and return their ids.
 
-        The time counts anew after this process was suspended, since it could hear nobody.
+        The time counts anew after this process was suspended, since it could hear nobody. Nobody is
+        removed while this entry hears too few others: it may be the one that is cut off.
 
         :param now_ms: the monotonic time.
         """
@@ -158,6 +189,20 @@
         if self._resumed_ms is not None and self._resumed_ms >= oldest_ms:
             return []
         dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
+        if not self._hears_most(oldest_ms):
+            for entry_id in dead:
+                self._members[entry_id].forget_counter()
+            return []
         for entry_id in dead:
             del self._members[entry_id]
         return dead
+
+    def _hears_most(self, oldest_ms: int) -> bool:
+        """Return whether most entries that were heard and did not leave are still heard.
+
+        This entry counts as one of them, unless it has not heard any other.
+        """
+        heard = [m for m in self._members.values() if not m.is_registered_only]
+        present = [m for m in heard if not m.record.leaving]
+        recent = [m for m in present if m.heard_ms >= oldest_ms]
+        return bool(heard) and 1 + len(recent) >= HEARD_RATIO * (1 + len(present))
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import dataclasses
-import signal
 
 import anyio
 
@@ -14,6 +13,7 @@
 from sassafraslock import (
     clock,
     edge_settings,
+    entry_gauges,
     entry_interfaces,
     events,
     facts,
@@ -22,25 +22,27 @@
     kernel,
     logs,
     routing_table,
+    settings_watch,
+    signal_watch,
+    signals,
 )
 from sassafraslock.decisions import (
+    backpressure,
     cold_start,
     message_quota,
     placement,
     registry,
     retry_budget,
     roster,
-    server_limits,
-    server_rate_limiter,
 )
-from sassafraslock.path import access_log, pipeline, send
+from sassafraslock.path import access_log, pipeline, retry_gate, send
 from sassafraslock.services import (
+    backpressure_watch,
     claims,
     departure,
     directory,
     gossip,
     http_server,
-    limit_watch,
     log_writer,
     metrics,
     operator_api,
@@ -56,7 +58,6 @@
 )
 
 STOPPING_RATIO = 0.9  # share of the grace period that the graceful stop may take
-SETTINGS_POLL_S = 2.0
 
 
 class Edge:
@@ -75,6 +76,7 @@
         self.boot_ms = clock.wall_ms()
         self.leaving = False
         self.kernel = kernel.Kernel()
+        self.settings_watch = settings_watch.SettingsWatch(self.apply_settings)
         self._log_buffer = log_buffer
         self._source = source
         self.quota = message_quota.MessageQuota(settings.memory_bytes)
@@ -97,8 +99,8 @@
         reader = peer_copies.PeerCopyReader(self.gossip, lambda: self.replica.version)
         self.replica.set_fallback(reader)
         self.metrics = metrics.Metrics()
-        self.limits = server_limits.ServerLimits()
-        self.limit_watch = limit_watch.LimitWatch(self.limits, servers, names.rate_limit)
+        self.backpressure = self._build_backpressure(servers)
+        self.watch = backpressure_watch.BackpressureWatch(self.backpressure, servers, names)
         self.pipeline = self._build_pipeline(servers, names, keys)
         placer = self.pipeline.placer
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
@@ -116,10 +118,15 @@
     def _subscribe(self, placer: placement.Placer) -> None:
         self.gossip.loads = placer.loads
         self.gossip.objects = placer.objects
-        self.gossip.limits = self.limit_watch
+        self.gossip.limits = self.watch.limits
+        self.gossip.departures = self.watch.departing
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
 
+    def _build_backpressure(self, servers: registry.Registry) -> backpressure.Backpressure:
+        started_ms = clock.monotonic_ms()
+        return backpressure.Backpressure(self.settings.entry_id, servers, self.gossip, started_ms)
+
     def _build_pipeline(
         self,
         servers: registry.Registry,
@@ -130,12 +137,14 @@
         cold = cold_start.ColdStartLimiter(
             self.settings.entry_id, bounds.cold_overage, bounds.cold_slack
         )
-        limiter = server_rate_limiter.ServerRateLimiter(
-            self.settings.entry_id, self.limits, self.gossip, clock.monotonic_ms()
+        placer = placement.Placer(
+            self.settings.region, servers, self.gossip, cold, self.backpressure
         )
-        placer = placement.Placer(self.settings.region, servers, self.gossip, cold, limiter)
         budget = retry_budget.RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            clock.monotonic_ms(),
         )
         log = access_log.AccessLog(
             self.settings.region,
@@ -145,12 +154,12 @@
         return pipeline.RequestPipeline(
             self.routing_state,
             placer,
-            budget,
-            send.Sender(self.upstream, names, self.limit_watch, self.settings.entry_id),
+            retry_gate.RetryGate(budget, self.gossip.roster.sharing_count),
+            send.Sender(self.upstream, names, self.watch, self.settings.entry_id),
             names,
             log,
             self.poison,
-            self.limit_watch,
+            self.watch,
             self.gossip.roster.entry_count,
             self._region_entry_count,
             keys,
@@ -160,6 +169,8 @@
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
         self.kernel.register("beliefs", kernel.PassiveService(self.routing_state))
+        self.kernel.register("settings", kernel.PassiveService(self.settings_watch))
+        self.kernel.register("backpressure", kernel.PassiveService(self.watch))
         self.kernel.register("messages", kernel.PassiveService(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
@@ -168,7 +179,7 @@
         self.kernel.register("poison", self.poison)
         copies = peer_copies.PeerApi(self.replica, settings.peer_token)
         self.kernel.register("copies", self._http_server(copies, settings.gossip_address))
-        client = peer_copies.CopyClient(settings.peer_token)
+        client = peer_copies.CopyClient(settings.peer_token, self.gossip.rejections)
         feed = zone_feed.ZoneFeed(settings.zone, self.gossip.roster, self.replica, client)
         self.kernel.register("zone feed", feed)
         self.kernel.register("registration", registrar.Registrar(settings, self._source))
@@ -194,9 +205,8 @@
         return http_server.HttpServer(handler, host, int(port), policy, self.quota)
 
     def _region_entry_count(self) -> int:
-        """Return the number of live entries in this entry's region, itself included."""
-        live = self.gossip.roster.live(clock.monotonic_ms())
-        return 1 + sum(m.record.region == self.settings.region for m in live)
+        """Return the number of entries in this entry's region, itself and silent ones included."""
+        return len(self.gossip.known_ids(self.settings.region))
 
     def _has_lowest_id(self) -> bool:
         """Return whether this entry performs the tasks that one entry performs for all."""
@@ -230,17 +240,7 @@
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format, with the gauges brought up to date."""
-        status = self.status(clock.monotonic_ms())
-        self.metrics.set_status(
-            self.settings.entry_id,
-            status.ready,
-            status.facts_age_ms,
-            status.servers,
-            status.in_flight,
-        )
-        self.metrics.set_limits(
-            self.settings.entry_id, len(self.limits.in_force()), self.limit_watch.invalid_heads
-        )
+        entry_gauges.update(self, clock.monotonic_ms())
         return self.metrics.render()
 
     @property
@@ -321,17 +321,26 @@
         bounds = settings.bounds
         self.directory.settings = self.settings
         self.quota.resize(settings.memory_bytes)
-        self.pipeline.budget.set_bounds(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+        self.pipeline.retries.budget.set_bounds(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            clock.monotonic_ms(),
         )
         self.pipeline.placer.cold_limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
         self.gossip.seeds = list(settings.seeds)
+        self.kernel.stop_bound_ms = self._stop_bound_ms()
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
 
-    async def run(self, reload: entry_interfaces.Reload) -> str:
-        """Serve until SIGTERM or SIGINT.
+    async def run(
+        self,
+        reload: entry_interfaces.Reload = settings_watch.settings_never_change,
+        process_signals: signals.ProcessSignals | None = None,
+    ) -> str:
+        """Serve until SIGTERM or SIGINT, or until the kernel is asked to stop.
 
-        :param reload: reads the settings again; called every :data:`SETTINGS_POLL_S` and on SIGHUP.
+        :param reload: reads the settings again; called from time to time and on SIGHUP.
+        :param process_signals: the signals of the process, none to leave them to the caller.
         :returns: the service whose repeated failures stopped the process, empty if there is none.
         """
         settings = self.settings
@@ -342,32 +351,24 @@
             zone=settings.zone,
             clients=settings.client_address,
         )
+        self.settings_watch.read = reload
+        watch = signal_watch.SignalWatch(
+            process_signals, self.kernel.request_stop, lambda: self.settings_watch.reload(True)
+        )
+        watch.handle_pending()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_signals, reload)
-            group.start_soon(self._watch_settings, reload)
-            await self.kernel.run(int(STOPPING_RATIO * settings.bounds.grace_ms))
+            group.start_soon(watch.run)
+            group.start_soon(self.settings_watch.run)
+            await self.kernel.run(self._stop_bound_ms())
             group.cancel_scope.cancel()
         events.log(events.Event.PROCESS_STOPPED, "entry stopped", entry=settings.entry_id)
-        return self.kernel.failed_service
-
-    async def _watch_settings(self, reload: entry_interfaces.Reload) -> None:
-        while True:
-            await anyio.sleep(SETTINGS_POLL_S)
-            self._reload(reload, False)
-
-    def _reload(self, reload: entry_interfaces.Reload, signalled: bool) -> None:
-        settings = reload(signalled)
-        if settings is not None:
-            self.apply_settings(settings)
-
-    async def _watch_signals(self, reload: entry_interfaces.Reload) -> None:
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*signals) as received:
-            async for number in received:
-                if number == signal.SIGHUP:
-                    self._reload(reload, True)
-                else:
-                    self.kernel.request_stop()
+        failed_service = self.kernel.failed_service
+        reason = f"{failed_service} failed repeatedly" if failed_service else watch.stop_reason
+        events.log(events.Event.PROCESS_ENDING, f"the process ends: {reason}", reason=reason)
+        return failed_service
+
+    def _stop_bound_ms(self) -> int:
+        return int(STOPPING_RATIO * self.settings.bounds.grace_ms)
 
 
 def configure_logs(log_format: logs.LogFormat, level: str) -> log_writer.BufferedLogHandler:
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -2,33 +2,38 @@
 
 from __future__ import annotations
 
+import re
+
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, placement, quarantine, registry, server_health
 from sassafraslock.path import judge, route, send
-from sassafraslock.services import limit_watch, poison_watch, server_connection
+from sassafraslock.services import backpressure_watch, poison_watch, server_connection
 
 ESTIMATED_HEAD_BYTES = 400  # first line and headers of a request or an answer
 INITIAL_ANSWER_BYTES = 16 << 10
 ANSWER_SIZE_WEIGHT = 0.1  # of the newest answer in the moving average
 SLOW_RATIO = 1.5  # slower servers do not change the expected latency of the route
 
+_LOAD_NUMBER = rb"[ \t]*([0-9]{1,6})[ \t]*"  # larger ones are no counts of requests
+_LOAD = re.compile(rb",".join([_LOAD_NUMBER] * 3))
+
 
 class AttemptRecorder:
     """Records the load, the failures and the latency of servers, and the answer sizes of routes."""
 
-    __slots__ = ("_placer", "_names", "_poison", "_limit_watch", "_mean_answer_bytes")
+    __slots__ = ("_placer", "_names", "_poison", "_watch", "_mean_answer_bytes")
 
     def __init__(
         self,
         placer: placement.Placer,
         names: header_names.HeaderNames,
         poison: poison_watch.PoisonWatch,
-        limit_watcher: limit_watch.LimitWatch,
+        watch: backpressure_watch.BackpressureWatch,
     ) -> None:
         self._placer = placer
         self._names = names
         self._poison = poison
-        self._limit_watch = limit_watcher
+        self._watch = watch
         self._mean_answer_bytes: dict[str, float] = {}
 
     def mean_answer_bytes(self, route_: routing_table.Route) -> float:
@@ -67,6 +72,8 @@
         """
         now_ms = attempt.sent_ms + attempt.took_ms
         exchange = attempt.exchange
+        if exchange is not None and exchange.outcome is server_connection.Outcome.WITHHELD:
+            return
         if verdict is judge.Verdict.NOT_SENT:
             health.record_connect_failure(now_ms)
             self._log_ejection(attempt, health, now_ms)
@@ -91,9 +98,7 @@
             health.record_replaced(now_ms)
             self._log_ejection(attempt, health, now_ms)
             return
-        self._limit_watch.record_answer(
-            attempt.choice.server, exchange.response, attempt.sent_ms, now_ms
-        )
+        self._watch.record_answer(attempt.choice.server, exchange.response, attempt.sent_ms, now_ms)
         health.record_answer(verdict in (judge.Verdict.FAILED, judge.Verdict.BROKEN), now_ms)
         if verdict is judge.Verdict.ANSWERED:
             self._record_latency(routed, placement_request, attempt, health)
@@ -146,7 +151,5 @@
 
 
 def _parse_load(value: bytes) -> server_health.ReportedLoad | None:
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return server_health.ReportedLoad(*(int(part) for part in parts))
+    found = _LOAD.fullmatch(value)
+    return server_health.ReportedLoad(*(int(n) for n in found.groups())) if found else None
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -11,7 +11,6 @@
     link_rate_limit,
     placement,
     quarantine,
-    retry_budget,
     route_latency,
     split,
 )
@@ -22,10 +21,11 @@
     read,
     refusals,
     request_context,
+    retry_gate,
     route,
     send,
 )
-from sassafraslock.services import claims, limit_watch, poison_watch, routing_state
+from sassafraslock.services import backpressure_watch, claims, poison_watch, routing_state
 
 SOFT_TIMEOUT_RATIO = 2.0  # of the attempt's expected time
 SOFT_TIMEOUT_TARGET_RATIO = 1.2  # of the route's target latency; the greater time applies
@@ -53,7 +53,7 @@
         "_is_stopped",
         "placer",
         "splitter",
-        "budget",
+        "retries",
         "_routing_state",
         "_sender",
         "_names",
@@ -70,12 +70,12 @@
         self,
         state: routing_state.RoutingState,
         placer: placement.Placer,
-        budget: retry_budget.RetryBudget,
+        retries: retry_gate.RetryGate,
         sender: send.Sender,
         names: header_names.HeaderNames,
         observer: request_context.RequestObserver,
         poison: poison_watch.PoisonWatch,
-        limit_watcher: limit_watch.LimitWatch,
+        watch: backpressure_watch.BackpressureWatch,
         entry_count: typing.Callable[[], int],
         region_entry_count: typing.Callable[[], int],
         claims_service: claims.Claims | None = None,
@@ -91,8 +91,8 @@
         self._is_stopped = False
         self.placer = placer
         self.splitter = split.Splitter()
-        self.budget = budget
-        self.recorder = attempt_recorder.AttemptRecorder(placer, names, poison, limit_watcher)
+        self.retries = retries
+        self.recorder = attempt_recorder.AttemptRecorder(placer, names, poison, watch)
         self._routing_state = state
         self._sender = sender
         self._names = names
@@ -194,7 +194,7 @@
                 " this request, so it is quarantined; change the request or fix the service"
             )
             return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
-        self.budget.record_request(routed.service.name, now_ms)
+        self.retries.budget.record_request(routed.service.name, now_ms)
         busy_ms = self.placer.latency_of(routed.route).expected_ms(
             route_latency.ObjectAffinity.KNOWN
         )
@@ -220,7 +220,7 @@
                 return refusals.deadline_refusal(context)
             choice = placement_request.replacement or self.placer.place(placement_request, now_ms)
             placement_request.replacement = None
-            context.limited_servers = placement_request.limited_servers
+            context.left_out = placement_request.left_out
             if isinstance(choice, errors.Refusal):
                 return refusals.final_refusal(context, choice)
             if not self._acquire_link_tokens(routed, choice, now_ms):
@@ -248,7 +248,8 @@
             if not self._may_retry(routed, placement_request, attempt, verdict):
                 if verdict is judge.Verdict.FAILED and response is not None:
                     return refusals.checked_response(routed, response)
-                return refusals.final_refusal(context, None)
+                refusal = self.placer.paused_refusal(placement_request, clock.monotonic_ms())
+                return refusals.final_refusal(context, refusal)
 
     def _is_poison(self, routed: route.RoutedRequest, now_ms: int) -> bool:
         known = self._poison.quarantine
@@ -268,7 +269,7 @@
         )
 
     def _acquire_retry(self, placement_request: candidates.PlacementRequest, now_ms: int) -> bool:
-        return self.budget.try_acquire(placement_request.service.name, self._entry_count(), now_ms)
+        return self.retries.try_acquire(placement_request.service.name, now_ms)
 
     def _may_retry(
         self,
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -1,7 +1,8 @@
 """Gossip between entries over UDP.
 
 It spreads which entries are alive and ready, the store version that each has reached, suspected
-poison requests, servers' reported loads and rate limits, and which objects they have handled.
+poison requests, servers' reported loads and rate limits, which of them leave, and which objects
+they have handled.
 """
 
 from __future__ import annotations
@@ -14,8 +15,9 @@
 import anyio.abc
 import msgspec
 
-from sassafraslock import clock, events
+from sassafraslock import clock, events, field_types
 from sassafraslock.decisions import (
+    departing_servers,
     gossip_targets,
     load_reports,
     message_auth,
@@ -23,7 +25,7 @@
     roster,
     server_limits,
 )
-from sassafraslock.services import poison_watch
+from sassafraslock.services import list_decoder, poison_watch, rejections
 
 INTERVAL_S = 0.5
 SILENT_TARGETS = 2
@@ -39,8 +41,9 @@
     """One gossip datagram before compression.
 
     ``records`` holds the sender's record, first, and those of some live entries; ``beats`` holds
-    heartbeat counters of other live entries. ``limits`` goes to all entries, ``loads`` to entries
-    nearby only, and ``objects`` to entries of the same region.
+    heartbeat counters of other live entries. ``limits`` and ``departures`` go to all entries,
+    ``loads`` to entries nearby only, and ``objects`` to entries of the same region. New fields go
+    to the end, as entries of former versions ignore what follows the last field that they know.
     """
 
     records: list[roster.MemberRecord]
@@ -49,6 +52,7 @@
     loads: list[load_reports.LoadReport] = []
     objects: list[object_memory.ObjectReport] = []
     limits: list[server_limits.LimitReport] = []
+    departures: list[departing_servers.DepartureReport] = []
 
 
 class ReportExchange(typing.Protocol[ReportT]):
@@ -95,7 +99,9 @@
         "loads",
         "objects",
         "limits",
+        "departures",
         "token",
+        "rejections",
     )
 
     def __init__(
@@ -118,9 +124,11 @@
         self.loads: ReportExchange[load_reports.LoadReport] | None = None
         self.objects: ReportExchange[object_memory.ObjectReport] | None = None
         self.limits: ReportExchange[server_limits.LimitReport] | None = None
+        self.rejections = rejections.Rejections()
+        self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._decoder = list_decoder.ListDecoder(Message)
         self._last_live: set[str] = set()
 
     async def run(self, ready: anyio.Event) -> None:
@@ -144,10 +152,9 @@
         :param bound: the socket.
         """
         for address, payload in self.datagrams(clock.monotonic_ms()):
-            host, _, port = address.rpartition(":")
             try:
-                await bound.sendto(payload, host, int(port))
-            except OSError:
+                await bound.sendto(payload, *field_types.split_address(address))
+            except (OSError, ValueError, OverflowError):
                 continue
 
     def datagrams(self, now_ms: int) -> list[tuple[str, bytes]]:
@@ -208,8 +215,9 @@
         others = members[RECORDS_PER_MESSAGE : RECORDS_PER_MESSAGE + HEARTBEATS_PER_MESSAGE]
         heartbeats = [m.heartbeat() for m in others]
         limits = self.limits.recent_reports(now_ms) if self.limits is not None else []
+        departures = self.departures.recent_reports(now_ms) if self.departures is not None else []
         suspects = self._poison.recent_suspects(now_ms)
-        return Message([own, *records], heartbeats, suspects, limits=limits)
+        return Message([own, *records], heartbeats, suspects, limits=limits, departures=departures)
 
     def pack(self, message: Message) -> bytes:
         """Encode and compress a message, and sign it with the peer token.
@@ -246,20 +254,25 @@
     def merge_datagram(self, data: bytes, now_ms: int) -> None:
         """Merge a datagram; one that is wrongly signed or cannot be decoded is logged and dropped.
 
+        So is each entry of it that is out of bounds, while the others are merged.
+
         :param data: the datagram.
         :param now_ms: the current monotonic time.
         """
         verified = message_auth.verify(self.token, data)
         if verified is None:
             reason = "gossip datagram not signed with this entry's peer_token; compare the settings"
-            events.log(events.Event.PEER_MESSAGE_REJECTED, reason, size_bytes=len(data))
+            self._reject_message(reason, now_ms)
             return
         try:
             plain = zlib.decompressobj().decompress(verified, MAX_MESSAGE_BYTES)
-            message = self._decoder.decode(plain)
+            message, invalid = self._decoder.decode(plain)
         except (zlib.error, msgspec.DecodeError) as error:
-            events.log(events.Event.PEER_MESSAGE_REJECTED, str(error), size_bytes=len(data))
+            self._reject_message(field_types.describe(error), now_ms)
             return
+        for item in invalid:
+            event = events.Event.PEER_ENTRY_INVALID
+            self.rejections.record(event, f"gossip {item.list_name}", item.reason, now_ms)
         for record in message.records:
             self.roster.merge_record(record, now_ms)
         for heartbeat in message.beats:
@@ -271,6 +284,12 @@
             self.objects.merge_reports(message.objects, now_ms)
         if self.limits is not None:
             self.limits.merge_reports(message.limits, now_ms)
+        if self.departures is not None:
+            self.departures.merge_reports(message.departures, now_ms)
+
+    def _reject_message(self, reason: str, now_ms: int) -> None:
+        event = events.Event.PEER_MESSAGE_REJECTED
+        self.rejections.record(event, "gossip message", reason, now_ms)
 
     def _log_liveness_changes(self, now_ms: int) -> None:
         live = {m.record.entry_id for m in self.roster.live(now_ms)}
--- a/sassafraslock/services/http_server.py
+++ b/sassafraslock/services/http_server.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import logging
+import typing
 
 import anyio
 
 from sassafraslock import clock, http_messages, listening, routing_table
 from sassafraslock.decisions import message_quota
-from sassafraslock.services import client_connection
+from sassafraslock.services import acceptor, client_connection, cut_log
 
-BACKLOG = 512
 TIMEOUT_CHECK_INTERVAL_S = 1.0
+CLOSE_POLL_S = 0.05
+RECEIVE_MS = 500  # at a stop, the time for the rest of a request that has begun to arrive
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -28,6 +30,8 @@
         "closing",
         "connections",
         "quota",
+        "cuts",
+        "_acceptor",
         "_handler",
         "_policy",
         "_host",
@@ -47,6 +51,8 @@
         self.limits = routing_table.Limits()
         self.closing = False
         self.connections: set[client_connection.Connection] = set()
+        self.cuts = cut_log.CutLog()
+        self._acceptor: acceptor.Acceptor | None = None
         self._handler = handler
         self._policy = policy or _run_in_order
         self._host = host
@@ -58,23 +64,61 @@
 
         :param ready: set once the address accepts connections.
         """
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: client_connection.Connection(self),
-            sock=listening.listen(self._host, self._port),
-            backlog=BACKLOG,
+        accepting = acceptor.Acceptor(
+            listening.listen(self._host, self._port), lambda: client_connection.Connection(self)
         )
+        self._acceptor = accepting
+        accepting.start()
         ready.set()
         try:
             while True:
                 await anyio.sleep(TIMEOUT_CHECK_INTERVAL_S)
-                now_ms = clock.monotonic_ms()
-                for connection in list(self.connections):
-                    connection.enforce_timeouts(now_ms)
+                self._enforce_timeouts(clock.monotonic_ms())
         finally:
-            server.close()
-            for connection in list(self.connections):
-                connection.abort()
+            accepting.abort()
+            self._abort_connections(clock.monotonic_ms())
+
+    def _enforce_timeouts(self, now_ms: int) -> None:
+        self._check_each(lambda connection: connection.enforce_timeouts(now_ms))
+
+    def _check_each(self, check: typing.Callable[[client_connection.Connection], None]) -> None:
+        """Call a function for each connection; a fault costs its connection alone."""
+        for connection in list(self.connections):
+            try:
+                check(connection)
+            except Exception:
+                _LOGGER.exception("check of a connection failed; it is closed")
+                connection.cut(cut_log.CutCause.FAULT)
+
+    def _abort_connections(self, now_ms: int) -> None:
+        unfinished = [connection.unfinished for connection in self.connections]
+        self.cuts.record(cut_log.CutCause.STOP, unfinished, now_ms)
+        for connection in list(self.connections):
+            connection.abort()
+
+    async def close_connections(self) -> None:
+        """Stop listening, answer what has been received, and close each connection after that.
+
+        Returns once all connections are closed. The caller limits the time, since clients may
+        read their answers slowly.
+        """
+        self.closing = True
+        if self._acceptor is not None:
+            self._acceptor.close()
+        started_ms = clock.monotonic_ms()
+        while self.connections or (self._acceptor is not None and self._acceptor.is_opening):
+            self._close_idle(started_ms, clock.monotonic_ms())
+            await anyio.sleep(CLOSE_POLL_S)
+
+    def _close_idle(self, started_ms: int, now_ms: int) -> None:
+        self._check_each(lambda connection: connection.close_if_idle(now_ms))
+        if now_ms - started_ms >= RECEIVE_MS:
+            self._check_each(client_connection.Connection.reject_incomplete)
+
+    @property
+    def accept_failures(self) -> int:
+        """The number of errors of ``accept``."""
+        return self._acceptor.failures if self._acceptor is not None else 0
 
     @property
     def is_busy(self) -> bool:
@@ -103,7 +147,11 @@
 
         :param request: the request.
         """
-        return self._policy(request)
+        try:
+            return self._policy(request)
+        except Exception:
+            _LOGGER.exception("pipelining policy failed; the request runs alone")
+            return False
 
     async def _process(
         self, exchange: client_connection.Exchange, connection: client_connection.Connection
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 import aioprometheus
 import aioprometheus.renderer
 
 from sassafraslock import http_messages
+from sassafraslock.path import retry_gate
+from sassafraslock.services import cut_log
 
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -15,6 +18,23 @@
 LATENCY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BackpressureGauges:
+    """How many servers ask for what in their answers, and how many answers asked invalidly.
+
+    :param limited: servers that name a rate limit.
+    :param leaving: servers that say that they leave.
+    :param paused: servers that asked for a pause that has not ended.
+    """
+
+    limited: int
+    invalid_limits: int
+    leaving: int
+    invalid_leaving: int
+    paused: int
+    invalid_pauses: int
+
+
 class Metrics:
     """The process's counters, gauges and histograms."""
 
@@ -28,6 +48,20 @@
         "_in_flight",
         "_limited",
         "_invalid_limits",
+        "_known_entries",
+        "_live_entries",
+        "_retries",
+        "_retries_allowed",
+        "_retries_granted",
+        "_retries_refused",
+        "_rejected",
+        "_rejected_settings",
+        "_connections_cut",
+        "_accept_failures",
+        "_leaving",
+        "_invalid_leaving",
+        "_paused",
+        "_invalid_pauses",
     )
 
     def __init__(self) -> None:
@@ -51,6 +85,47 @@
         self._invalid_limits = self._gauge(
             "invalid_server_limits", "Answers that named an invalid rate limit."
         )
+        self._rejected = self._gauge(
+            "rejected_entries", "Entries in rows and messages of others that could not be used."
+        )
+
+        self._known_entries = self._gauge(
+            "entries_known", "Entries that share limits, this and silent ones included."
+        )
+        self._live_entries = self._gauge(
+            "entries_live", "Entries that are heard, this one included."
+        )
+        self._retries = self._gauge("retries_in_window", "Retries in the window of the budget.")
+        self._retries_allowed = self._gauge(
+            "retries_allowed", "Retries that this entry may send in the window of the budget."
+        )
+        self._retries_granted = aioprometheus.Counter(
+            "sassafraslock_retries_granted_total",
+            "Retries that the budget granted.",
+            registry=self.registry,
+        )
+        self._retries_refused = aioprometheus.Counter(
+            "sassafraslock_retries_refused_total",
+            "Retries that the budget refused.",
+            registry=self.registry,
+        )
+        self._rejected_settings = self._gauge(
+            "rejected_settings", "Readings of the settings file that were refused."
+        )
+        self._connections_cut = self._gauge(
+            "connections_cut", "Connections of clients closed with requests or answers unfinished."
+        )
+        self._accept_failures = self._gauge(
+            "accept_failures", "Connections of clients that could not be accepted."
+        )
+        self._leaving = self._gauge("servers_leaving", "Servers that say that they leave.")
+        self._invalid_leaving = self._gauge(
+            "invalid_server_leaving", "Answers that said invalidly whether their server leaves."
+        )
+        self._paused = self._gauge("servers_paused", "Servers in a pause that they asked for.")
+        self._invalid_pauses = self._gauge(
+            "invalid_server_pauses", "Rejections that asked for an invalid pause."
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"sassafraslock_{name}", text, registry=self.registry)
@@ -82,16 +157,74 @@
         self._servers.set(labels, servers)
         self._in_flight.set(labels, in_flight)
 
-    def set_limits(self, entry_id: str, limited: int, invalid: int) -> None:
-        """Set the gauges of the rate limits that servers name.
+    def set_backpressure(self, entry_id: str, gauges: BackpressureGauges) -> None:
+        """Set the gauges of what servers ask for.
+
+        :param entry_id: the entry.
+        :param gauges: the values.
+        """
+        labels = {"entry": entry_id}
+        self._limited.set(labels, gauges.limited)
+        self._invalid_limits.set(labels, gauges.invalid_limits)
+        self._leaving.set(labels, gauges.leaving)
+        self._invalid_leaving.set(labels, gauges.invalid_leaving)
+        self._paused.set(labels, gauges.paused)
+        self._invalid_pauses.set(labels, gauges.invalid_pauses)
+
+    def set_entries(self, entry_id: str, known: int, live: int) -> None:
+        """Set the gauges of the entries that this one knows.
 
         :param entry_id: the entry.
-        :param limited: the number of servers that name one.
-        :param invalid: the number of answers so far that named an invalid one.
+        :param known: the number of entries by which shared limits are divided.
+        :param live: the number of those whose heartbeats arrive.
         """
         labels = {"entry": entry_id}
-        self._limited.set(labels, limited)
-        self._invalid_limits.set(labels, invalid)
+        self._known_entries.set(labels, known)
+        self._live_entries.set(labels, live)
+
+    def set_retries(self, entry_id: str, retries: retry_gate.RetryGate, now_ms: int) -> None:
+        """Set the gauges of the retry budget, by service.
+
+        :param entry_id: the entry.
+        :param retries: its retries and what they may be.
+        :param now_ms: the current monotonic time.
+        """
+        for service, usage in retries.usage(now_ms).items():
+            labels = {"entry": entry_id, "service": service}
+            self._retries.set(labels, usage.retries)
+            self._retries_allowed.set(labels, usage.allowed)
+            self._retries_granted.set(labels, retries.granted.get(service, 0))
+            self._retries_refused.set(labels, retries.refused.get(service, 0))
+
+    def set_rejected(self, entry_id: str, counts: typing.Mapping[str, int]) -> None:
+        """Set the gauges of the entries that others wrote and that could not be used.
+
+        :param entry_id: the entry.
+        :param counts: the number so far, by the topic of the row or the kind of the message.
+        """
+        for source, count in counts.items():
+            self._rejected.set({"entry": entry_id, "source": source}, count)
+
+    def set_rejected_settings(self, entry_id: str, rejected: int) -> None:
+        """Set the gauge of refused settings.
+
+        :param entry_id: the entry.
+        :param rejected: how often settings were refused since the start.
+        """
+        self._rejected_settings.set({"entry": entry_id}, rejected)
+
+    def set_connections(
+        self, entry_id: str, cut: typing.Mapping[cut_log.CutCause, int], accept_failures: int
+    ) -> None:
+        """Set the gauges of the clients' connections.
+
+        :param entry_id: the entry.
+        :param cut: the number of connections so far that were cut, by cause.
+        :param accept_failures: the number so far that could not be accepted.
+        """
+        for cause, count in cut.items():
+            self._connections_cut.set({"entry": entry_id, "cause": cause.value}, count)
+        self._accept_failures.set({"entry": entry_id}, accept_failures)
 
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -19,7 +19,9 @@
 from sassafraslock.decisions import message_quota
 
 MAX_IDLE_MS = 8_000
+MAX_IDLE_DIGITS = 9  # of the announced seconds; int() refuses thousands of digits
 IDLE_MARGIN_MS = 1_000  # subtracted from the idle time that servers announce
+_IDLE_TIMEOUT = re.compile(rb"timeout=[ \t]*([0-9]+)[ \t]*(?:,|$)")
 # In a head, it shows that a response begins inside another one that was cut off.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 SERVER_HEADERS_BYTES = 32 << 10  # added to the request header limit to bound response headers
@@ -28,13 +30,15 @@
 class Outcome(enum.Enum):
     """How an exchange with a server ended.
 
-    ``NOT_CONNECTED``: nothing was sent. ``BROKEN``: the connection ended before the whole
-    response. ``MALFORMED``: the response was aborted because it is not valid HTTP, exceeds a
+    ``NOT_CONNECTED`` and ``WITHHELD``: nothing was sent; the latter since the server wanted no
+    requests any more once the connection was open. ``BROKEN``: the connection ended before the
+    whole response. ``MALFORMED``: the response was aborted because it is not valid HTTP, exceeds a
     limit, or took memory that other messages need.
     """
 
     ANSWERED = "answered"
     NOT_CONNECTED = "not connected"
+    WITHHELD = "withheld"
     BROKEN = "broken"
     MALFORMED = "garbled"
 
@@ -43,7 +47,8 @@
 class Exchange:
     """The result of sending a request to a server.
 
-    :attr:`Outcome.NOT_CONNECTED` alone guarantees that the server received nothing.
+    :attr:`Outcome.NOT_CONNECTED` and :attr:`Outcome.WITHHELD` alone guarantee that the server
+    received nothing.
     ``response`` is set if the outcome is ``ANSWERED``, otherwise ``reason`` describes the error.
     ``connect_ms`` is -1 if an idle connection was reused.
     """
@@ -72,6 +77,9 @@
         :param headers: the headers, with names in lower case.
         """
 
+    def may_send(self) -> bool:
+        """Return whether the server may still get the request, which is about to be written."""
+
 
 class Connection(asyncio.Protocol):
     """A connection to a server, which runs one request at a time.
@@ -125,6 +133,10 @@
                 )
             )
             return self._future
+        if self.observe_head is not None and not self.observe_head.may_send():
+            reason = "the server asked for no further requests before this one was sent"
+            self._complete(Exchange(Outcome.WITHHELD, reason=reason))
+            return self._future
         self._transport.write(data)
         return self._future
 
@@ -305,10 +317,12 @@
         self._complete(Exchange(Outcome.ANSWERED, response))
 
     def _apply_keep_alive(self, value: bytes) -> None:
-        _, separator, seconds = value.partition(b"timeout=")
-        digits = seconds.split(b",")[0].strip()
-        if separator and digits.isdigit():
-            self.max_idle_ms = min(MAX_IDLE_MS, int(digits) * 1_000 - IDLE_MARGIN_MS)
+        found = _IDLE_TIMEOUT.search(value)
+        if found is None:
+            return
+        digits = found[1].lstrip(b"0")
+        seconds = int(digits[:MAX_IDLE_DIGITS] or b"0")
+        self.max_idle_ms = min(MAX_IDLE_MS, seconds * 1_000 - IDLE_MARGIN_MS)
 
     def _is_framed(self) -> bool:
         return any(n in (b"content-length", b"transfer-encoding") for n, _ in self._headers)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -185,7 +185,7 @@
 
 def test_without_retry_budget_a_silent_server_is_the_only_attempt():
     async def scenario(world):
-        world.edge.pipeline.budget.set_bounds(0.0, 0.0, 10_000)
+        world.edge.pipeline.retries.budget.set_bounds(0.0, 0.0, 10_000, 0)
         world.servers_by_preference()[0].mode = "silent"
         assert (await world.send(limit_ms=4_000)).status == 504
         assert world.runs == 1
@@ -287,6 +287,17 @@
     edge_world.run_scenario(scenario)
 
 
+def test_a_reloaded_grace_period_bounds_the_next_stop():
+    """A stop was cut short by the grace period of the start, though a reload had made it longer."""
+
+    async def scenario(world):
+        bounds = edge_settings.Bounds(grace_ms=60_000)
+        world.edge.apply_settings(dataclasses.replace(world.settings, bounds=bounds))
+        assert world.edge.kernel.stop_bound_ms == 54_000
+
+    edge_world.run_scenario(scenario)
+
+
 def test_an_entry_is_not_ready_before_clients_can_connect(monkeypatch):
     """An entry that is ready too early appears in the directory while its port is still closed."""
     worlds, run = [], http_server.HttpServer.run
@@ -324,8 +335,27 @@
         assert metrics.header(b"content-type").startswith(b"text/plain")
         assert b"sassafraslock_request_seconds_bucket" in metrics.body
         assert b"sassafraslock_facts_age_seconds" in metrics.body
+        assert b'sassafraslock_connections_cut{cause="stop",entry="e-1"} 0' in metrics.body
+        assert b'sassafraslock_accept_failures{entry="e-1"} 0' in metrics.body
         assert (await world.send(path="/dump", address=alone)).status == 404
         dump = msgspec.json.decode((await world.send(path="/dump", address=operators)).body)
         assert dump["replica"]["state"]["positions"]["servers"] > 0
 
     edge_world.run_scenario(scenario)
+
+
+# Guards against requests that ended with 500, since the row of their server named no address.
+def test_odd_servers_beside_good_ones_fail_no_request_and_are_counted():
+    async def scenario(world):
+        for port in ("99999", "-1", "9" * 5_000, ""):
+            world.source.put_server(f"i-odd{port[:5]}", f"10.0.0.9:{port}")
+        unreadable = facts.UnreadableRow("cut short")
+        world.source.put(facts.Topic.SERVERS, "i-cut", unreadable=unreadable)
+        await anyio.sleep(1.0)
+        statuses = {(await world.send(path=f"/x/{n}")).status for n in range(40)}
+        assert statuses == {200}
+        metrics = await world.send(path="/metrics", address=world.settings.metrics_address)
+        line = b'sassafraslock_rejected_entries{entry="e-1",source="servers"} 1'
+        assert line in metrics.body
+
+    edge_world.run_scenario(scenario)
