--- a/tests/test_departing_watch.py
+++ b/tests/test_departing_watch.py
@@ -5,7 +5,7 @@
 from sassafraslock import header_names, http_messages
 from sassafraslock.decisions import backpressure, departing_servers, registry
 from sassafraslock.services import backpressure_watch
-from tests import fact_source, test_rate_limited_placement
+from tests import fact_source, test_placement
 
 NAMES = header_names.HeaderNames()
 
@@ -13,7 +13,7 @@
 def build():
     servers = registry.Registry()
     servers.apply_report(fact_source.report("i-1", born_ms=1), 0, False, 0)
-    asked = backpressure.Backpressure("e-0", servers, test_rate_limited_placement.Entries())
+    asked = backpressure.Backpressure("e-0", servers, test_placement.Entries())
     return backpressure_watch.BackpressureWatch(asked, servers, NAMES), asked, servers
 
 
@@ -50,7 +50,7 @@
 def test_without_a_header_name_nothing_is_heard():
     servers = registry.Registry()
     servers.apply_report(fact_source.report("i-1", born_ms=1), 0, False, 0)
-    asked = backpressure.Backpressure("e-0", servers, test_rate_limited_placement.Entries())
+    asked = backpressure.Backpressure("e-0", servers, test_placement.Entries())
     names = header_names.HeaderNames(leaving=b"")
     watch = backpressure_watch.BackpressureWatch(asked, servers, names)
     watch.record_head(servers.servers["i-1"], 200, [(b"", b"1")], 10, 0)
--- a/tests/test_pause_watch.py
+++ b/tests/test_pause_watch.py
@@ -5,7 +5,7 @@
 from sassafraslock import header_names
 from sassafraslock.decisions import backpressure, registry
 from sassafraslock.services import backpressure_watch, invalid_headers, pause_watch
-from tests import fact_source, test_rate_limited_placement
+from tests import fact_source, test_placement
 
 NAMES = header_names.HeaderNames()
 SERVER = registry.Server(fact_source.report("i-1", born_ms=1), 0)
@@ -14,7 +14,7 @@
 
 
 def asked():
-    entries = test_rate_limited_placement.Entries()
+    entries = test_placement.Entries()
     return backpressure.Backpressure("e-0", registry.Registry(), entries)
 
 
