--- a/sassafraslock/decisions/departing_servers.py
+++ b/sassafraslock/decisions/departing_servers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from sassafraslock import field_types
 from sassafraslock.decisions import heard_from
 
 MAX_REPORTS = 64  # per gossip message
@@ -20,8 +21,8 @@
     :param age_ms: how long ago the server first said so.
     """
 
-    start_hash: int
-    age_ms: int
+    start_hash: field_types.Hash32
+    age_ms: field_types.AgeMs
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +91,7 @@
         )
         for _, departure in chosen:
             departure.sent_count += 1
-        return [DepartureReport(h, max(0, now_ms - d.heard_ms)) for h, d in chosen]
+        return [DepartureReport(h, field_types.age_ms(d.heard_ms, now_ms)) for h, d in chosen]
 
     def retain(self, start_hashes: collections.abc.Set[int]) -> None:
         """Discard the records of all servers except the given ones.
--- a/sassafraslock/decisions/server_limits.py
+++ b/sassafraslock/decisions/server_limits.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sassafraslock import field_types
 from sassafraslock.decisions import heard_from
 
 MAX_KNOWN = 4_096  # beyond this, limits of further servers are not recorded
@@ -41,9 +42,9 @@
     :param age_ms: how long ago the server named the limit, or answered without one.
     """
 
-    start_hash: int
-    per_s: float | None
-    age_ms: int
+    start_hash: field_types.Hash32
+    per_s: field_types.Rate | None
+    age_ms: field_types.AgeMs
 
     @property
     def is_valid(self) -> bool:
@@ -146,7 +147,7 @@
         """
         self._discard_ended(now_ms)
         newest = heapq.nlargest(MAX_REPORTS, self._known.items(), key=lambda item: item[1].heard_ms)
-        return [LimitReport(h, k.per_s, max(0, now_ms - k.heard_ms)) for h, k in newest]
+        return [LimitReport(h, k.per_s, field_types.age_ms(k.heard_ms, now_ms)) for h, k in newest]
 
     def merge(self, report: LimitReport, now_ms: int) -> bool:
         """Merge what another entry knows of a server, if that is newer.
--- a/sassafraslock/field_types.py
+++ b/sassafraslock/field_types.py
@@ -14,6 +14,7 @@
 MAX_BEATS = 1 << 33  # two a second for more than a century
 MAX_VERSION = (1 << 63) - 1
 MAX_COUNT = 1_000_000
+MAX_PER_S = 1_000_000_000
 MAX_BYTES = 1 << 40
 MAX_SERVER_IDS = 16
 
@@ -64,10 +65,20 @@
 Version = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
 Beat = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BEATS)]
 Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_PER_S)]
 Hash32 = typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)]
 ServerIds = typing.Annotated[list[ServerId], msgspec.Meta(max_length=MAX_SERVER_IDS)]
 
 
+def age_ms(heard_ms: int, now_ms: int) -> int:
+    """Return how long ago something was heard, as an :data:`AgeMs` to send.
+
+    :param heard_ms: when it was heard.
+    :param now_ms: the current time of the same clock.
+    """
+    return min(MAX_WALL_MS, max(0, now_ms - heard_ms))
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of an address.
 
