--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -14,6 +14,8 @@
 REMOVE_AFTER_MS = 60_000
 # Removals are checked once a gossip round; a longer pause shows that this process was suspended.
 MAX_CHECK_PAUSE_MS = 5_000
+# The store keeps the registrations of entries that are gone for good.
+UNHEARD_AFTER_MS = 600_000
 MAX_MEMBERS = 8_192
 # If the entries fall apart into groups, shares of a limit add up to at most one and a third: one
 # group may hear two thirds, and the others forget nobody.
@@ -189,7 +191,7 @@
         if self._resumed_ms is not None and self._resumed_ms >= oldest_ms:
             return []
         dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
-        if not self._hears_most(oldest_ms):
+        if not self._hears_most(oldest_ms, now_ms - UNHEARD_AFTER_MS):
             for entry_id in dead:
                 self._members[entry_id].forget_counter()
             return []
@@ -197,12 +199,17 @@
             del self._members[entry_id]
         return dead
 
-    def _hears_most(self, oldest_ms: int) -> bool:
-        """Return whether most entries that were heard and did not leave are still heard.
+    def _hears_most(self, oldest_ms: int, registered_since_ms: int) -> bool:
+        """Return whether most entries that did not leave are still heard.
 
-        This entry counts as one of them, unless it has not heard any other.
+        This entry counts as one of them, unless it has not heard any other. Those that it knows
+        from the store alone count for :data:`UNHEARD_AFTER_MS`.
         """
-        heard = [m for m in self._members.values() if not m.is_registered_only]
-        present = [m for m in heard if not m.record.leaving]
-        recent = [m for m in present if m.heard_ms >= oldest_ms]
-        return bool(heard) and 1 + len(recent) >= HEARD_RATIO * (1 + len(present))
+        members = self._members.values()
+        expected = [m for m in members if not m.record.leaving]
+        expected = [
+            m for m in expected if not m.is_registered_only or m.heard_ms >= registered_since_ms
+        ]
+        heard = [m for m in members if not m.is_registered_only]
+        recent = [m for m in expected if not m.is_registered_only and m.heard_ms >= oldest_ms]
+        return bool(heard) and 1 + len(recent) >= HEARD_RATIO * (1 + len(expected))
--- a/tests/test_retry_gate.py
+++ b/tests/test_retry_gate.py
@@ -69,10 +69,10 @@
             entry.routing_state.apply(change, True, now_ms)
 
 
-def hear_all(entries, now_ms):
+def hear_all(entries, now_ms, beat=1):
     for entry in entries:
         for other in entries:
-            entry.gossip.roster.merge_record(other.member_record(1), now_ms)
+            entry.gossip.roster.merge_record(other.member_record(beat), now_ms)
 
 
 def let_pass(entries, now_ms, for_ms):
@@ -103,6 +103,25 @@
     anyio.run(scenario)
 
 
+# Guards against retries beyond the budget: entries that started again while they were cut off from
+# most others took these for dead, since they knew them from the store alone.
+@pytest.mark.parametrize("restarted", [3, 4, 6, 9])
+@pytest.mark.parametrize("silent_ms", [20_000, 40_000, 70_000, 300_000])
+def test_entries_that_start_again_while_cut_off_share_the_slack_as_before(restarted, silent_ms):
+    async def scenario():
+        entries, now_ms = build_entries(), clock.monotonic_ms() + WINDOW_MS
+        hear_all(entries, now_ms)
+        entries[:restarted] = build_entries()[:restarted]
+        register_all(entries, now_ms)
+        for at_ms in range(now_ms, now_ms + silent_ms, 1_000):
+            for group in (entries[:restarted], entries[restarted:]):
+                hear_all(group, at_ms, at_ms)
+                let_pass(group, at_ms, 1_000)
+        assert 0 < granted(entries, now_ms + silent_ms) <= SLACK
+
+    anyio.run(scenario)
+
+
 # Guards against links beyond their limit: entries that hear nobody took the whole link each.
 def test_entries_that_do_not_hear_each_other_share_links_as_before():
     async def scenario():
