--- a/sassafraslock/services/request_reader.py
+++ b/sassafraslock/services/request_reader.py
@@ -95,7 +95,11 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade:
+            # The request is complete, and what follows it may be of another protocol.
+            self.ended = True
+            return
+        except httptools.HttpParserError:
             self.reject(400)
             return
         self._check_bounds()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -137,11 +137,13 @@
     run_scenario(scenario)
 
 
-def test_a_request_with_connection_close_closes_the_connection():
+# Guards against a second answer, status 400, to a request that offers another protocol.
+@pytest.mark.parametrize("header", [b"connection: close", b"connection: upgrade\r\nupgrade: h2c"])
+def test_a_request_with_connection_close_or_upgrade_closes_the_connection(header):
     async def scenario(stream, handler, server):
-        await stream.send(b"GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n" + get("/y"))
+        await stream.send(b"GET /x HTTP/1.1\r\nhost: h\r\n" + header + b"\r\n\r\n" + get("/y"))
         received = await read_to_end(stream)
-        assert b"/x" in received and b"/y" not in received
+        assert b"/x" in received and received.count(b"HTTP/1.1") == 1
         assert handler.started == ["/x"]
 
     run_scenario(scenario)
