--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -237,7 +237,11 @@
 @click.option("--port", default=7300, show_default=True)
 @click.option("--shared", type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
               help="A folder with one TEAM.toml for each team, stored at the start.")  # fmt: skip
-def standin_platform(host: str, port: int, shared: pathlib.Path | None) -> None:
+@click.option("--journal", type=click.Path(dir_okay=False, path_type=pathlib.Path),
+              help="A file that keeps the rows over restarts.")  # fmt: skip
+def standin_platform(
+    host: str, port: int, shared: pathlib.Path | None, journal: pathlib.Path | None
+) -> None:
     """Run a stand-in of the platform: table service, object store and VM list.
 
     Example: sassafraslock standin platform --shared examples/walk/shared
@@ -246,8 +250,9 @@
     :param host: the IP address to listen on.
     :param port: the port to listen on.
     :param shared: the folder of shared settings.
+    :param journal: the file that keeps the rows.
     """
-    anyio.run(commands.run_platform, host, port, shared)
+    anyio.run(commands.run_platform, host, port, shared, journal)
 
 
 @standin.command(name="backend")
--- a/sassafraslock/commands.py
+++ b/sassafraslock/commands.py
@@ -21,7 +21,7 @@
 )
 from sassafraslock.decisions import client_blocks, revisions
 from sassafraslock.services import block_loader, platform_client
-from sassafraslock.standin import backend, platform_api
+from sassafraslock.standin import backend, journaled_platform, platform_api
 from sassafraslock.standin import platform as standin_platform
 
 STOP_BOUND_MS = 1_000
@@ -95,15 +95,22 @@
     ]
 
 
-async def run_platform(host: str, port: int, shared: pathlib.Path | None) -> None:
+async def run_platform(
+    host: str, port: int, shared: pathlib.Path | None, journal: pathlib.Path | None
+) -> None:
     """Run a stand-in of the platform until SIGTERM or SIGINT.
 
     :param host: the IP address to listen on.
     :param port: the port to listen on.
-    :param shared: the folder of shared settings to store at the start, none to start empty.
+    :param shared: the folder of shared settings to store at the first start, none to start empty.
+    :param journal: the file that keeps the rows over restarts, none to lose them.
     """
-    memory = standin_platform.MemoryPlatform()
-    problems = store_initial_settings(memory, shared) if shared else []
+    memory = (
+        journaled_platform.JournaledPlatform(journal)
+        if journal
+        else standin_platform.MemoryPlatform()
+    )
+    problems = store_initial_settings(memory, shared) if shared and not memory.rows else []
     if problems:
         raise SystemExit("\n".join(map(str, problems)))
     faulty = standin_platform.FaultyPlatform(memory, standin_platform.Faults(), seed=1)
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -107,7 +107,8 @@
         shared = self.folder / "shared"
         shared.mkdir()
         arguments = ["standin", "platform", "--port", str(self._platform_port)]
-        self._add("platform", [*arguments, "--shared", str(shared)])
+        rows = self.folder / "platform.rows"
+        self._add("platform", [*arguments, "--shared", str(shared), "--journal", str(rows)])
 
     def _add_servers(self, seed: int) -> None:
         servers = {}
