--- a/sassafraslock/services/client_connection.py
+++ b/sassafraslock/services/client_connection.py
@@ -188,7 +188,11 @@
         self._parse()
 
     def eof_received(self) -> bool:
-        """Close the connection if the client closes its sending side; half-close is unsupported."""
+        """Close the connection if the client closes its sending side; half-close is unsupported.
+
+        What is buffered is still sent, unless the client stops reading.
+        """
+        self._progress = client_timeouts.ReadProgress(self._delivered_bytes, clock.monotonic_ms())
         return False
 
     # request_reader.Receiver
@@ -343,7 +347,8 @@
 
     def _is_read_stalled(self, now_ms: int) -> bool:
         """Return whether the client has stopped reading; one that reads slowly has not."""
-        if not self._is_blocked:
+        is_closing = self._transport is not None and self._transport.is_closing()
+        if not self._is_blocked and not is_closing:
             return False
         self._progress.update(self._delivered_bytes, now_ms)
         return self._progress.is_stalled(self._server.limits.idle_timeout_ms, now_ms)
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -15,6 +15,7 @@
 SERVED_UNTIL_S = 1.7  # of a stop with this grace period
 LARGE_BYTES = 16 << 20  # more than the buffers of both kernels hold
 FITTING_BYTES = 1 << 20  # the buffers of the kernels hold it
+REST_BYTES = 40 << 10  # the event loop keeps some of it if the buffers of the kernels are small
 SMALL_BUFFER_BYTES = 4 << 10
 STEP_BYTES = 64 << 10  # a slow client pauses after each step
 
@@ -40,7 +41,7 @@
             self.in_flight -= 1
         if "odd" in request.target:
             return http_messages.Response(200, [(b"x", None)], b"odd")
-        sizes = {"/large": LARGE_BYTES, "/fitting": FITTING_BYTES}
+        sizes = {"/large": LARGE_BYTES, "/fitting": FITTING_BYTES, "/rest": REST_BYTES}
         body = bytes(sizes.get(request.target, 0)) or request.target.encode()
         return http_messages.Response(200, [], body)
 
@@ -374,6 +375,26 @@
     run_server(scenario, routing_table.Limits(idle_timeout_ms=200))
 
 
+# Guards against connections that stay open for ever since their clients close their sending side
+# and do not read a rest that fits into the buffer of the event loop.
+def test_a_client_that_half_closes_and_stops_reading_is_cut_in_the_end():
+    async def scenario(server, handler):
+        client = connect()
+        while not server.connections:
+            await anyio.sleep(0.01)
+        (connection,) = server.connections
+        accepted = connection._transport.get_extra_info("socket")
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        await send(client, get("/rest"))
+        await anyio.sleep(0.1)
+        client.shutdown(socket.SHUT_WR)
+        while server.connections:
+            await anyio.sleep(0.05)
+        assert server.cuts.counts[cut_log.CutCause.BLOCKED] == 1
+
+    run_server(scenario, routing_table.Limits(idle_timeout_ms=200))
+
+
 # Guards against a fault in one connection that ends the server, and with it all connections.
 def test_a_fault_while_a_connection_is_checked_costs_that_connection_alone(monkeypatch):
     async def scenario(server, handler):
