--- a/sassafraslock/services/backpressure_watch.py
+++ b/sassafraslock/services/backpressure_watch.py
@@ -67,7 +67,7 @@
         :param now_ms: the current monotonic time.
         """
         self.limits.record_answer(server, response, sent_ms, now_ms)
-        if response.status not in pause_watch.STATUSES:
+        if response.status not in pause_watch.REJECTION_STATUSES:
             self._asked.pauses.record_answer(registry.start_hash(server), sent_ms)
 
     def is_closed(self, server: registry.Server, now_ms: int) -> bool:
--- a/sassafraslock/services/pause_watch.py
+++ b/sassafraslock/services/pause_watch.py
@@ -7,7 +7,8 @@
 from sassafraslock.services import invalid_headers
 
 RETRY_AFTER = b"retry-after"
-STATUSES = (http_messages.UNAVAILABLE, http_messages.TOO_MANY_REQUESTS)
+# Answers with these tell nothing of whether the server has room again.
+REJECTION_STATUSES = (http_messages.UNAVAILABLE, http_messages.TOO_MANY_REQUESTS)
 LOG_INTERVAL_MS = 2_000  # per start of a server, unless a pause gets longer by LOG_GROWTH_MS
 LOG_GROWTH_MS = 1_000
 MAX_LOGGED = 4_096
@@ -39,13 +40,15 @@
     ) -> None:
         """Record the pause that the head of an answer asks for.
 
+        Only 503 does: 429 may tell of the quota of one client, whose servers others need.
+
         :param server: the server.
-        :param status: the HTTP status of the answer; only rejections ask for pauses.
+        :param status: the HTTP status of the answer.
         :param headers: the headers, with names in lower case.
         :param now_ms: the current monotonic time.
         :param wall_ms: the current wall clock time, for dates.
         """
-        if status not in STATUSES:
+        if status != http_messages.UNAVAILABLE:
             return
         values = [value for name, value in headers if name == RETRY_AFTER]
         parsed = [server_pauses.parse(value, wall_ms) for value in values]
