--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -16,6 +16,7 @@
 MAX_CHECK_PAUSE_MS = 5_000
 # The store keeps the registrations of entries that are gone for good.
 UNHEARD_AFTER_MS = 600_000
+GONE_AFTER_MS = 7_200_000  # longer than regions are cut from each other
 MAX_MEMBERS = 8_192
 # If the entries fall apart into groups, shares of a limit add up to at most one and a third: one
 # group may hear two thirds, and the others forget nobody.
@@ -73,8 +74,9 @@
 
     def forget_counter(self) -> None:
         """Accept any heartbeat from now on, since a false one may have hidden those that came."""
-        self.record = msgspec.structs.replace(self.record, boot_ms=0, beat=0)
-        self.newest_order = self.record.order
+        if any(self.newest_order):
+            self.record = msgspec.structs.replace(self.record, boot_ms=0, beat=0)
+            self.newest_order = self.record.order
 
     def heartbeat(self) -> Heartbeat:
         """Return the newest heartbeat, which may be newer than the record."""
@@ -179,8 +181,9 @@
     def remove_dead(self, now_ms: int) -> list[str]:
         """Remove members without a heartbeat for :data:`REMOVE_AFTER_MS` and return their ids.
 
-        The time counts anew after this process was suspended, since it could hear nobody. Nobody is
-        removed while this entry hears too few others: it may be the one that is cut off.
+        The time counts anew after this process was suspended, since it could hear nobody. While this
+        entry hears too few others, which may hear each other, it removes only those that were
+        silent for :data:`GONE_AFTER_MS`, and nobody while it hears nobody.
 
         :param now_ms: the monotonic time.
         """
@@ -190,11 +193,15 @@
         oldest_ms = now_ms - REMOVE_AFTER_MS
         if self._resumed_ms is not None and self._resumed_ms >= oldest_ms:
             return []
-        dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
         if not self._hears_most(oldest_ms, now_ms - UNHEARD_AFTER_MS):
-            for entry_id in dead:
-                self._members[entry_id].forget_counter()
-            return []
+            for member in self._members.values():
+                if member.heard_ms < oldest_ms:
+                    member.forget_counter()
+            hears_any = any(m.heard_ms >= oldest_ms for m in self._members.values())
+            oldest_ms = now_ms - GONE_AFTER_MS
+            if not hears_any:
+                return []
+        dead = [i for i, m in self._members.items() if m.heard_ms < oldest_ms]
         for entry_id in dead:
             del self._members[entry_id]
         return dead
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -84,6 +84,18 @@
     assert members.entry_count() == 10 - removed
 
 
+@pytest.mark.parametrize(("heard", "known"), [(0, 10), (1, 2), (5, 6)])
+def test_entries_that_are_silent_for_hours_are_forgotten_by_those_that_hear_some(heard, known):
+    members = roster.Roster("me")
+    for number in range(9):
+        members.merge_record(record(f"e-{number}"), 0)
+    now_ms = roster.GONE_AFTER_MS + 1_000
+    for number in range(heard):
+        members.merge_record(record(f"e-{number}", 9), now_ms - 1_000)
+    members.remove_dead(now_ms)
+    assert members.entry_count() == known
+
+
 def test_entries_that_left_do_not_have_to_be_heard():
     members = roster.Roster("me")
     for number in range(9):
