--- a/sassafraslock/decisions/roster.py
+++ b/sassafraslock/decisions/roster.py
@@ -181,8 +181,8 @@
     def remove_dead(self, now_ms: int) -> list[str]:
         """Remove members without a heartbeat for :data:`REMOVE_AFTER_MS` and return their ids.
 
-        The time counts anew after this process was suspended, since it could hear nobody. While this
-        entry hears too few others, which may hear each other, it removes only those that were
+        The time counts anew after this process was suspended, since it could hear nobody. While
+        this entry hears too few others, which may hear each other, it removes only those that were
         silent for :data:`GONE_AFTER_MS`, and nobody while it hears nobody.
 
         :param now_ms: the monotonic time.
