No client is accepted without the service that drains the entry

Cause: the listener of the clients was registered before the service that drains it, and the kernel starts no further service once a stop is asked for. A stop between the two had nothing to drain with, and cancelled the listener. Change: both are one service, which starts last and stops first. The same order elsewhere: the settlement of request keys, the client of the table service and the loader of client blocks started after the clients were accepted, and ended before them; they come before now. Copies for peers, operators, directory and readiness start before; none of them holds client requests.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 import anyio
 
@@ -71,6 +72,7 @@
         names: header_names.HeaderNames,
         log_buffer: log_writer.BufferedLogHandler,
         keys: claims.Claims | None = None,
+        platform_services: typing.Mapping[str, kernel.Service] | None = None,
     ) -> None:
         self.settings = settings
         self.boot_ms = clock.wall_ms()
@@ -110,9 +112,7 @@
         policy = self.pipeline.may_run_concurrently
         self.client_server = self._http_server(handler, settings.client_address, policy)
         self._register_services(handlers)
-        if keys is not None:
-            keys.may_purge = self._has_lowest_id
-            self.kernel.register("claims", keys)
+        self._register_request_services(keys, platform_services or {})
         self._subscribe(placer)
 
     def _subscribe(self, placer: placement.Placer) -> None:
@@ -192,8 +192,19 @@
         for name, (address, create_handler) in addresses.items():
             if address:
                 self.kernel.register(name, self._http_server(create_handler(self), address))
-        self.kernel.register("front", self.client_server)
-        self.kernel.register("departure", departure.Departure(self))
+
+    def _register_request_services(
+        self,
+        keys: claims.Claims | None,
+        platform_services: typing.Mapping[str, kernel.Service],
+    ) -> None:
+        """Register what requests need; the server of the clients starts last and stops first."""
+        for name, service in platform_services.items():
+            self.kernel.register(name, service)
+        if keys is not None:
+            keys.may_purge = self._has_lowest_id
+            self.kernel.register("claims", keys)
+        self.kernel.register("front", departure.Departure(self))
 
     def _http_server(
         self,
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -88,6 +88,7 @@
         store = settings_store.SettingsStore(table)
         self._handler_factory = HandlerFactory(store, process.operator.token)
         key_claims = claims.Claims(table, HEADER_NAMES)
+        loader = block_loader.BlockLoader(process, table, self._handler_factory.blocks)
         self.edge = edge.Edge(
             convert_settings(process),
             self.source,
@@ -95,10 +96,8 @@
             HEADER_NAMES,
             log_lines,
             key_claims,
+            {"platform": table, "blocks": loader},
         )
-        self.edge.kernel.register("platform", table)
-        loader = block_loader.BlockLoader(process, table, self._handler_factory.blocks)
-        self.edge.kernel.register("blocks", loader)
 
     async def run(
         self,
--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -16,7 +16,13 @@
 
 
 class ClientServer(typing.Protocol):
-    """Holds the connections of clients."""
+    """Accepts clients and holds their connections."""
+
+    async def run(self, ready: anyio.Event) -> None:
+        """Serve until cancelled.
+
+        :param ready: set once clients are accepted.
+        """
 
     async def close_connections(self) -> None:
         """Close each connection once its requests are answered and its client has the answers."""
@@ -52,11 +58,14 @@
 
 
 class Departure:
-    """Drains the entry when the process stops.
+    """Runs the server of the clients, and drains the entry when the process stops.
+
+    Both are one service, since a stop may begin between the starts of two: no client is accepted
+    without the drain that answers it.
 
-    The entry leaves the directory first, but serves clients that still have its address for up to
-    :data:`REFUSE_AFTER_MS`, in the second half of the grace period only those whose deadline leaves
-    time enough. Then it refuses new requests and waits for those in flight, until
+    At a stop the entry leaves the directory first, but serves clients that still have its address
+    for up to :data:`REFUSE_AFTER_MS`, in the second half of the grace period only those whose
+    deadline leaves time enough. Then it refuses new requests and waits for those in flight, until
     :data:`DRAIN_RATIO` of the grace period has passed. What is then still in flight is answered as
     failed. The rest of the stop is for clients to read their answers.
     """
@@ -67,12 +76,11 @@
         self._entry = entry
 
     async def run(self, ready: anyio.Event) -> None:
-        """Wait until cancelled; the work is done in :meth:`stop`.
+        """Serve clients until cancelled.
 
-        :param ready: set at once.
+        :param ready: set once clients are accepted.
         """
-        ready.set()
-        await anyio.sleep_forever()
+        await self._entry.client_server.run(ready)
 
     async def stop(self) -> None:
         """Drain the entry; returns once no request is unanswered and no answer unsent."""
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -155,7 +155,13 @@
         return [self.backends[i] for i in order]
 
 
-def run_scenario(scenario, modes=("ok", "ok"), routes=None):
+def is_ready(world):
+    return world.edge.is_ready
+
+
+def run_scenario(scenario, modes=("ok", "ok"), routes=None, until=is_ready, settle_s=0.1):
+    """Run a scenario with an entry and its servers, ``settle_s`` after ``until`` holds."""
+
     async def main():
         world = World(modes)
         core = kernel.Kernel()
@@ -169,9 +175,9 @@
             group.start_soon(core.run, 100)
             group.start_soon(world.edge.kernel.run, 1_300)
             with anyio.fail_after(20):
-                while not world.edge.is_ready:
+                while not until(world):
                     await anyio.sleep(0.01)
-                await anyio.sleep(0.1)
+                await anyio.sleep(settle_s)
                 await scenario(world)
             group.cancel_scope.cancel()
 
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sassafraslock import edge_settings, http_messages
-from sassafraslock.services import departure
+from sassafraslock.services import departure, http_server
 from tests import edge_world, fact_source
 
 NAMES = edge_world.NAMES
@@ -95,6 +95,47 @@
     edge_world.run_scenario(scenario, routes=routes)
 
 
+class StopRequest:
+    """Passes on that a service is ready, and requests a stop in the same moment."""
+
+    def __init__(self, core, ready):
+        self.core, self.ready, self.is_made = core, ready, False
+
+    def set(self):
+        self.ready.set()
+        self.core.request_stop()
+        self.is_made = True
+
+
+# Guards against a stop that begins between the starts of two services, with clients accepted and
+# nothing that answers them: their connections were cut.
+def test_a_stop_in_the_moment_in_which_clients_are_accepted_answers_their_requests(monkeypatch):
+    run, stops, answers = http_server.HttpServer.run, [], {}
+
+    async def run_and_request_stop(server, ready):
+        if worlds and server is worlds[0].edge.client_server:
+            while not worlds[0].edge.routing_state.registry.servers:
+                await anyio.sleep(0.01)
+            ready = StopRequest(worlds[0].edge.kernel, ready)
+            stops.append(ready)
+        await run(server, ready)
+
+    worlds = []
+    monkeypatch.setattr(http_server.HttpServer, "run", run_and_request_stop)
+
+    async def scenario(world):
+        for backend in world.backends.values():
+            backend.work_s = WORK_S
+        await ask(world, 1, 0, False, answers)
+        assert answers[1].startswith(b"HTTP/1.1 200") and world.runs == 1
+
+    def is_stopping(world):
+        worlds[:] = [world]
+        return bool(stops) and stops[0].is_made
+
+    edge_world.run_scenario(scenario, routes=ROUTES, until=is_stopping, settle_s=0)
+
+
 class StalledEntry:
     """Its event loop stalls past the end of the grace period, while its answers arrive."""
 
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -138,8 +138,7 @@
         server = http_server.HttpServer(handler, HOST, PORT, lambda r: r.method == "GET")
         entry = StoppingEntry(handler, server, at_last_check)
         core = kernel.Kernel()
-        core.register("front", server)
-        core.register("departure", departure.Departure(entry))
+        core.register("front", departure.Departure(entry))
         with anyio.fail_after(15):
             async with anyio.create_task_group() as group:
                 group.start_soon(core.run, int(0.9 * GRACE_MS))
@@ -242,9 +241,8 @@
         handler = Handler()
         server = http_server.HttpServer(handler, HOST, PORT)
         core = kernel.Kernel()
-        core.register("front", server)
         stop = departure.Departure(StoppingEntry(handler, server, None))
-        core.register("departure", stop)
+        core.register("front", stop)
         async with anyio.create_task_group() as group:
             group.start_soon(core.run, 10_000)
             while not core.all_ready:
