A broken connection is logged with its request and what it was found to be

The hypotheses on BUDGET differ in which requests a fingerprint stands for and in which breaks count; no line told either. E5014 names the request, its path and fingerprint, and the finding: crash, server reachable, or part of a mass failure. No decision changes.

--- a/sassafraslock/explain.py
+++ b/sassafraslock/explain.py
@@ -39,6 +39,7 @@
         events.Event.SERVER_LEAVING,
         events.Event.SERVER_PAUSED,
         events.Event.REQUEST_QUARANTINED,
+        events.Event.CRASH_SUSPECTED,
     )
 )
 # Which events tell of the servers that a field of a request counts, and what the field says.
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -81,11 +81,7 @@
         if exchange is None or exchange.response is None:
             health.record_broken_exchange(now_ms)
             if exchange is not None and exchange.outcome is server_connection.Outcome.BROKEN:
-                report = attempt.choice.server.report
-                connection = poison_watch.BrokenConnection(
-                    fingerprint(routed), report.server_id, report.address
-                )
-                self._poison.record_broken_connection(connection)
+                self._report_broken(routed, attempt)
             return
         if exchange.connect_ms >= 0:
             health.rtt_ms = float(exchange.connect_ms)
@@ -103,6 +99,17 @@
         if verdict is judge.Verdict.ANSWERED:
             self._record_latency(routed, placement_request, attempt, health)
 
+    def _report_broken(self, routed: route.RoutedRequest, attempt: send.Attempt) -> None:
+        report = attempt.choice.server.report
+        broken = poison_watch.BrokenConnection(
+            fingerprint(routed),
+            report.server_id,
+            report.address,
+            routed.incoming.request_id.decode("latin-1"),
+            routed.incoming.request.target,
+        )
+        self._poison.record_broken_connection(broken)
+
     def _log_ejection(
         self, attempt: send.Attempt, health: server_health.ServerHealth, now_ms: int
     ) -> None:
--- a/sassafraslock/services/poison_watch.py
+++ b/sassafraslock/services/poison_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 import anyio
 import anyio.streams.memory
@@ -18,13 +19,26 @@
 SUSPECT_GOSSIP_MS = 20_000
 
 
+class Finding(enum.StrEnum):
+    """What a broken connection says of the request that its server ran."""
+
+    CRASH = "crash of the server"
+    REACHABLE = "server is reachable"
+    MASS_FAILURE = "mass failure"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class BrokenConnection:
-    """A connection that broke while its server ran the request with this fingerprint."""
+    """A connection that broke while its server ran the request with this fingerprint.
+
+    ``request_id`` and ``path`` are those of the request, for the log.
+    """
 
     fingerprint: str
     server_id: str
     address: str
+    request_id: str = ""
+    path: str = ""
 
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
@@ -75,11 +89,15 @@
     async def _confirm(self, broken: BrokenConnection) -> None:
         await anyio.sleep(CONFIRM_AFTER_S)
         if await self._upstream.is_reachable(broken.address):
+            _log_finding(broken, Finding.REACHABLE)
             return
         now_ms = clock.monotonic_ms()
-        if self.quarantine.record_crash(broken.fingerprint, broken.server_id, now_ms):
-            self._changed_ms[broken.fingerprint] = now_ms
-            self._log(broken.fingerprint, now_ms)
+        if not self.quarantine.record_crash(broken.fingerprint, broken.server_id, now_ms):
+            _log_finding(broken, Finding.MASS_FAILURE)
+            return
+        _log_finding(broken, Finding.CRASH)
+        self._changed_ms[broken.fingerprint] = now_ms
+        self._log(broken.fingerprint, now_ms)
 
     def merge(self, suspects: list[Suspect], now_ms: int) -> None:
         """Merge another entry's suspects; those that add no server are ignored.
@@ -126,3 +144,15 @@
     def dump(self) -> dict[str, object]:
         """Return the number of suspected fingerprints."""
         return {"suspects": self.quarantine.size}
+
+
+def _log_finding(broken: BrokenConnection, finding: Finding) -> None:
+    events.log(
+        events.Event.CRASH_SUSPECTED,
+        f"connection to a server broke under a request: {finding}",
+        request=broken.request_id,
+        path=broken.path,
+        server=broken.server_id,
+        fingerprint=broken.fingerprint,
+        finding=finding,
+    )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,7 +1,11 @@
 """Quarantine of requests under which servers crashed."""
 
+import logging
+
 import anyio
+import pytest
 
+from sassafraslock import events
 from sassafraslock.decisions import quarantine
 from sassafraslock.services import poison_watch, upstream
 from tests import loopback
@@ -9,6 +13,11 @@
 HOST, PORT = loopback.HOST, 24_380
 
 
+@pytest.fixture(autouse=True)
+def all_levels(caplog):
+    caplog.set_level(logging.INFO, "sassafraslock")
+
+
 def test_crashes_of_two_servers_quarantine_and_a_mass_failure_does_not():
     quarantine_ = quarantine.Quarantine()
     assert quarantine_.record_crash("m", "s1", 0)
@@ -64,3 +73,23 @@
         assert watch.quarantine.size == 0
 
     run_watch(scenario, listening=True)
+
+
+def findings(caplog):
+    lines = [r.fields for r in caplog.records if r.event is events.Event.CRASH_SUSPECTED]
+    return [(line["fingerprint"], line["server"], line["finding"].value) for line in lines]
+
+
+def test_each_broken_connection_is_logged_with_what_it_was_found_to_be(caplog):
+    async def scenario(watch):
+        for number in range(3):
+            watch.record_broken_connection(broken_connection(f"m{number}", f"s{number}"))
+            await anyio.sleep(0.1)
+
+    run_watch(scenario, listening=False)
+    crash = poison_watch.Finding.CRASH.value
+    assert findings(caplog)[:2] == [("m0", "s0", crash), ("m1", "s1", crash)]
+    assert len(findings(caplog)) == 3
+    caplog.clear()
+    run_watch(scenario, listening=True)
+    assert {f[2] for f in findings(caplog)} == {poison_watch.Finding.REACHABLE.value}
