--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -43,9 +43,9 @@
                 listener = await anyio.create_tcp_listener(local_host=HOST, local_port=PORT)
                 group.start_soon(listener.serve, serve)
             await scenario(watch)
-            if listening:
-                await listener.aclose()
             group.cancel_scope.cancel()
+        if listening:
+            await listener.aclose()
 
     anyio.run(main)
 
