--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -29,7 +29,7 @@
     ``fail`` (500), ``misdirect`` (421, as another server), ``silent`` (no response) or ``unsigned``
     (200 without a signature). If ``limit`` is not empty, all responses name it as the server's rate
     limit; so with ``leaving``. All responses but 2xx have ``retry_after``, unless it is empty. A
-    run takes ``work_s``.
+    run takes ``work_s``, and ends the server if its path ends in one of ``poison``.
     """
 
     server_id: str
@@ -42,6 +42,14 @@
     leaving: tuple = ()
     retry_after: tuple = ()
     work_s: float = 0.0
+    poison: tuple = ()
+    server: http_server.HttpServer | None = None
+
+    def end(self):
+        """End as a process that crashes: all connections are reset and none is accepted."""
+        self.server._acceptor.abort()
+        for connection in list(self.server.connections):
+            connection.abort()
 
     async def __call__(self, request):
         self.seen.append(request)
@@ -59,6 +67,9 @@
             return http_messages.Response(status, [*headers, (NAMES.not_run, b"1")])
         self.ran[request_id] += 1
         await anyio.sleep(self.work_s)
+        if self.poison and request.path.endswith(self.poison):
+            self.end()
+            await anyio.sleep_forever()
         if self.mode == "silent":
             try:
                 await anyio.sleep_forever()
@@ -121,14 +132,17 @@
         self.log = log_writer.BufferedLogHandler()
         self.edge = edge.Edge(self.settings, self.source, HandlerFactory(), NAMES, self.log)
 
-    async def send(self, method="GET", path="/x/1", body=b"", limit_ms=1500, address=""):
+    async def send(
+        self, method="GET", path="/x/1", body=b"", limit_ms=1500, address="", client=None
+    ):
+        """Send a request on a connection of its own, from the address ``client`` if set."""
         address = address or self.settings.client_address
         host, _, port = address.rpartition(":")
         head = [(b"host", b"h"), (NAMES.request_id, f"q{id(object())}-{path}".encode())]
         head += [(NAMES.object_key, b"k"), (NAMES.deadline_ms, str(limit_ms).encode())]
         head.append((b"connection", b"close"))
         raw = http_messages.encode_request(method, path, head, body)
-        async with await anyio.connect_tcp(host, int(port)) as stream:
+        async with await anyio.connect_tcp(host, int(port), local_host=client) as stream:
             await stream.send(raw)
             received = b""
             while True:
@@ -166,7 +180,8 @@
         world = World(modes)
         core = kernel.Kernel()
         for name, backend in world.backends.items():
-            core.register(name, http_server.HttpServer(backend, HOST, backend.port))
+            backend.server = http_server.HttpServer(backend, HOST, backend.port)
+            core.register(name, backend.server)
             world.source.put_server(name, f"{HOST}:{backend.port}")
         unsafe = fact_source.route("w", "/w/", idempotent=False)
         world.source.put_registration(world.settings)
