A request that crashes servers is one request, whichever client sends it

Cause: the fingerprint of a request held the client's address and the service. The path came from twelve addresses in ten seconds; each had a fingerprint of its own, without evidence, and ended two servers or more before it was refused. None came back often enough to be refused at all. Change: the fingerprint covers what is sent alone: host, method, target, body.

--- a/sassafraslock/decisions/quarantine.py
+++ b/sassafraslock/decisions/quarantine.py
@@ -17,15 +17,15 @@
 MASS_FAILURE_SERVERS = 3
 
 
-def fingerprint(service: str, method: str, path: str, body: bytes) -> str:
+def fingerprint(scope: str, method: str, path: str, body: bytes) -> str:
     """Return the hexadecimal 128-bit hash of a request, which is the same at every entry.
 
-    :param service: the service name, optionally with the caller.
+    :param scope: the host or the service that the path belongs to.
     :param method: the HTTP method.
     :param path: the path and query.
     :param body: the whole request body.
     """
-    digest = xxhash.xxh3_128(f"{service}\n{method}\n{path}\n".encode())
+    digest = xxhash.xxh3_128(f"{scope}\n{method}\n{path}\n".encode())
     digest.update(body)
     return digest.hexdigest()
 
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -146,15 +146,19 @@
 
 
 def fingerprint(routed: route.RoutedRequest) -> str:
-    """Return the fingerprint that all attempts and repeats of a client's request share.
+    """Return the fingerprint that all attempts and repeats of a request share.
 
-    It covers the service, the client's address, the method, the target and the body.
+    It covers the host, the method, the target and the body, as the client sent them. Neither the
+    client's address nor the service is part of it, since a request that crashes servers does so
+    whoever sends it, and wherever its route leads.
 
     :param routed: the request.
     """
-    request = routed.incoming.request
-    caller = f"{routed.service.name}|{request.client}"
-    return quarantine.fingerprint(caller, request.method, routed.target, request.body)
+    incoming = routed.incoming
+    request = incoming.request
+    return quarantine.fingerprint(
+        incoming.host.lower(), request.method, request.target, request.body
+    )
 
 
 def _parse_load(value: bytes) -> server_health.ReportedLoad | None:
