One rule weighs which requests are to blame for crashed servers

Cause: a crash within a second of two others under other requests was dropped for good, so poison hid itself by its neighbours; nothing ever took evidence back (record_answer had no caller). Change: evidence is kept and weighed as it comes. The request under which most servers crashed is judged first; its servers are explained and count against nobody else. Four servers are enough whatever else crashes; two or three only if most that crashed within a second of them did so under it. A server's answer refutes earlier crashes, also those heard of later. Crashes under one caller's requests refuse that caller alone, those under two callers' refuse all. A request under which a server is known to have crashed isn't retried when its connection breaks. A flood of suspects displaces the weakest.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,6 +16,7 @@
     latency,
     limits,
     placement,
+    poison,
     regions,
     server_limits,
     slopes,
@@ -29,6 +30,7 @@
     "limits": ("Limits kept in parts: the most used of each whole, virtual time", limits.measure),
     "server-limits": ("Rate limits that a server names, virtual time", server_limits.measure),
     "gossip": ("Gossip by the number of entries, virtual time", gossip.measure),
+    "poison": ("Requests that crash their servers, virtual time", poison.measure),
     "cold-restart": (
         "Servers that know no object yet, 24 entries, virtual time",
         cold_restart.measure,
--- a/sassafraslock/field_types.py
+++ b/sassafraslock/field_types.py
@@ -17,6 +17,7 @@
 MAX_PER_S = 1_000_000_000
 MAX_BYTES = 1 << 40
 MAX_SERVER_IDS = 16
+MAX_CALLER_IDS = 2
 
 _PRINTABLE = r"\A[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
 _HEADER_VALUE = r"\A[!-~]+\Z"
@@ -68,6 +69,7 @@
 Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_PER_S)]
 Hash32 = typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)]
 ServerIds = typing.Annotated[list[ServerId], msgspec.Meta(max_length=MAX_SERVER_IDS)]
+CallerIds = typing.Annotated[list[Name], msgspec.Meta(max_length=MAX_CALLER_IDS)]
 
 
 def age_ms(heard_ms: int, now_ms: int) -> int:
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -98,11 +98,13 @@
         health.record_answer(verdict in (judge.Verdict.FAILED, judge.Verdict.BROKEN), now_ms)
         if verdict is judge.Verdict.ANSWERED:
             self._record_latency(routed, placement_request, attempt, health)
+            if self._poison.quarantine.size:
+                self._poison.record_answer(identify(routed), now_ms)
 
     def _report_broken(self, routed: route.RoutedRequest, attempt: send.Attempt) -> None:
         report = attempt.choice.server.report
         broken = poison_watch.BrokenConnection(
-            fingerprint(routed),
+            identify(routed),
             report.server_id,
             report.address,
             routed.incoming.request_id.decode("latin-1"),
@@ -145,19 +147,18 @@
         )
 
 
-def fingerprint(routed: route.RoutedRequest) -> str:
-    """Return the fingerprint that all attempts and repeats of a request share.
+def identify(routed: route.RoutedRequest) -> quarantine.RequestIdentity:
+    """Return the identity that all attempts and repeats of a request share.
 
-    It covers the host, the method, the target and the body, as the client sent them. Neither the
-    client's address nor the service is part of it, since a request that crashes servers does so
-    whoever sends it, and wherever its route leads.
+    It covers what the client sent, not the service, since a request that crashes servers does so
+    wherever its route leads.
 
     :param routed: the request.
     """
     incoming = routed.incoming
     request = incoming.request
-    return quarantine.fingerprint(
-        incoming.host.lower(), request.method, request.target, request.body
+    return quarantine.identify(
+        incoming.host, request.client, request.method, request.target, request.body
     )
 
 
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -10,7 +10,6 @@
     candidates,
     link_rate_limit,
     placement,
-    quarantine,
     route_latency,
     split,
 )
@@ -189,11 +188,7 @@
     ) -> http_messages.Response | errors.Refusal:
         now_ms = clock.monotonic_ms()
         if self._is_poison(routed, now_ms):
-            reason = (
-                f"{quarantine.CRASHED_SERVERS_TO_QUARANTINE} or more servers crashed while they ran"
-                " this request, so it is quarantined; change the request or fix the service"
-            )
-            return errors.Refusal(errors.ErrorKind.QUARANTINED, reason)
+            return refusals.QUARANTINED
         self.retries.budget.record_request(routed.service.name, now_ms)
         busy_ms = self.placer.latency_of(routed.route).expected_ms(
             route_latency.ObjectAffinity.KNOWN
@@ -253,7 +248,11 @@
 
     def _is_poison(self, routed: route.RoutedRequest, now_ms: int) -> bool:
         known = self._poison.quarantine
-        return known.size > 0 and known.is_quarantined(attempt_recorder.fingerprint(routed), now_ms)
+        return known.size > 0 and known.is_quarantined(attempt_recorder.identify(routed), now_ms)
+
+    def _is_suspected(self, routed: route.RoutedRequest) -> bool:
+        known = self._poison.quarantine
+        return known.size > 0 and known.is_suspected(attempt_recorder.identify(routed))
 
     def _acquire_link_tokens(
         self, routed: route.RoutedRequest, choice: candidates.Choice, now_ms: int
@@ -287,7 +286,9 @@
             return True
         if verdict is judge.Verdict.SILENT and not attempt.abandoned:
             return False
-        return routed.idempotent
+        return routed.idempotent and not (
+            verdict is judge.Verdict.BROKEN and self._is_suspected(routed)
+        )
 
     async def _make_attempt(
         self,
--- a/sassafraslock/path/refusals.py
+++ b/sassafraslock/path/refusals.py
@@ -16,6 +16,11 @@
 ENTRY_LEAVING = errors.Refusal(
     errors.ErrorKind.LEAVING, "this entry is shutting down; send the request to another entry"
 )
+QUARANTINED = errors.Refusal(
+    errors.ErrorKind.QUARANTINED,
+    "servers crashed while they ran this request, so it is quarantined; change the request or fix"
+    " the service",
+)
 
 
 def checked_response(
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -22,6 +22,7 @@
     load_reports,
     message_auth,
     object_memory,
+    quarantine,
     roster,
     server_limits,
 )
@@ -48,7 +49,7 @@
 
     records: list[roster.MemberRecord]
     beats: list[roster.Heartbeat] = []
-    suspects: list[poison_watch.Suspect] = []
+    suspects: list[quarantine.SuspectReport] = []
     loads: list[load_reports.LoadReport] = []
     objects: list[object_memory.ObjectReport] = []
     limits: list[server_limits.LimitReport] = []
@@ -216,7 +217,7 @@
         heartbeats = [m.heartbeat() for m in others]
         limits = self.limits.recent_reports(now_ms) if self.limits is not None else []
         departures = self.departures.recent_reports(now_ms) if self.departures is not None else []
-        suspects = self._poison.recent_suspects(now_ms)
+        suspects = self._poison.recent_reports(now_ms)
         return Message([own, *records], heartbeats, suspects, limits=limits, departures=departures)
 
     def pack(self, message: Message) -> bytes:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,7 +12,13 @@
 import pytest
 
 from sassafraslock import events, field_types
-from sassafraslock.decisions import gossip_targets, load_reports, object_memory, roster
+from sassafraslock.decisions import (
+    gossip_targets,
+    load_reports,
+    object_memory,
+    quarantine,
+    roster,
+)
 from sassafraslock.services import gossip, poison_watch, upstream
 from tests import test_departing_watch
 
@@ -241,7 +247,10 @@
 
 
 ODD_REPORTS = {
-    "suspects": [[["f", ["s"] * 99]], [["f" * 9_999, ["s-1"]]], [["f", ["s\n"]]], [["f", 1]]],
+    "suspects": [
+        *([["f", ["s"] * 99]], [["f" * 9_999, ["s-1"]]], [["f", ["s\n"]]], [["f", 1]]),
+        *([["f", ["s"], ["s\n"]]], [["f", ["s"], [], ["c"] * 9]], [["f", ["s"], [], [], -1]]),
+    ],
     "loads": [[[1, -1, 0]], [[1, 2**63, 0]], [[-1, 1, 0]], [[1, 1, -5]], [[1, math.nan, 0]]],
     "objects": [[[2**40, 1, 0]], [[1, "h", 0]], [[1, 1, -1]], [[]]],
     "limits": [[["x", 1.0, 0]], [[1, "many", 0]], [{}], [[1, 1.0, 2**64 - 1]], [[1, 1e308, 0]]],
@@ -258,7 +267,7 @@
         entry.merge_datagram(packed(*lists), 0)
         assert live(entry.roster, 0) == {"x"}
         assert entry.rejections.counts[f"gossip {name}"] == 1
-        assert not entry._poison.recent_suspects(0)
+        assert not entry._poison.recent_reports(0)
 
 
 # Guards against a peer's report of a great age, about a registered server, that ended the gossip of
@@ -313,13 +322,14 @@
 
 def test_suspects_pass_from_entry_to_entry():
     entry, other = service("one"), service("other")
+    request = quarantine.identify("h", "caller", "GET", "/", b"")
     for server in ("s-1", "s-2"):
-        entry._poison.quarantine.record_crash("mark", server, 100)
-    entry._poison._changed_ms["mark"] = 100
+        entry._poison.quarantine.record_crash(request, server, 100)
     raw = entry.pack(entry.message(100))
     other.merge_datagram(raw, 200)
-    assert other._poison.quarantine.is_quarantined("mark", 200)
-    assert [s.fingerprint for s in other._poison.recent_suspects(200)] == ["mark"]
+    assert other._poison.quarantine.is_quarantined(request, 200)
+    names = {request.all_callers, request.one_caller}
+    assert {s.fingerprint for s in other._poison.recent_reports(200)} == names
 
 
 ZONES = ("a-1", "a-2", "b-1", "b-2", "c-1", "c-2")
@@ -422,7 +432,7 @@
 
     records: list[roster.MemberRecord]
     beats: list[roster.Heartbeat] = []
-    suspects: list[poison_watch.Suspect] = []
+    suspects: list[quarantine.SuspectReport] = []
 
 
 def test_entries_of_the_former_version_and_of_this_one_understand_each_other():
--- a/tests/test_message_quota.py
+++ b/tests/test_message_quota.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies
 
 from sassafraslock import http_messages, routing_table
-from sassafraslock.decisions import message_quota, quarantine, roster
+from sassafraslock.decisions import crash_evidence, message_quota, quarantine, roster
 from sassafraslock.services import client_connection, gossip, http_server, server_connection
 
 MEMORY_BYTES = 4 << 20
@@ -325,9 +325,13 @@
 def test_gossip_cannot_exceed_the_suspects_of_the_quarantine():
     known = quarantine.Quarantine()
     for number in range(quarantine.MAX_SUSPECTS + 100):
-        known.merge(f"mark-{number}", [f"s{n}" for n in range(40)], 0)
-    assert known.size == quarantine.MAX_SUSPECTS
-    assert len(known.crashed_servers("mark-0")) == quarantine.MAX_CRASHED_SERVERS_KEPT
+        for first in range(0, 90, 15):
+            servers = [f"s{first + n}" for n in range(15)]
+            known.merge(quarantine.SuspectReport(f"mark-{number}", servers, servers), 0)
+        assert known.size <= quarantine.MAX_SUSPECTS
+    suspect = known._suspects[f"mark-{number}"]
+    assert len(suspect.crashed_ms) == crash_evidence.MAX_CRASHED_SERVERS_KEPT
+    assert len(suspect.refuted) == crash_evidence.MAX_CRASHED_SERVERS_KEPT
 
 
 def test_a_decompressed_datagram_is_bounded():
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,10 +1,13 @@
 """Quarantine of requests under which servers crashed."""
 
+import dataclasses
 import logging
 
 import anyio
+import msgspec
 import pytest
 
+from benchmarks import poison
 from sassafraslock import events
 from sassafraslock.decisions import quarantine
 from sassafraslock.services import poison_watch, upstream
@@ -18,17 +21,149 @@
     caplog.set_level(logging.INFO, "sassafraslock")
 
 
+def identity(path="/p", caller="c", body=b"", host="h"):
+    return quarantine.identify(host, caller, "GET", path, body)
+
+
+def crash(known, request, *servers, now_ms=0):
+    for server in servers:
+        known.record_crash(request, server, now_ms)
+
+
 def test_crashes_of_two_servers_quarantine_and_a_mass_failure_does_not():
-    quarantine_ = quarantine.Quarantine()
-    assert quarantine_.record_crash("m", "s1", 0)
-    assert not quarantine_.is_quarantined("m", 0)
-    assert quarantine_.record_crash("m", "s2", 5000)
-    assert quarantine_.is_quarantined("m", 5000)
-    assert not quarantine_.is_quarantined("m", 5000 + quarantine.QUARANTINE_MS)
+    known = quarantine.Quarantine()
+    crash(known, identity(), "s1")
+    assert not known.is_quarantined(identity(), 0)
+    crash(known, identity(), "s2", now_ms=5_000)
+    assert known.is_quarantined(identity(), 5_000)
+    assert not known.is_quarantined(identity(), 5_000 + quarantine.QUARANTINE_MS)
     mass_failure = quarantine.Quarantine()
-    for number in range(2):
-        mass_failure.record_crash(f"other-{number}", f"s{number}", 0)
-    assert not mass_failure.record_crash("m", "s9", 100)
+    for number in range(3):
+        crash(mass_failure, identity(f"/{number}"), f"s{number}")
+    crash(mass_failure, identity(), "s8", "s9", now_ms=100)
+    assert not mass_failure.is_quarantined(identity(), 100)
+
+
+# Guards against evidence that is dropped since other servers crash in the same second.
+def test_evidence_of_a_mass_failure_is_weighed_again_as_more_comes():
+    known = quarantine.Quarantine()
+    for number in range(3):
+        crash(known, identity(f"/{number}"), f"s{number}")
+    crash(known, identity(), "s7", "s8", "s9", now_ms=100)
+    assert not known.is_quarantined(identity(), 100)
+    crash(known, identity(), "s10", now_ms=9_000)
+    assert known.is_quarantined(identity(), 9_000)
+
+
+@pytest.mark.parametrize(
+    "other", [identity(caller="d"), identity(body=b"b"), identity("/q"), identity(host="g")]
+)
+def test_other_requests_and_other_callers_are_unaffected(other):
+    known = quarantine.Quarantine()
+    crash(known, identity(), "s1", "s2", "s3")
+    assert known.is_quarantined(identity(), 0) and not known.is_quarantined(other, 0)
+
+
+def test_a_request_of_two_callers_is_refused_to_all():
+    known = quarantine.Quarantine()
+    crash(known, identity(caller="c"), "s1")
+    crash(known, identity(caller="d"), "s2")
+    assert known.is_quarantined(identity(caller="e"), 0)
+
+
+def test_a_host_has_no_case():
+    assert identity(host="H") == identity(host="h")
+
+
+# Guards against a proper request that is refused for minutes, since it ran beside poison twice.
+def test_a_request_beside_poison_is_not_quarantined():
+    known = quarantine.Quarantine()
+    beside, poison = identity("/beside"), identity()
+    crash(known, beside, "s1", "s2")
+    assert known.is_quarantined(beside, 0)
+    crash(known, poison, "s1", "s2", "s3")
+    assert known.is_quarantined(poison, 0) and not known.is_quarantined(beside, 0)
+
+
+@pytest.mark.parametrize("order", ["crash, answer", "break, answer, crash", "answer, report"])
+def test_an_answer_speaks_for_a_request(order):
+    known, request = quarantine.Quarantine(), identity()
+    if order == "break, answer, crash":
+        known.record_break(request, "s1", 0)
+        known.record_break(request, "s2", 0)
+    elif order == "crash, answer":
+        crash(known, request, "s1", "s2")
+    known.record_answer(request, 10)
+    if order == "break, answer, crash":
+        crash(known, request, "s1", "s2", now_ms=20)
+    elif order == "answer, report":
+        known.merge(quarantine.SuspectReport(request.one_caller, ["s1", "s2"], age_ms=100), 50)
+    assert not known.is_quarantined(request, 50)
+    crash(known, request, "s3", "s4", now_ms=5_000)
+    assert known.is_quarantined(request, 5_000)
+
+
+def test_an_answer_to_another_caller_does_not_speak_for_one_that_crashes_servers():
+    known = quarantine.Quarantine()
+    for number in range(3):
+        crash(known, identity(), f"s{number}")
+        known.record_answer(identity(caller="d"), 0)
+    assert known.is_quarantined(identity(), 0)
+    assert not known.is_quarantined(identity(caller="d"), 0)
+
+
+def test_an_answer_reaches_other_entries():
+    known, other = quarantine.Quarantine(), quarantine.Quarantine()
+    crash(known, identity(), "s1", "s2")
+    for report in known.recent_reports(0):
+        other.merge(report, 0)
+    assert other.is_quarantined(identity(), 0)
+    known.record_answer(identity(), 10)
+    for report in known.recent_reports(10):
+        other.merge(report, 10)
+    assert not other.is_quarantined(identity(), 10)
+
+
+# Guards against entries that remind each other of a request for ever.
+def test_a_quarantine_ends_at_entries_that_heard_of_it_late():
+    known, other = quarantine.Quarantine(), quarantine.Quarantine()
+    crash(known, identity(), "s1", "s2")
+    report, *_ = [r for r in known.recent_reports(0) if not r.callers]
+    late_ms = quarantine.QUARANTINE_MS - 1_000
+    other.merge(msgspec.structs.replace(report, age_ms=late_ms), late_ms)
+    assert other.is_quarantined(identity(), late_ms)
+    assert not other.is_quarantined(identity(), late_ms + 1_000)
+    assert not other.merge(
+        msgspec.structs.replace(report, age_ms=quarantine.QUARANTINE_MS), late_ms
+    )
+
+
+# Guards against a wave of crashes whose requests take the place of the evidence against poison.
+def test_a_flood_of_suspects_does_not_displace_those_with_most_servers():
+    known = quarantine.Quarantine()
+    crash(known, identity(), "s1", "s2", "s3", "s4")
+    for number in range(quarantine.MAX_SUSPECTS):
+        crash(known, identity(f"/{number}"), f"t{number}")
+        assert known.size <= quarantine.MAX_SUSPECTS
+    assert known.is_quarantined(identity(), 0)
+
+
+POISON = [name for name in poison.SCENARIOS if name.partition(" ")[0].isdigit()]
+WAVES = [name for name in poison.SCENARIOS if name not in POISON]
+
+
+# Guards against poison that is sent on: several requests at once, and other crashes beside them.
+@pytest.mark.parametrize("name", POISON)
+def test_poison_is_refused_within_its_bound(name):
+    scenario = dataclasses.replace(poison.SCENARIOS[name], seconds=20)
+    scenario = dataclasses.replace(scenario, entries=min(9, scenario.entries))
+    row = poison.play(name, scenario, seeds=1)
+    assert row.crashes_most >= 2 and row.late_most <= 3
+
+
+def test_a_wave_of_crashes_quarantines_no_innocent_request():
+    name = "no poison, a third of the servers crashes"
+    assert poison.play(name, poison.SCENARIOS[name], seeds=4).quarantined == 0
 
 
 def run_watch(scenario, listening):
@@ -50,8 +185,8 @@
     anyio.run(main)
 
 
-def broken_connection(fingerprint, server):
-    return poison_watch.BrokenConnection(fingerprint, server, f"{HOST}:{PORT}")
+def broken_connection(path, server):
+    return poison_watch.BrokenConnection(identity(path), server, f"{HOST}:{PORT}", path=path)
 
 
 def test_a_broken_connection_counts_if_the_server_is_down_afterwards():
@@ -60,9 +195,9 @@
         watch.record_broken_connection(broken_connection("m", "s2"))
         await anyio.sleep(0.2)
         now_ms = poison_watch.clock.monotonic_ms()
-        assert watch.quarantine.is_quarantined("m", now_ms)
-        assert [s.fingerprint for s in watch.recent_suspects(now_ms)] == ["m"]
-        assert watch.recent_suspects(now_ms + poison_watch.SUSPECT_GOSSIP_MS) == []
+        assert watch.quarantine.is_quarantined(identity("m"), now_ms)
+        names = {identity("m").all_callers, identity("m").one_caller}
+        assert {s.fingerprint for s in watch.recent_reports(now_ms)} == names
 
     run_watch(scenario, listening=False)
 
@@ -72,14 +207,14 @@
         watch.record_broken_connection(broken_connection("m", "s1"))
         watch.record_broken_connection(broken_connection("m", "s2"))
         await anyio.sleep(0.2)
-        assert watch.quarantine.size == 0
+        assert not watch.quarantine.is_suspected(identity("m"))
 
     run_watch(scenario, listening=True)
 
 
 def findings(caplog):
     lines = [r.fields for r in caplog.records if r.event is events.Event.CRASH_SUSPECTED]
-    return [(line["fingerprint"], line["server"], line["finding"].value) for line in lines]
+    return [(line["path"], line["server"], line["finding"].value) for line in lines]
 
 
 def test_each_broken_connection_is_logged_with_what_it_was_found_to_be(caplog):
@@ -90,8 +225,7 @@
 
     run_watch(scenario, listening=False)
     crash = poison_watch.Finding.CRASH.value
-    assert findings(caplog)[:2] == [("m0", "s0", crash), ("m1", "s1", crash)]
-    assert len(findings(caplog)) == 3
+    assert findings(caplog) == [(f"m{n}", f"s{n}", crash) for n in range(3)]
     caplog.clear()
     run_watch(scenario, listening=True)
     assert {f[2] for f in findings(caplog)} == {poison_watch.Finding.REACHABLE.value}
