Entries go on telling each other what is refused

Callers saw (tests, not the incident's record): an entry that starts, or comes back from a cut, more than 20 s after the last crash sends a refused request to servers again, until it has crashed some. Cause: gossip carried the 16 suspects that changed last, for 20 s; each crash adds the requests beside it, which push out the one that matters. Change: what is refused is sent in every round, in turn where it is more than 8, with four servers once nothing changes. Of the rest, those with several servers go first, then what this entry itself saw.

--- a/sassafraslock/decisions/crash_evidence.py
+++ b/sassafraslock/decisions/crash_evidence.py
@@ -43,6 +43,11 @@
         """The servers that crashed under the request and count against it."""
         return self.crashed_ms.keys() - self.refuted
 
+    @property
+    def evidence_in_order(self) -> list[str]:
+        """The servers of :attr:`evidence`, the latest last."""
+        return [server_id for server_id in self.crashed_ms if server_id not in self.refuted]
+
     @property
     def may_be_culprit(self) -> bool:
         """Whether there are enough servers, and callers if it stands for all of them."""
--- a/sassafraslock/decisions/quarantine.py
+++ b/sassafraslock/decisions/quarantine.py
@@ -19,8 +19,12 @@
 SWEEP_INTERVAL_MS = 1_000
 QUARANTINE_MS = 600_000
 SUSPECT_MS = 60_000
-MAX_SUSPECTS_SENT = 16
+MAX_CULPRITS_SENT = 8
+MAX_SUSPECTS_SENT = 24
 SUSPECT_GOSSIP_MS = 20_000
+OWN_FIRST_MS = 2_000
+# Servers sent of a culprit that no longer changes; an entry that starts needs no more of them.
+SERVERS_SENT_LATER = crash_evidence.CERTAIN_CRASHED_SERVERS
 
 
 def fingerprint(scope: str, method: str, path: str, body: bytes) -> str:
@@ -263,26 +267,47 @@
         self._culprits = None
 
     def recent_reports(self, now_ms: int) -> list[SuspectReport]:
-        """Return the evidence to send to other entries, the latest first.
+        """Return the evidence to send to other entries.
 
-        It is that which changed within :data:`SUSPECT_GOSSIP_MS`, against at most
-        :data:`MAX_SUSPECTS_SENT` requests.
+        It is that against the refused requests, at most :data:`MAX_CULPRITS_SENT` in turn, for
+        entries that start or were cut off; and what changed within :data:`SUSPECT_GOSSIP_MS`,
+        against at most :data:`MAX_SUSPECTS_SENT` other requests.
 
         :param now_ms: the current monotonic time.
         """
-        changed = {
-            name: s
-            for name, s in self._suspects.items()
-            if s.crashed_ms and now_ms - s.changed_ms < SUSPECT_GOSSIP_MS
-        }
+        names = [n for n, s in self._suspects.items() if s.crashed_ms]
+        in_turn = heapq.nsmallest(
+            MAX_CULPRITS_SENT,
+            [n for n in names if self.is_culprit(n, now_ms)],
+            key=lambda name: self._suspects[name].sent_count,
+        )
+        changed = [
+            n
+            for n in names
+            if n not in in_turn and now_ms - self._suspects[n].changed_ms < SUSPECT_GOSSIP_MS
+        ]
         latest = heapq.nlargest(
-            MAX_SUSPECTS_SENT, changed, key=lambda name: changed[name].changed_ms
+            MAX_SUSPECTS_SENT, changed, key=lambda name: self._urgency(name, now_ms)
         )
-        return [self._report(name, now_ms) for name in latest]
+        return [self._report(name, now_ms) for name in [*in_turn, *latest]]
+
+    def _urgency(self, name: str, now_ms: int) -> tuple[bool, bool, int]:
+        """Return the key that orders changes: several servers, then this entry's own, the latest.
+
+        Others cannot know what this entry observed, while they pass on among themselves what it
+        heard from them.
+        """
+        suspect = self._suspects[name]
+        is_own = suspect.observed_ms is not None and now_ms - suspect.observed_ms < OWN_FIRST_MS
+        has_several = len(suspect.crashed_ms) >= crash_evidence.MIN_CRASHED_SERVERS
+        return has_several, is_own, suspect.changed_ms
 
     def _report(self, name: str, now_ms: int) -> SuspectReport:
         suspect = self._suspects[name]
-        newest = list(suspect.crashed_ms)[-field_types.MAX_SERVER_IDS :]
+        suspect.sent_count += 1
+        is_new = now_ms - suspect.changed_ms < SUSPECT_GOSSIP_MS
+        count = field_types.MAX_SERVER_IDS if is_new else SERVERS_SENT_LATER
+        newest = list(suspect.crashed_ms if is_new else suspect.evidence_in_order)[-count:]
         return SuspectReport(
             name,
             newest,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -138,6 +138,45 @@
     )
 
 
+def hear(known, now_ms):
+    other = quarantine.Quarantine()
+    for report in known.recent_reports(now_ms):
+        other.merge(report, now_ms)
+    return other
+
+
+# Guards against entries that start, or come back from a cut, and never learn what is refused.
+@pytest.mark.parametrize("servers", [2, 30])
+def test_an_entry_that_starts_later_learns_what_is_refused(servers):
+    known = quarantine.Quarantine()
+    crash(known, identity(), *(f"s{n}" for n in range(servers)))
+    other = hear(known, quarantine.QUARANTINE_MS // 2)
+    assert other.is_quarantined(identity(), quarantine.QUARANTINE_MS // 2)
+
+
+def test_all_that_is_refused_is_sent_in_turn():
+    known, other = quarantine.Quarantine(), quarantine.Quarantine()
+    requests = [identity(f"/{n}") for n in range(quarantine.MAX_CULPRITS_SENT + 2)]
+    for number, request in enumerate(requests):
+        crash(known, request, *(f"s{number}-{n}" for n in range(4)))
+    for now_ms in (60_000, 60_500):
+        for report in known.recent_reports(now_ms):
+            other.merge(report, now_ms)
+    assert all(other.is_quarantined(request, 60_500) for request in requests)
+
+
+# Guards against poison that falls off the list of what is sent, which the requests beside it fill.
+def test_the_evidence_that_matters_is_sent_first_in_a_wave():
+    known = quarantine.Quarantine()
+    crash(known, identity("/own"), "s0")
+    crash(known, identity("/several"), "s1", "s2")
+    for number in range(200):
+        report = quarantine.SuspectReport(f"beside-{number}", [f"t{number}"])
+        known.merge(report, 1_000)
+    sent = {report.fingerprint for report in known.recent_reports(1_500)}
+    assert identity("/own").one_caller in sent and identity("/several").one_caller in sent
+
+
 # Guards against a wave of crashes whose requests take the place of the evidence against poison.
 def test_a_flood_of_suspects_does_not_displace_those_with_most_servers():
     known = quarantine.Quarantine()
