A request that is found to crash servers meanwhile gets no further attempt

Callers saw (test): a request whose first server rejects it, or that waits for its request key, is sent on though it has been quarantined since. Cause: the pipeline asked once, before the first attempt. It asks before each one now; an answer that it may have run stays as it was.

--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -213,6 +213,8 @@
             placement_request.remaining_ms = routed.remaining_ms(now_ms)
             if placement_request.remaining_ms < MIN_REMAINING_MS:
                 return refusals.deadline_refusal(context)
+            if context.attempts and self._is_poison(routed, now_ms):
+                return refusals.final_refusal(context, refusals.QUARANTINED)
             choice = placement_request.replacement or self.placer.place(placement_request, now_ms)
             placement_request.replacement = None
             context.left_out = placement_request.left_out
