--- a/tests/fact_source.py
+++ b/tests/fact_source.py
@@ -58,6 +58,17 @@
     def drop_history(self):
         self.history, self.history_start = [], self.version
 
+    def copy(self):
+        """Return a copy from which the store can be restored."""
+        return dict(self.rows), list(self.history), self.version
+
+    def restore(self, copy):
+        """Lose what was written since the copy, and give out versions again."""
+        rows, history, self.version = copy
+        self.rows, self.history = dict(rows), list(history)
+        self.changed.set()
+        self.changed = anyio.Event()
+
     async def read_all(self, topic):
         if self.is_unavailable:
             return UNAVAILABLE
@@ -68,16 +79,17 @@
         if topic in self.unanswered:
             await anyio.sleep_forever()
         with anyio.move_on_after(wait_ms / 1000):
-            while not (
-                self.is_unavailable or after < self.history_start or self._newer(topic, after)
-            ):
+            while not (self.is_unavailable or self._is_lost(after) or self._newer(topic, after)):
                 await self.changed.wait()
         if self.is_unavailable:
             return UNAVAILABLE
-        if after < self.history_start:
+        if self._is_lost(after):
             return HISTORY_LOST
         return facts.Batch(tuple(self._newer(topic, after)), self.version)
 
+    def _is_lost(self, after):
+        return not self.history_start <= after <= self.version
+
     def _newer(self, topic, after):
         return [c for c in self.history if c.topic is topic and c.version > after]
 
