--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -19,7 +19,7 @@
     registry,
     roster,
 )
-from sassafraslock.services import directory, log_writer, replica, routing_state
+from sassafraslock.services import directory, log_writer, routing_state, store_export
 
 SIZES = (30, 300, 3_000)
 CALLS = 2_000
@@ -107,7 +107,7 @@
 
 def _export_rows(size: int) -> list[Row]:
     changes = [_change(number, number + 1) for number in range(size)]
-    raw = msgspec.msgpack.encode(replica.Export({"servers": size}, changes))
+    raw = msgspec.msgpack.encode(store_export.Export({"servers": size}, changes))
     return [Row("a whole copy for a peer", size, float(len(raw)), "bytes")]
 
 
--- a/sassafraslock/services/peer_copies.py
+++ b/sassafraslock/services/peer_copies.py
@@ -11,7 +11,7 @@
 
 from sassafraslock import bounded_call, clock, events, field_types, http_messages
 from sassafraslock.decisions import message_auth
-from sassafraslock.services import export_decoder, gossip, rejections, replica
+from sassafraslock.services import export_decoder, gossip, rejections, replica, store_export
 
 FETCH_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
@@ -56,7 +56,7 @@
 
     async def fetch(
         self, address: str, copy_request: CopyRequest, timeout_s: float
-    ) -> replica.Export | None:
+    ) -> store_export.Export | None:
         """Return a peer's rows, or none if the call fails; the reason is logged.
 
         :param address: the peer's address.
@@ -88,7 +88,7 @@
         await self._drop_connections()
         return None
 
-    def _decode(self, address: str, data: bytes) -> replica.Export:
+    def _decode(self, address: str, data: bytes) -> store_export.Export:
         export, left_out = self._decoder.decode(data)
         for reason in left_out:
             event, now_ms = events.Event.PEER_ENTRY_INVALID, clock.monotonic_ms()
@@ -113,7 +113,7 @@
         self._own_version = own_version
         self._client = CopyClient(members.token, members.rejections)
 
-    async def fetch(self, positions: dict[str, int]) -> replica.Export | None:
+    async def fetch(self, positions: dict[str, int]) -> store_export.Export | None:
         """Return newer rows of a random peer that is ahead; none if no peer is, or on failure.
 
         :param positions: the version that this entry has reached, by topic.
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -9,9 +9,9 @@
 import typing
 
 import anyio
-import msgspec
 
-from sassafraslock import clock, errors, events, facts, field_types
+from sassafraslock import clock, errors, events, facts
+from sassafraslock.services import store_export
 
 LONG_POLL_MS = 2_500
 SERVERS_LONG_POLL_MS = 800  # rows change more often; finds a dead connection sooner
@@ -59,26 +59,13 @@
 class FallbackSource(typing.Protocol):
     """Reads other entries' copies while the store is unavailable."""
 
-    async def fetch(self, positions: dict[str, int]) -> Export | None:
+    async def fetch(self, positions: dict[str, int]) -> store_export.Export | None:
         """Return a peer's rows that are newer than this entry's, none if no peer is ahead.
 
         :param positions: the version that this entry has reached, by topic.
         """
 
 
-class Export(msgspec.Struct, frozen=True, array_like=True):
-    """Rows that one entry sends to another, and how long ago the store last answered the sender.
-
-    For the topics in ``complete_topics`` the export holds all rows, so a row missing from it has
-    been removed from the store.
-    """
-
-    positions: dict[field_types.Name, field_types.Version]
-    changes: list[facts.Change]
-    age_ms: field_types.AgeMs = 0
-    complete_topics: list[facts.Topic] = []
-
-
 class Replica:
     """Rows by topic and key with their versions; a row is only replaced by a newer version."""
 
@@ -173,7 +160,7 @@
         """The store version reached for servers, 0 before the first read."""
         return self.positions.get(facts.Topic.SERVERS, 0)
 
-    def export(self, positions: dict[str, int]) -> Export:
+    def export(self, positions: dict[str, int]) -> store_export.Export:
         """Return the rows that changed after the given versions.
 
         For a topic whose removals are not known that far back, all rows are returned.
@@ -189,7 +176,7 @@
             or self._changed_versions[name] > positions.get(change.topic, 0)
         ]
         age_ms = self._age_ms(clock.monotonic_ms())
-        return Export(dict(self.positions), changes, age_ms, complete_topics)
+        return store_export.Export(dict(self.positions), changes, age_ms, complete_topics)
 
     def _age_ms(self, now_ms: int) -> int:
         """Return the time since the last answer for intents or for servers, whichever is older."""
@@ -234,7 +221,7 @@
         stable = not self._store_down and now_ms - self.store_recovered_ms > STABLE_AFTER_MS
         return stable and self._fully_read.issuperset(facts.Topic)
 
-    def merge_reader_export(self, export: Export, now_ms: int) -> None:
+    def merge_reader_export(self, export: store_export.Export, now_ms: int) -> None:
         """Merge the zone reader's rows and stop reading the store.
 
         :param export: the rows that changed in the reader's copy.
@@ -373,7 +360,7 @@
                 continue
             self._merge_export(export, not self.positions, clock.monotonic_ms())
 
-    def _merge_export(self, export: Export, first_read: bool, now_ms: int) -> None:
+    def _merge_export(self, export: store_export.Export, first_read: bool, now_ms: int) -> None:
         for topic in export.complete_topics:
             rows = tuple(c for c in export.changes if c.topic is topic)
             batch = facts.Batch(rows, export.positions.get(topic, 0))
--- /dev/null
+++ b/sassafraslock/services/store_export.py
@@ -0,0 +1,20 @@
+"""Rows of the store as entries send them to each other."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sassafraslock import facts, field_types
+
+
+class Export(msgspec.Struct, frozen=True, array_like=True):
+    """Rows that one entry sends to another, and how long ago the store last answered the sender.
+
+    For the topics in ``complete_topics`` the export holds all rows, so a row missing from it has
+    been removed from the store.
+    """
+
+    positions: dict[field_types.Name, field_types.Version]
+    changes: list[facts.Change]
+    age_ms: field_types.AgeMs = 0
+    complete_topics: list[facts.Topic] = []
--- a/tests/test_export_decoder.py
+++ b/tests/test_export_decoder.py
@@ -9,7 +9,7 @@
 
 from sassafraslock import facts, routing_table
 from sassafraslock.decisions import registry, roster
-from sassafraslock.services import export_decoder, replica, routing_state
+from sassafraslock.services import export_decoder, replica, routing_state, store_export
 from tests import fact_source
 
 SERVERS, INTENTS, ENTRIES = facts.Topic.SERVERS, facts.Topic.INTENTS, facts.Topic.ENTRIES
@@ -67,7 +67,7 @@
     assert left_out == [] and [c.key for c in export.changes] == ["odd", "good"]
     assert export.changes[0].unreadable is not None and export.changes[0].version == 7
     assert export.changes[1].report.server_id == "good"
-    again = msgspec.msgpack.decode(msgspec.msgpack.encode(export), type=replica.Export)
+    again = msgspec.msgpack.decode(msgspec.msgpack.encode(export), type=store_export.Export)
     assert again.changes == export.changes
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -6,7 +6,7 @@
 
 from sassafraslock import facts
 from sassafraslock.decisions import registry, roster
-from sassafraslock.services import replica, routing_state
+from sassafraslock.services import replica, routing_state, store_export
 from tests import fact_source
 
 SERVERS = facts.Topic.SERVERS
@@ -180,8 +180,10 @@
         9,
         intents=facts.routing_table.Intents(3, (fact_source.route(regions=frozenset("a")),)),
     )
-    raw = msgspec.msgpack.encode(replica.Export({"servers": 8, "intents": 9}, [intents, server]))
-    peers = Peers(lambda positions: msgspec.msgpack.decode(raw, type=replica.Export))
+    raw = msgspec.msgpack.encode(
+        store_export.Export({"servers": 8, "intents": 9}, [intents, server])
+    )
+    peers = Peers(lambda positions: msgspec.msgpack.decode(raw, type=store_export.Export))
 
     async def scenario(source, copy, state):
         source.is_unavailable = True
@@ -262,7 +264,7 @@
         early, state = copy_of([server_row("x", 1), server_row("gone", 2)], 2)
         late, _ = copy_of([server_row("x", 1), server_row("new", 3)], 4)
         raw = msgspec.msgpack.encode(late.export(early.positions))
-        early.merge_reader_export(msgspec.msgpack.decode(raw, type=replica.Export), 0)
+        early.merge_reader_export(msgspec.msgpack.decode(raw, type=store_export.Export), 0)
         assert server_ids(state) == {"x", "new"}
         assert early.positions == {SERVERS: 4}
         assert early.export({SERVERS: 3}).complete_topics == [SERVERS]
--- a/tests/test_zone_feed.py
+++ b/tests/test_zone_feed.py
@@ -6,7 +6,7 @@
 
 from sassafraslock import facts, http_messages
 from sassafraslock.decisions import registry, roster, zone_reader
-from sassafraslock.services import peer_copies, replica, routing_state, zone_feed
+from sassafraslock.services import peer_copies, replica, routing_state, store_export, zone_feed
 from tests import fact_source
 
 
@@ -45,7 +45,7 @@
             request = http_messages.Request("POST", peer_copies.COPY_PATH, [], body, "h", 0)
             answer = await self.api(request)
             if answer.status == 200:
-                return msgspec.msgpack.decode(answer.body, type=replica.Export)
+                return msgspec.msgpack.decode(answer.body, type=store_export.Export)
         return None
 
 
