--- a/sassafraslock/facts.py
+++ b/sassafraslock/facts.py
@@ -120,7 +120,13 @@
 
 
 class FactSource(typing.Protocol):
-    """Reads the platform's store for the replica, and writes this entry's registration."""
+    """Reads the platform's store for the replica, and writes this entry's registration.
+
+    ``operator_topics`` are those whose rows the operator writes; others are written by who reports
+    itself, and soon again if they are lost.
+    """
+
+    operator_topics: frozenset[Topic]
 
     async def read_all(self, topic: Topic) -> BatchResult:
         """Return all rows of a topic, and the version after which its changes are to be read.
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -80,7 +80,7 @@
 
     def __init__(self, source: facts.FactSource, sink: store_rows.ChangeSink) -> None:
         self._era = store_era.StoreEra()
-        self._rows = store_rows.StoreRows(sink, self._era)
+        self._rows = store_rows.StoreRows(sink, self._era, source.operator_topics)
         self.store_recovered_ms = -REMOVAL_HOLD_MS
         self.last_answer_ms = clock.monotonic_ms()
         self._source = source
@@ -359,9 +359,10 @@
         self._rows.merge(export, first_read, now_ms)
 
     def dump(self) -> dict[str, object]:
-        """Return the version reached by topic, the row count and whether the store is down."""
+        """Return the era, the version reached by topic, and whether the store is down."""
         return {
-            "positions": {t: store_version.describe(v) for t, v in self.positions.items()},
+            "era": self._era.current,
+            "positions": dict(self.positions),
             "unsettled": sorted(self._era.unsettled),
             "rows": len(self.rows),
             "lost": self._store_down,
--- a/sassafraslock/services/settings_source.py
+++ b/sassafraslock/services/settings_source.py
@@ -49,6 +49,8 @@
     settings of the team in force.
     """
 
+    operator_topics = frozenset({facts.Topic.INTENTS, facts.Topic.SERVERS})
+
     __slots__ = ("_teams", "_row_versions", "_unreadable", "_table", "_poll_ms", "_states")
 
     def __init__(self, table: platform.Table, poll_ms: int) -> None:
@@ -132,6 +134,9 @@
                 reason = f"row {key}: {field_types.describe(error)}"
                 change = facts.unreadable_change(facts.Topic.INTENTS, key, row.version, reason)
                 self._unreadable[key] = change
+        teams = {row.key.removeprefix(revisions.SETTINGS_PREFIX) for row in rows}
+        for team in self._teams.keys() - teams:
+            del self._teams[team], self._row_versions[team]
         present = {facts.safe_key(row.key) for row in rows}
         self._unreadable = {k: c for k, c in self._unreadable.items() if k in present}
 
--- a/sassafraslock/services/store_rows.py
+++ b/sassafraslock/services/store_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -38,16 +39,23 @@
         "changed",
         "_sink",
         "_era",
+        "_operator_topics",
         "_changed_versions",
         "_history_start",
     )
 
-    def __init__(self, sink: ChangeSink, era: store_era.StoreEra) -> None:
+    def __init__(
+        self,
+        sink: ChangeSink,
+        era: store_era.StoreEra,
+        operator_topics: collections.abc.Set[facts.Topic],
+    ) -> None:
         self.positions: dict[str, int] = {}
         self.rows: dict[store_era.RowName, facts.Change] = {}
         self.changed = anyio.Event()
         self._sink = sink
         self._era = era
+        self._operator_topics = operator_topics
         self._changed_versions: dict[store_era.RowName, int] = {}
         self._history_start: dict[facts.Topic, int] = {}
 
@@ -156,7 +164,7 @@
 
         What the operator wrote stays until he had time to write it to a restored store again.
         """
-        if topic is facts.Topic.INTENTS and topic in self._era.unsettled:
+        if topic in self._operator_topics and topic in self._era.unsettled:
             return
         present = {change.key for change in batch.changes}
         for (row_topic, key), row in list(self.rows.items()):
--- a/tests/fact_source.py
+++ b/tests/fact_source.py
@@ -19,6 +19,8 @@
     so that all rows have to be read again.
     """
 
+    operator_topics = frozenset({facts.Topic.INTENTS})
+
     def __init__(self):
         self.rows, self.history, self.version, self.history_start = {}, [], 0, 0
         self.era = 0
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -35,6 +35,7 @@
         self.faults = Faults()
         self.rows, self.history = {}, []
         self.version, self.first_version, self.page = 0, 0, page
+        self.era = 0  # named in answers once the store was restored
         self.calls = []
         self.answer = None  # if set, the body of each response
         self.random = random.Random(seed)
@@ -68,6 +69,18 @@
         self.history.clear()
         self.first_version = self.version + 1
 
+    def copy(self):
+        """Return a copy from which the store can be restored."""
+        return dict(self.rows), list(self.history), self.version
+
+    def restore(self, copy):
+        """Lose what was written since the copy, and give out versions again."""
+        rows, history, self.version = copy
+        self.rows, self.history = dict(rows), list(history)
+        self.era += 1
+        self.changed.set()
+        self.changed = anyio.Event()
+
     async def __call__(self, request):
         self.calls.append(request.path)
         if self.faults.silent:
@@ -89,7 +102,10 @@
 
     def _json(self, status, **fields):
         body = msgspec.json.encode({**fields, "ver": self.version, "nowS": 1.5})
-        return http_messages.Response(status, [(b"content-type", b"application/json")], body)
+        headers = [(b"content-type", b"application/json")]
+        if self.era:
+            headers.append((b"Store-Era", b"%d" % self.era))
+        return http_messages.Response(status, headers, body)
 
     async def _get(self, request):
         table, start = request.parameter("table"), request.parameter("from")
@@ -101,12 +117,15 @@
     async def _feed(self, request):
         table, after = request.parameter("table"), int(request.parameter("after"))
         with anyio.move_on_after(int(request.parameter("waitMs")) / 1000):
-            while not self._newer_rows(table, after) and after + 1 >= self.first_version:
+            while not self._newer_rows(table, after) and not self._is_lost(after):
                 await self.changed.wait()
-        if after + 1 < self.first_version:
+        if self._is_lost(after):
             return self._json(410)
         return self._json(200, rows=self._newer_rows(table, after))
 
+    def _is_lost(self, after):
+        return after + 1 < self.first_version or after > self.version
+
     def _newer_rows(self, table, after):
         return [r for r in self.history if r["table"] == table and r["ver"] > after]
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -145,6 +145,45 @@
     return rows.Row(table, key, 9, value=base64.b64encode(raw).decode())
 
 
+# Guards against rows of a restored store whose versions look older than those known.
+def test_rows_of_a_restored_store_have_greater_versions():
+    async def scenario(standin, source):
+        standin.put("servers", "i-1", platform_standin.server_row())
+        copy = standin.copy()
+        standin.put("servers", "i-1", platform_standin.server_row(state="draining"))
+        before = await source.read_all(SERVERS)
+        standin.restore(copy)
+        refused = await source.read_changes(SERVERS, before.version, 100)
+        assert refused.kind is errors.ErrorKind.HISTORY_LOST
+        after = await source.read_all(SERVERS)
+        assert after.version > before.version
+        assert after.changes[0].version > before.changes[0].version
+        standin.put("servers", "i-2", platform_standin.server_row())
+        changes = await source.read_changes(SERVERS, after.version, 100)
+        assert [c.key for c in changes.changes] == ["i-2"] and changes.version > after.version
+
+    with_store(scenario)
+
+
+def test_a_table_that_is_restored_while_it_is_read_is_read_again():
+    async def scenario(standin, source):
+        for number in range(5):
+            standin.put("servers", f"i-{number}", platform_standin.server_row())
+        copy, get = standin.copy(), standin._get
+
+        async def restore_after_first_page(request):
+            answer = await get(request)
+            standin._get = get
+            standin.restore(copy)
+            return answer
+
+        standin.page, standin._get = 2, restore_after_first_page
+        assert (await source.read_all(SERVERS)).kind is errors.ErrorKind.STORE_UNAVAILABLE
+        assert len((await source.read_all(SERVERS)).changes) == 5
+
+    with_store(scenario)
+
+
 def test_a_servers_row_becomes_a_report():
     found = rows.decode(
         row("servers", "i-1", platform_standin.server_row(coldRemainingS=1.25, born=77)),
--- a/tests/test_settings_source.py
+++ b/tests/test_settings_source.py
@@ -294,3 +294,36 @@
             assert isinstance(await source.read_all(topic), facts.Batch)
 
     anyio.run(scenario)
+
+
+# Guards against settings that are put after the table was restored and taken for old ones.
+def test_settings_put_after_a_restore_are_newer_than_all_before():
+    async def scenario(faulty, store, source):
+        copy = faulty.memory.copy()
+        for state in ("active", "draining"):
+            await put(store, "k", team(x=server(state=state)))
+        before = await source.read_all(Topic.SERVERS)
+        faulty.memory.restore(copy)
+        await put(store, "k", team(x=server(port=9)))
+        changed = await source.read_changes(Topic.SERVERS, before.version, 1_000)
+        assert changed.version > before.version
+        after = by_key(await source.read_all(Topic.SERVERS))["k/log/x"]
+        assert after.version > by_key(before)["k/log/x"].version
+        assert after.report.address.endswith(":9")
+        intents = await source.read_all(Topic.INTENTS)
+        assert by_key(intents)["intents"].intents.version == after.version
+
+    with_table(scenario)
+
+
+def test_a_row_that_a_restored_table_lacks_is_removed():
+    async def scenario(faulty, store, source):
+        copy = faulty.memory.copy()
+        await put(store, "k", team(x=server()))
+        before = await source.read_all(Topic.SERVERS)
+        faulty.memory.restore(copy)
+        changed = by_key(await source.read_changes(Topic.SERVERS, before.version, 1_000))
+        assert changed["k/log/x"].is_removed
+        assert not (await source.read_all(Topic.SERVERS)).changes
+
+    with_table(scenario)
