A crash is recorded also when the list of suspects is full

Found by reading: with 4,096 suspects that have more evidence, the second fingerprint of a crash displaced the first, whose lookup then failed; the watch would have been restarted, and after four times the process stopped. The new test raised KeyError before.

--- a/sassafraslock/decisions/quarantine.py
+++ b/sassafraslock/decisions/quarantine.py
@@ -118,11 +118,13 @@
         :param now_ms: the current monotonic time.
         """
         self._remove_expired(now_ms)
-        for name in (identity.all_callers, identity.one_caller):
-            suspect = self._suspect(name, now_ms)
-            suspect.observed_ms = now_ms
-            self._add(name, [server_id], now_ms, now_ms)
+        self._observe(identity.all_callers, server_id, now_ms)
         self._add_callers(identity.all_callers, [identity.one_caller], now_ms)
+        self._observe(identity.one_caller, server_id, now_ms)
+
+    def _observe(self, name: str, server_id: str, now_ms: int) -> None:
+        self._suspect(name, now_ms).observed_ms = now_ms
+        self._add(name, [server_id], now_ms, now_ms)
 
     def record_answer(self, identity: RequestIdentity, now_ms: int) -> bool:
         """Record a server's complete answer, which speaks for a request and against its crashes.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -195,6 +195,16 @@
     assert known.is_quarantined(identity(), 0)
 
 
+# Guards against an error as the evidence of one request makes room for its own second part.
+def test_a_crash_is_recorded_when_all_suspects_have_more_evidence():
+    known = quarantine.Quarantine()
+    for number in range(quarantine.MAX_SUSPECTS - 1):
+        report = quarantine.SuspectReport(f"r{number}", ["s1", "s2"])
+        known.merge(report, 5_000)
+    crash(known, identity(), "s1", now_ms=4_000)
+    assert known.is_suspected(identity()) and known.size <= quarantine.MAX_SUSPECTS
+
+
 POISON = [name for name in poison.SCENARIOS if name.partition(" ")[0].isdigit()]
 WAVES = [name for name in poison.SCENARIOS if name not in POISON]
 
