--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -29,7 +29,7 @@
 READY_TIMEOUT_S = 30.0
 WATCHDOG_S = 110.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2  # the interpreter itself ends with 1 after an error
 
 # The bounds of the installation kocar-lb.
 BOUNDS = {
