--- a/review/5/case.py
+++ b/review/5/case.py
@@ -84,6 +84,7 @@
         try:
             await connection.send("POST", "/lodge/1", headers, bytes(1200))
             request.sent_s = rigs.now_s()
+            self.rig.record.write(f"{request_id} is sent to {ip}")
             async with asyncio.timeout(TIME_LIMIT_S):
                 request.end = (await connection.receive())[0]
         except TimeoutError:
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -351,6 +351,7 @@
             self._running -= 1
             self._semaphore.release()
         arrival.ended, arrival.until_s = "answered", now_s()
+        self._record.write(f"server {self.server_id} answers {arrival.request_id}")
         signature = {"X-Response-Signature": f"{arrival.request_id}.s"}
         body = arrival.request_id.encode() * 20
         return encode_answer(200, {**echo, **signature, **load}, body)
