--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,7 @@
 import sys
 import uuid
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 import rig as rigs  # noqa: E402
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # they compile, and that the libraries of the deploy build are there.
 set -e
 cd "$(dirname "$0")/.."
-for file in review/common/*.py review/[1-5]/*.py; do
+for file in review/rig.py review/[1-5]/*.py; do
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
 test -d target/deps
--- a/review/common/rig.py
+++ b/review/rig.py
@@ -20,7 +20,7 @@
 import tomllib
 import traceback
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 FRONT, CONTROL, DIRECTORY, READINESS, METRICS, INTERNAL = 8161, 8166, 8164, 8167, 9464, 7720
 STORE_PORT, SERVER_PORT = 8169, 8080
 HOST_NAME = "desk.example"
