LOST: a stop counts from its signal, and each request is judged when it is processed

Cause: the point from which only what can be finished is accepted was set by a loop that looks each 50 ms, counted from when the signal was handled, up to 100 ms after another signal and as late as the event loop. Now the handler notes the arrival of the first signal to stop; kernel, interruption and the acceptance of requests count from it, and the pipeline asks the schedule for each request at the time of its processing.

Requests that can be finished are now served while others are in flight; before all were refused from 3.2 s on. The stub of test_graceful_close fires its request in refuse_new_requests, which is the moment right after the last check in the new order.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -35,6 +35,7 @@
     registry,
     retry_budget,
     roster,
+    stop_schedule,
 )
 from sassafraslock.path import access_log, pipeline, retry_gate, send
 from sassafraslock.services import (
@@ -294,18 +295,19 @@
         self.planner.update(clock.monotonic_ms())
         self.pipeline.splitter.reset()
 
-    def begin_leaving(self) -> None:
-        """Leave the directory and close clients' connections after their next responses."""
-        self.leaving = True
-        self.pipeline.leaving = True
-        self.client_server.begin_closing()
+    @property
+    def stop_requested_ms(self) -> int:
+        """The monotonic time at which a stop was requested."""
+        return self.kernel.stop_requested_ms
 
-    def refuse_unfinishable_requests(self, finish_by_ms: int) -> None:
-        """Refuse requests that arrive from now on and may last too long.
+    def begin_leaving(self, schedule: stop_schedule.StopSchedule) -> None:
+        """Leave the directory and close clients' connections after their next responses.
 
-        :param finish_by_ms: the monotonic time at which requests in flight are interrupted.
+        :param schedule: the times of the stop, by which requests are accepted from now on.
         """
-        self.pipeline.finish_by_ms = finish_by_ms
+        self.leaving = True
+        self.pipeline.schedule = schedule
+        self.client_server.begin_closing()
 
     def interrupt_requests(self) -> None:
         """Answer the requests in flight as failed, since they outlast the stop."""
--- a/sassafraslock/kernel.py
+++ b/sassafraslock/kernel.py
@@ -58,13 +58,23 @@
     A service that raises is restarted, at most :data:`MAX_RESTARTS` times within
     :data:`RESTART_WINDOW_MS`. After one more failure the whole process stops, and
     :attr:`failed_service` names the service; in a stop that has begun, the other services go on.
-    ``stop_bound_ms`` is the time limit of all ``stop`` calls together.
+    ``stop_bound_ms`` is the time limit of all ``stop`` calls together, counted from
+    ``stop_requested_ms``, the monotonic time of the first request to stop.
     """
 
-    __slots__ = ("stop_bound_ms", "_services", "_started", "_stop_requested", "_failed", "_killed")
+    __slots__ = (
+        "stop_bound_ms",
+        "stop_requested_ms",
+        "_services",
+        "_started",
+        "_stop_requested",
+        "_failed",
+        "_killed",
+    )
 
     def __init__(self) -> None:
         self.stop_bound_ms = 0
+        self.stop_requested_ms = 0
         self._services: dict[str, _SupervisedService] = {}
         self._started: dict[str, _SupervisedService] = {}
         self._stop_requested = anyio.Event()
@@ -91,8 +101,14 @@
         """
         return self._services[name].service
 
-    def request_stop(self) -> None:
-        """Request a graceful stop, which :meth:`run` carries out."""
+    def request_stop(self, requested_ms: int | None = None) -> None:
+        """Request a graceful stop, which :meth:`run` carries out; later requests change nothing.
+
+        :param requested_ms: the monotonic time from which the stop counts, now if none.
+        """
+        if self._stop_requested.is_set():
+            return
+        self.stop_requested_ms = clock.monotonic_ms() if requested_ms is None else requested_ms
         self._stop_requested.set()
 
     @property
@@ -134,7 +150,8 @@
                 await self._wait_ready(supervised)
             await self._stop_requested.wait()
             if not self._killed:
-                with anyio.move_on_after(self.stop_bound_ms / 1000):
+                passed_ms = clock.monotonic_ms() - self.stop_requested_ms
+                with anyio.move_on_after((self.stop_bound_ms - passed_ms) / 1000):
                     await self._stop_services()
             for supervised in reversed(self._started.values()):
                 supervised.scope.cancel()
@@ -146,7 +163,7 @@
         self._killed = True
         for supervised in self._services.values():
             supervised.scope.cancel()
-        self._stop_requested.set()
+        self.request_stop()
 
     async def _wait_ready(self, supervised: _SupervisedService) -> None:
         async with anyio.create_task_group() as group:
@@ -202,7 +219,7 @@
             f" within {RESTART_WINDOW_MS // 1000} s; stopping the process",
             logging.ERROR,
         )
-        self._stop_requested.set()
+        self.request_stop(now_ms)
         return True
 
 
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -12,6 +12,7 @@
     placement,
     route_latency,
     split,
+    stop_schedule,
 )
 from sassafraslock.path import (
     answer,
@@ -38,16 +39,15 @@
     All methods run on one event loop, and each change of state is complete before an await.
     ``record_demand`` is called for each request before its first attempt, with the service, the
     milliseconds for which the request is expected to keep a server busy, and the monotonic time.
-    While ``closed``, all new requests are refused; with ``finish_by_ms``, those whose deadline is
-    after this monotonic time.
+    While ``closed``, all new requests are refused; in a stop, also those that its ``schedule`` does
+    not accept.
     """
 
     __slots__ = (
         "record_demand",
         "in_flight",
-        "leaving",
+        "schedule",
         "closed",
-        "finish_by_ms",
         "_tasks",
         "_is_stopped",
         "placer",
@@ -83,9 +83,8 @@
             lambda name, busy_ms, now_ms: None
         )
         self.in_flight = 0
-        self.leaving = False
+        self.schedule: stop_schedule.StopSchedule | None = None
         self.closed = False
-        self.finish_by_ms: int | None = None
         self._tasks: set[asyncio.Task[typing.Any]] = set()
         self._is_stopped = False
         self.placer = placer
@@ -168,7 +167,7 @@
         if isinstance(routed, errors.Refusal):
             return routed
         context.routed = routed
-        if not self._may_finish(routed, clock.monotonic_ms()):
+        if not self._may_accept(routed, clock.monotonic_ms()):
             return refusals.ENTRY_LEAVING
         if self._claims is None or routed.idempotent:
             return await self._serve(context, routed)
@@ -179,9 +178,11 @@
         self._claims.settle(held, outcome)
         return outcome
 
-    def _may_finish(self, routed: route.RoutedRequest, now_ms: int) -> bool:
-        """Return whether a request's deadline is early enough for an entry that is leaving."""
-        return self.finish_by_ms is None or now_ms + routed.remaining_ms(now_ms) < self.finish_by_ms
+    def _may_accept(self, routed: route.RoutedRequest, now_ms: int) -> bool:
+        """Return whether a request may be accepted, which a stop limits."""
+        if self.schedule is None:
+            return True
+        return self.schedule.may_accept(routed.remaining_ms(now_ms), now_ms)
 
     async def _serve(
         self, context: request_context.RequestContext, routed: route.RoutedRequest
@@ -321,7 +322,7 @@
 
         :returns: whether the current attempt is to be abandoned.
         """
-        if self.leaving:
+        if self.schedule is not None:
             return False
         now_ms = clock.monotonic_ms()
         choice = self.placer.place(placement_request, now_ms)
--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -8,9 +8,8 @@
 import anyio.lowlevel
 
 from sassafraslock import clock, edge_settings, events
+from sassafraslock.decisions import stop_schedule
 
-REFUSE_AFTER_MS = 3_200
-DRAIN_RATIO = 0.85
 STOP_POLL_S = 0.05
 SETTLE_TURNS = 20  # of the event loop, for answers that arrived while it was busy
 
@@ -37,17 +36,18 @@
     def client_server(self) -> ClientServer:
         """The server of the clients' connections."""
 
+    @property
+    def stop_requested_ms(self) -> int:
+        """The monotonic time at which the stop was requested."""
+
     @property
     def in_flight(self) -> int:
         """The number of requests in flight."""
 
-    def begin_leaving(self) -> None:
-        """Leave the directory, and ask clients on kept-alive connections to reconnect elsewhere."""
-
-    def refuse_unfinishable_requests(self, finish_by_ms: int) -> None:
-        """Refuse requests that arrive from now on and may last too long.
+    def begin_leaving(self, schedule: stop_schedule.StopSchedule) -> None:
+        """Leave the directory, and ask clients on kept-alive connections to reconnect elsewhere.
 
-        :param finish_by_ms: the monotonic time at which requests in flight are interrupted.
+        :param schedule: the times of the stop, by which requests are accepted from now on.
         """
 
     def refuse_new_requests(self) -> None:
@@ -63,11 +63,10 @@
     Both are one service, since a stop may begin between the starts of two: no client is accepted
     without the drain that answers it.
 
-    At a stop the entry leaves the directory first, but serves clients that still have its address
-    for up to :data:`REFUSE_AFTER_MS`, in the second half of the grace period only those whose
-    deadline leaves time enough. Then it refuses new requests and waits for those in flight, until
-    :data:`DRAIN_RATIO` of the grace period has passed. What is then still in flight is answered as
-    failed. The rest of the stop is for clients to read their answers.
+    At a stop the entry leaves the directory first, but serves clients that still have its address,
+    as :class:`stop_schedule.StopSchedule` accepts their requests. It waits for those in flight
+    until the schedule interrupts them: they are answered as failed. The rest of the stop is for
+    clients to read their answers.
     """
 
     __slots__ = ("_entry",)
@@ -84,32 +83,27 @@
 
     async def stop(self) -> None:
         """Drain the entry; returns once no request is unanswered and no answer unsent."""
-        started_ms = clock.monotonic_ms()
-        bounds = self._entry.settings.bounds
         events.log(
             events.Event.PROCESS_STOPPING,
             "entry is shutting down",
             entry=self._entry.settings.entry_id,
             in_flight=self._entry.in_flight,
         )
-        self._entry.begin_leaving()
-        serving_ms = min(REFUSE_AFTER_MS, bounds.grace_ms // 2 + 200)
-        drain_ms = DRAIN_RATIO * bounds.grace_ms
-        while True:
-            left_s = (started_ms + drain_ms - clock.monotonic_ms()) / 1000
-            await anyio.sleep(min(STOP_POLL_S, max(0.0, left_s)))
-            elapsed_ms = clock.monotonic_ms() - started_ms
-            if elapsed_ms >= bounds.grace_ms // 2:
-                self._entry.refuse_unfinishable_requests(started_ms + int(drain_ms))
-            if elapsed_ms < serving_ms:
-                continue
-            self._entry.refuse_new_requests()
-            if self._entry.in_flight and elapsed_ms >= drain_ms:
+        schedule = stop_schedule.StopSchedule(
+            self._entry.stop_requested_ms, self._entry.settings.bounds.grace_ms
+        )
+        self._entry.begin_leaving(schedule)
+        now_ms = clock.monotonic_ms()
+        while now_ms < schedule.idle_end_ms or self._entry.in_flight:
+            if now_ms >= schedule.interrupt_ms:
+                self._entry.refuse_new_requests()
                 await _let_others_run()
                 self._entry.interrupt_requests()
                 break
-            if not self._entry.in_flight:
-                break
+            left_s = (schedule.interrupt_ms - now_ms) / 1000
+            await anyio.sleep(min(STOP_POLL_S, left_s))
+            now_ms = clock.monotonic_ms()
+        self._entry.refuse_new_requests()
         await self._entry.client_server.close_connections()
 
 
--- a/sassafraslock/signal_watch.py
+++ b/sassafraslock/signal_watch.py
@@ -16,6 +16,8 @@
     """Handles the signals of the process, also those that arrived before the event loop ran.
 
     The first signal to stop is named by :attr:`stop_signal`; later ones do not change the stop.
+    ``request_stop`` is called with the monotonic time at which it arrived, since it may be handled
+    later.
     Without signals to watch, the caller of the entry handles them.
     """
 
@@ -24,7 +26,7 @@
     def __init__(
         self,
         process_signals: signals.ProcessSignals | None,
-        request_stop: typing.Callable[[], None],
+        request_stop: typing.Callable[[int | None], None],
         reload: typing.Callable[[], None],
     ) -> None:
         self.stop_signal = ""
@@ -46,8 +48,9 @@
 
     def handle_pending(self) -> None:
         """Handle the signals that have arrived since the last call, repeated ones once."""
-        counts = self._signals.take() if self._signals is not None else {}
-        for number, count in counts.items():
+        if self._signals is None:
+            return
+        for number, count in self._signals.take().items():
             if not count:
                 continue
             name = signal.Signals(number).name
@@ -59,7 +62,7 @@
             else:
                 _log(name, count, "stop")
                 self.stop_signal = name
-                self._request_stop()
+                self._request_stop(self._signals.stop_requested_ms)
 
 
 def _log(name: str, count: int, action: str) -> None:
--- a/sassafraslock/signals.py
+++ b/sassafraslock/signals.py
@@ -10,6 +10,8 @@
 import signal
 import types
 
+from sassafraslock import clock
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
 HANDLED_SIGNALS = (RELOAD_SIGNAL, *STOP_SIGNALS)
@@ -22,12 +24,14 @@
     """Counts the signals that arrive until :meth:`take` is called.
 
     The handlers stay when an event loop ends. For each signal a byte is written to a pipe, which
-    wakes an event loop that waits for :meth:`fileno`.
+    wakes an event loop that waits for :meth:`fileno`. ``stop_requested_ms`` is the monotonic time
+    at which the first signal to stop arrived.
     """
 
-    __slots__ = ("_counts", "_pipe")
+    __slots__ = ("stop_requested_ms", "_counts", "_pipe")
 
     def __init__(self) -> None:
+        self.stop_requested_ms: int | None = None
         self._counts = _no_signals()
         self._pipe: tuple[int, int] | None = None
 
@@ -70,6 +74,8 @@
 
     def _count(self, number: int, frame: types.FrameType | None) -> None:
         self._counts[number] += 1
+        if number in STOP_SIGNALS and self.stop_requested_ms is None:
+            self.stop_requested_ms = clock.monotonic_ms()
 
 
 def _no_signals() -> SignalCounts:
--- a/tests/edge_world.py
+++ b/tests/edge_world.py
@@ -7,13 +7,14 @@
 import msgspec
 
 from sassafraslock import (
+    clock,
     edge,
     edge_settings,
     header_names,
     http_messages,
     kernel,
 )
-from sassafraslock.decisions import server_ranking
+from sassafraslock.decisions import server_ranking, stop_schedule
 from sassafraslock.services import http_server, log_writer, operator_api
 from tests import fact_source, loopback
 
@@ -155,6 +156,11 @@
         headers = [tuple(line.split(b": ", 1)) for line in lines[1:]]
         return http_messages.Response(int(lines[0].split()[1]), headers, rest)
 
+    def begin_leaving(self):
+        """Leave as in the first moment of a stop."""
+        grace_ms = self.settings.bounds.grace_ms
+        self.edge.begin_leaving(stop_schedule.StopSchedule(clock.monotonic_ms(), grace_ms))
+
     @property
     def runs(self):
         return sum(sum(b.ran.values()) for b in self.backends.values())
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -1,12 +1,13 @@
 """A planned stop while requests go on arriving: each one is answered, or was never taken."""
 
+import socket
 import time
 import types
 
 import anyio
 import pytest
 
-from sassafraslock import edge_settings, http_messages
+from sassafraslock import clock, edge_settings, http_messages
 from sassafraslock.services import departure, http_server
 from tests import edge_world, fact_source
 
@@ -14,6 +15,7 @@
 WORK_S = 0.4
 STEP_S = 0.05
 ROUTES = [fact_source.route(), fact_source.route("w", "/w/", idempotent=False)]
+LONG_ROUTE = fact_source.route("w", "/w/", idempotent=False, timeout_ms=5_000)
 
 
 def encode(number, limit_ms):
@@ -95,6 +97,44 @@
     edge_world.run_scenario(scenario, routes=routes)
 
 
+class LateRequest:
+    """A client that sends while the event loop of the entry is held up, on a kept connection."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.socket = socket.create_connection((host, int(port)))
+
+    async def send(self, after_s, held_s):
+        await anyio.sleep(after_s)
+        time.sleep(held_s)  # noqa: ASYNC251 - holds the event loop up
+        self.socket.send(encode(1, 10_000))
+
+    async def status(self):
+        received = await anyio.to_thread.run_sync(self.socket.recv, 65_536)
+        self.socket.close()
+        return int(received.split()[1])
+
+
+# Guards against requests that are sent more than 3 s after SIGTERM, just before the stop is looked
+# at again, and that are passed on and then interrupted.
+@pytest.mark.parametrize(("after_s", "held_s"), [(0.5, 0.3), (0.7, 0.1), (0.74, 0.3)])
+def test_a_request_sent_late_in_a_stop_is_refused_though_the_event_loop_was_held_up(
+    after_s, held_s
+):
+    async def scenario(world):
+        for backend in world.backends.values():
+            backend.work_s = 2.0
+        late = LateRequest(world.settings.client_address)
+        async with anyio.create_task_group() as group:
+            await anyio.sleep(0.05)
+            world.edge.kernel.request_stop()
+            group.start_soon(late.send, after_s, held_s)
+            assert await late.status() == 503
+        assert world.runs == 0
+
+    edge_world.run_scenario(scenario, routes=ROUTES[:1] + [LONG_ROUTE])
+
+
 class StopRequest:
     """Passes on that a service is ready, and requests a stop in the same moment."""
 
@@ -146,11 +186,9 @@
         self.client_server = self
         self.in_flight = 1
         self.interrupted = False
+        self.stop_requested_ms = clock.monotonic_ms()
 
-    def begin_leaving(self):
-        pass
-
-    def refuse_unfinishable_requests(self, finish_by_ms):
+    def begin_leaving(self, schedule):
         pass
 
     def refuse_new_requests(self):
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -266,7 +266,7 @@
 
     async def scenario(world):
         world.servers_by_preference()[0].mode = "silent"
-        world.edge.begin_leaving()
+        world.begin_leaving()
         assert (await world.send(limit_ms=4_000)).status == 504
         assert world.runs == 1
 
--- a/tests/test_fault_pairs.py
+++ b/tests/test_fault_pairs.py
@@ -52,7 +52,7 @@
 
 
 def entry_leaves(world):
-    world.edge.begin_leaving()
+    world.begin_leaving()
 
 
 FAULTS = {
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 
-from sassafraslock import edge_settings, http_messages, kernel, routing_table
+from sassafraslock import clock, edge_settings, http_messages, kernel, routing_table
 from sassafraslock.services import client_connection, cut_log, departure, http_server
 from tests import loopback
 
@@ -55,23 +55,23 @@
         self.client_server = server
         self._handler = handler
         self._at_last_check = at_last_check
-        self._is_refusing = False
 
     @property
     def in_flight(self):
-        if self._is_refusing and self._at_last_check:
-            self._at_last_check()
-            self._at_last_check = None
         return self._handler.in_flight
 
-    def begin_leaving(self):
-        self.client_server.begin_closing()
+    @property
+    def stop_requested_ms(self):
+        return clock.monotonic_ms()
 
-    def refuse_unfinishable_requests(self, finish_by_ms):
-        pass
+    def begin_leaving(self, schedule):
+        self.client_server.begin_closing()
 
     def refuse_new_requests(self):
-        self._is_refusing = True
+        """Called right after the last check; what has arrived by then is not processed yet."""
+        if self._at_last_check:
+            self._at_last_check()
+            self._at_last_check = None
 
     def interrupt_requests(self):
         pass
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from sassafraslock import kernel
+from sassafraslock import clock, kernel
 
 
 class Recorder:
@@ -190,6 +190,22 @@
     anyio.run(main)
 
 
+# Guards against a stop that takes its whole time limit though its signal was handled late.
+def test_the_time_limit_of_a_stop_counts_from_its_request():
+    async def main():
+        core, log, stopping = kernel.Kernel(), [], anyio.Event()
+        core.register("slow", Drainer("slow", log, stopping, lambda: kernel.MAX_RESTARTS + 1))
+        async with anyio.create_task_group() as group:
+            group.start_soon(core.run, 4_000)
+            while not core.all_ready:
+                await anyio.sleep(0.001)
+            core.request_stop(clock.monotonic_ms() - 4_000)
+            core.request_stop(clock.monotonic_ms())
+        assert log == []
+
+    anyio.run(main)
+
+
 def test_kill_cancels_services_without_calling_stop():
     async def main():
         core, log = kernel.Kernel(), []
--- a/tests/test_signal_watch.py
+++ b/tests/test_signal_watch.py
@@ -14,6 +14,7 @@
 
     def __init__(self):
         self.counts = {}
+        self.stop_requested_ms = None
 
     def take(self):
         counts, self.counts = self.counts, {}
@@ -25,11 +26,16 @@
 
     def __init__(self, monkeypatch):
         self.signals, self.asked, self.actions = Signals(), [], []
+        self.stop_times = []
         self.watch = signal_watch.SignalWatch(
-            self.signals, lambda: self.asked.append("stop"), lambda: self.asked.append("reload")
+            self.signals, self.request_stop, lambda: self.asked.append("reload")
         )
         monkeypatch.setattr(events, "log", self.log)
 
+    def request_stop(self, requested_ms):
+        self.asked.append("stop")
+        self.stop_times.append(requested_ms)
+
     def log(self, event, message, **fields):
         assert event is events.Event.SIGNAL_RECEIVED
         self.actions.append((fields["signal"], fields["count"], fields["action"]))
@@ -76,3 +82,12 @@
     world.arrive({INT: 1})
     world.arrive({TERM: 1})
     assert world.watch.stop_reason == "SIGINT"
+
+
+# Guards against a stop that counts from when its signal is handled, up to 100 ms after another one.
+def test_the_stop_counts_from_the_arrival_of_its_signal(monkeypatch):
+    world = World(monkeypatch)
+    world.arrive({HUP: 1})
+    world.signals.stop_requested_ms = 41_000
+    world.arrive({TERM: 1})
+    assert world.stop_times == [41_000]
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sassafraslock import signals
+from sassafraslock import clock, signals
 from tests import entry_process
 
 PROGRAMS = list(entry_process.PROGRAMS)
@@ -129,3 +129,11 @@
         assert entry.stop() == 0
     os.close(reader)
     os.close(writer)
+
+
+def test_the_time_of_the_first_signal_to_stop_is_kept(monkeypatch):
+    arrived = signals.ProcessSignals()
+    for now_ms, number in [(1, signal.SIGHUP), (2, signal.SIGTERM), (3, signal.SIGINT)]:
+        monkeypatch.setattr(clock, "monotonic_ms", lambda now_ms=now_ms: now_ms)
+        arrived._count(number, None)
+    assert arrived.stop_requested_ms == 2
