Bytes without end: a trailer or chunk header behind a body is bounded like a head

Report: a server that sends bytes without end makes the machine that called it run out of memory. Both readers now limit and count what has arrived since the last part of the body.

--- a/sassafraslock/services/request_reader.py
+++ b/sassafraslock/services/request_reader.py
@@ -61,6 +61,7 @@
         self._headers: http_messages.Headers = []
         self._header_bytes = 0
         self._received_bytes = 0
+        self._unread_bytes = 0  # since the last part of the body, or the start of the message
         self._head_done = False
         self._body = bytearray()
         self.times.first_byte_ms = None
@@ -78,10 +79,8 @@
     @property
     def held_bytes(self) -> int:
         """The memory that the message takes which is being read."""
-        held_bytes = self._header_bytes + len(self._body)
-        if not self._head_done:
-            held_bytes += min(self._received_bytes, self._bounds.limits.max_header_bytes)
-        return held_bytes
+        unread_bytes = min(self._unread_bytes, self._bounds.limits.max_header_bytes)
+        return self._header_bytes + len(self._body) + unread_bytes
 
     def feed(self, data: bytes, now_ms: int) -> None:
         """Parse a chunk of at most :data:`message_quota.PARSE_CHUNK_BYTES`.
@@ -93,6 +92,7 @@
         if self.times.first_byte_ms is None:
             self.times.first_byte_ms = now_ms
         self._received_bytes += len(data)
+        self._unread_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -107,13 +107,14 @@
     def _check_bounds(self) -> None:
         """Reject a message whose head or framing grows without limit.
 
-        Chunk headers and trailers count as framing, which is limited in proportion to the body.
+        Chunk headers and trailers count as framing, which is limited in proportion to the body. The
+        parser keeps an incomplete header or trailer, however long it grows.
         """
         max_header_bytes = self._bounds.limits.max_header_bytes
         framing_bytes = self._received_bytes - len(self._body)
         chunk_bytes = message_quota.PARSE_CHUNK_BYTES
         body_framing_bytes = message_quota.FRAMING_RATIO * len(self._body)
-        if not self._head_done and framing_bytes > max_header_bytes + chunk_bytes:
+        if self._unread_bytes > max_header_bytes + chunk_bytes:
             self.reject(431)
         elif framing_bytes > 2 * max_header_bytes + chunk_bytes + body_framing_bytes:
             self.reject(413)
@@ -173,6 +174,7 @@
 
         :param body: the part, without chunk framing.
         """
+        self._unread_bytes = 0
         bounds = self._bounds
         limit_bytes = min(bounds.limits.max_body_bytes, bounds.quota.message_limit_bytes)
         if len(self._body) + len(body) > limit_bytes:
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -108,7 +108,7 @@
     def _new_message(self) -> None:
         self._headers: http_messages.Headers = []
         self._headers_bytes = 0
-        self._unread_head_bytes = 0
+        self._unread_bytes = 0  # since the last part of the body, or the start of the message
         self._body = bytearray()
         self._head_done = False
         self._reason_phrase = b""
@@ -173,8 +173,7 @@
 
     def _parse(self, data: bytes) -> None:
         self._received_bytes += len(data)
-        if not self._head_done:
-            self._unread_head_bytes += len(data)
+        self._unread_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -187,14 +186,15 @@
         """Abort a response that exceeds a limit: its headers, its body, or its framing.
 
         The framing is limited too because interim responses, chunk headers and trailers could
-        otherwise go on forever without adding to headers or body.
+        otherwise go on forever without adding to headers or body. The parser keeps an incomplete
+        header or trailer, however long it grows.
         """
-        head_bytes, max_head_bytes = self._headers_bytes, self._limits.max_head_bytes
-        if not self._head_done:
-            head_bytes = max(head_bytes, self._unread_head_bytes)
+        max_head_bytes = self._limits.max_head_bytes
+        head_bytes = max(self._headers_bytes, self._unread_bytes)
         if head_bytes > max_head_bytes:
+            part = "trailer" if self._head_done else "head"
             self.abort_message(
-                f"response head of {head_bytes} bytes exceeds {max_head_bytes} bytes"
+                f"response {part} of {head_bytes} bytes exceeds {max_head_bytes} bytes"
             )
             return
         max_bytes = self._limits.quota.message_limit_bytes
@@ -280,6 +280,7 @@
         the status of the other.
         """
         self._head_done = True
+        self._unread_bytes = 0
         texts = [self._reason_phrase, *(value for _, value in self._headers)]
         if any(_STATUS_LINE.search(text) for text in texts):
             self.abort_message("a response begins inside the head of another one")
@@ -294,6 +295,7 @@
         :param body: the part, without chunk framing.
         """
         self._total_body_bytes += len(body)
+        self._unread_bytes = 0
         if self._future is not None and not self._future.done():
             self._body += body
 
--- a/tests/test_message_quota.py
+++ b/tests/test_message_quota.py
@@ -25,6 +25,8 @@
 GET = b"GET / HTTP/1.1\r\nhost: a\r\n"
 POST = b"POST / HTTP/1.1\r\nhost: a\r\n"
 
+BODY_CHUNK = b"c000\r\n" + b"b" * 0xC000 + b"\r\n"
+
 ANSWERS = {
     "header lines": (OK_HEAD, b"x-filler: a\r\n"),
     "one header": (OK_HEAD + b"x-filler: ", b"a"),
@@ -35,6 +37,9 @@
     "chunk extension": (OK_HEAD + CHUNKED + b"1;", b"a"),
     "chunks": (OK_HEAD + CHUNKED, b"1\r\na\r\n"),
     "trailers": (OK_HEAD + CHUNKED + b"0\r\n", b"x: y\r\n"),
+    "trailer after a body": (OK_HEAD + CHUNKED + BODY_CHUNK + b"0\r\nx: ", b"a"),
+    "trailer name after a body": (OK_HEAD + CHUNKED + BODY_CHUNK + b"0\r\n", b"a"),
+    "chunk extension after a body": (OK_HEAD + CHUNKED + BODY_CHUNK + b"1;", b"a"),
     "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"),
     "foreign answers": (b"", b"HTTP/1.1 200 OK\r\nx-id: z\r\ncontent-length: 0\r\n\r\n"),
     "after a whole answer": (OK_HEAD + b"content-length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\n"),
@@ -48,6 +53,8 @@
     "chunk extension": (POST + CHUNKED + b"1;", b"a"),
     "chunks": (POST + CHUNKED, b"1\r\na\r\n"),
     "trailers": (POST + CHUNKED + b"0\r\n", b"x: y\r\n"),
+    "trailer after a body": (POST + CHUNKED + BODY_CHUNK + b"0\r\nx: ", b"a"),
+    "chunk extension after a body": (POST + CHUNKED + BODY_CHUNK + b"1;", b"a"),
     "pipelined": (b"", GET + b"\r\n"),
 }
 SENT_BYTES = 2 << 20
@@ -197,6 +204,40 @@
     asyncio.run(scenario())
 
 
+# Guards against a trailer or chunk header that is kept in proportion to the body before it: 8 bytes
+# for each byte of the body, copied again for each piece that arrives.
+@pytest.mark.parametrize("name", [name for name in ANSWERS if "after a body" in name])
+def test_what_follows_a_large_body_is_bounded_like_a_head(name):
+    async def scenario():
+        connection, transport, _ = start_exchange(message_quota.MessageQuota())
+        first, repeated = ANSWERS[name]
+        connection.data_received(first.replace(BODY_CHUNK, 20 * BODY_CHUNK))
+        received_bytes = 0
+        while not transport.closed and received_bytes < 10 * MAX_HEAD_BYTES:
+            connection.data_received(repeated * 1_000)
+            received_bytes += 1_000
+        assert MAX_HEAD_BYTES - 1_000 <= received_bytes <= MAX_HEAD_BYTES + 1_000
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("name", [name for name in REQUESTS if "after a body" in name])
+def test_what_follows_a_large_body_of_a_request_is_bounded_like_a_head(name):
+    async def scenario():
+        connection, transport = client(message_quota.MessageQuota(), Handler())
+        first, repeated = REQUESTS[name]
+        connection.data_received(first)
+        received_bytes = 0
+        while not transport.sent and received_bytes < 50 * LIMITS.max_header_bytes:
+            connection.data_received(repeated * 100)
+            received_bytes += 100
+        most_bytes = LIMITS.max_header_bytes + message_quota.PARSE_CHUNK_BYTES
+        assert received_bytes <= most_bytes + 200
+        assert transport.sent.startswith(b"HTTP/1.1 431")
+
+    asyncio.run(scenario())
+
+
 def test_trailers_do_not_become_headers_of_the_answer():
     async def scenario():
         connection, _, answer = start_exchange(message_quota.MessageQuota())
