A HEAD request is answered when the head of its response is complete

Callers got 504 at their time limit for HEAD whenever the server named a length: the parser waits for the body.

--- a/sassafraslock/http_messages.py
+++ b/sassafraslock/http_messages.py
@@ -139,7 +139,9 @@
 
 
 def encode_response(response: Response, head_only: bool, close: bool) -> bytes:
-    """Return the bytes of a response; ``content-length`` always gives the size of its body.
+    """Return the bytes of a response; ``content-length`` gives the size of its body.
+
+    It is left out for HEAD if the size is unknown.
 
     :param response: the response.
     :param head_only: whether to leave out the body, as for HEAD.
@@ -148,7 +150,7 @@
     reason = REASONS.get(response.status, b"Status")
     lines = [b"HTTP/1.1 %d %b\r\n" % (response.status, reason)]
     lines += [b"%b: %b\r\n" % header for header in response.headers]
-    if response.status not in _BODILESS_STATUSES:
+    if response.status not in _BODILESS_STATUSES and (response.body or not head_only):
         lines.append(b"content-length: %d\r\n" % len(response.body))
     if close:
         lines.append(b"connection: close\r\n")
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -102,6 +102,7 @@
         self._future: asyncio.Future[Exchange] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._request_id = b""
+        self._head_only = False
         self._reusable = True
         self._new_message()
 
@@ -122,6 +123,7 @@
         """
         assert self._transport is not None
         self._request_id = request_id
+        self._head_only = head_only
         self._reusable = not head_only
         self._received_bytes = self._total_body_bytes = 0
         self._future = asyncio.get_running_loop().create_future()
@@ -288,6 +290,8 @@
         status = self._parser.get_status_code()
         if self.observe_head is not None and status >= 200:
             self.observe_head(status, self._headers)
+        if self._head_only:
+            self.on_message_complete()  # the parser would wait for the body
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body.
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -113,6 +113,26 @@
     assert len(accepted) == opened
 
 
+# Guards against HEAD requests that wait for a body until their time limit, and get 504.
+@pytest.mark.parametrize("name", ["whole", "interim answer first"])
+def test_a_response_to_a_head_request_ends_with_its_head(name):
+    script, _ = CASES[name]
+    head_only = [step.replace(b"\r\n\r\nok", b"\r\n\r\n") for step in script]
+    accepted = []
+
+    async def scenario(connections):
+        for _ in range(2):
+            with anyio.fail_after(5):
+                exchange = await connections.exchange(
+                    f"{HOST}:{PORT}", lambda: b"HEAD / HTTP/1.1\r\n\r\n", ID, True
+                )
+            assert exchange.outcome is Outcome.ANSWERED
+            assert exchange.response.status == 200 and not exchange.response.body
+        assert len(accepted) == 2
+
+    anyio.run(run_scenario, head_only, scenario, accepted)
+
+
 def test_a_connection_is_not_reused_after_connection_close():
     accepted = []
 
