--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,6 +50,8 @@
 @click.option("--clients", default=40, show_default=True, help="Number of clients.")
 @click.option("--pause-s", default=0.3, show_default=True, help="Longest pause of a client.")
 @click.option("--entries-per-zone", default=2, show_default=True, help="Number of entries.")
+@click.option("--deadline-s", default=2.5, show_default=True, help="Time limit of requests.")
+@click.option("--unsafe-work-s", default=0.0, help="Servers' work on an unsafe request.")
 @click.option("--groups", default=1, show_default=True, help="Groups of entries kept apart.")
 @click.option("--code", default=fleet.ROOT, type=pathlib.Path, help="Tree that the entries run.")
 @click.option(
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -177,6 +177,7 @@
     """The entries, the store and the servers of one run.
 
     The settings of an entry name only entries of its own group, of which there are ``groups``.
+    ``timeout_s`` is the time limit of the routes.
     """
 
     def __init__(
@@ -189,6 +190,7 @@
         self.servers: dict[str, platform_server.PlatformServer] = {}
         self.entries: list[EntryProcess] = []
         self.groups = 1
+        self.timeout_s = TIMEOUT_S
         self.version = 0
         for number in range(len(ZONES) * entries_per_zone):
             zone = list(ZONES)[number % len(ZONES)]
@@ -260,7 +262,8 @@
 
         :param extra_routes: the number of unused routes.
         """
-        used = {"host": platform_server.HOST_NAME, "timeoutS": TIMEOUT_S, "targetLatencyS": 0.3}
+        used = {"host": platform_server.HOST_NAME, "targetLatencyS": 0.3}
+        used["timeoutS"] = self.timeout_s
         used["maxAttempts"] = MAX_ATTEMPTS
         routes: list[dict[str, object]] = [
             {**used, "prefix": f"/{service}/{kind}/", "routeType": kind, "service": service}
--- a/soak/planned.py
+++ b/soak/planned.py
@@ -23,7 +23,9 @@
     """The size of a run.
 
     ``groups`` above 1 start the entries in groups that do not know of each other, since the store
-    does not show them and seeds are of the own group.
+    does not show them and seeds are of the own group. ``deadline_s`` is the time limit of
+    clients and routes; ``unsafe_work_s`` replaces the servers' work on unsafe requests, unless it
+    is 0.
     """
 
     seconds: float = 20.0
@@ -31,6 +33,8 @@
     entries_per_zone: int = 2
     pause_s: float = 0.3
     groups: int = 1
+    deadline_s: float = platform_client.DEADLINE_S
+    unsafe_work_s: float = 0.0
     kinds: list[planned_steps.Kind] = dataclasses.field(
         default_factory=lambda: list(planned_steps.Kind)
     )
@@ -62,6 +66,9 @@
         self._folder = folder
         self._fleet = fleet.Fleet(folder, seed, options.entries_per_zone, options.code)
         self._fleet.groups = options.groups
+        self._fleet.timeout_s = options.deadline_s
+        for server in self._fleet.servers.values():
+            server.unsafe_work_s = options.unsafe_work_s
         if options.groups > 1:
             self._fleet.store.faults.denied_table = planned_steps.REGISTRATIONS
         self._clients = [self._client(number) for number in range(options.clients)]
@@ -75,6 +82,7 @@
         client.pause_s = (min(MIN_PAUSE_S, self._options.pause_s), self._options.pause_s)
         client.impatient, client.keeps_sending = number % 3 == 0, number % 5 == 0
         client.reads_late = number % 7 == 0
+        client.deadline_s = self._options.deadline_s
         return client
 
     async def run(self) -> Verdict:
@@ -145,6 +153,7 @@
             self._lags,
             [s for entry in entries for s in entry.overran],
             recovered,
+            int(1_000 * self._options.deadline_s),
         )
         self._write_findings(evidence, started_ms)
         windows = [
--- a/soak/planned_work.py
+++ b/soak/planned_work.py
@@ -94,6 +94,7 @@
     lags: list[faults.Span] = dataclasses.field(default_factory=list)
     overran: list[fleet.Signalled] = dataclasses.field(default_factory=list)
     recovered: bool = True
+    deadline_ms: int = DEADLINE_MS
 
     @functools.cached_property
     def arrivals_by_id(self) -> dict[str, list[platform_server.Arrival]]:
@@ -127,7 +128,7 @@
     def _is_excused(self, attempt: platform_client.Attempt) -> bool:
         arrivals = self.arrivals_by_id.get(attempt.request_id, [])
         took_ms = attempt.ended_ms - attempt.sent_ms + ROUNDING_MS
-        if took_ms >= DEADLINE_MS or self._is_harmed(attempt):
+        if took_ms >= self.deadline_ms or self._is_harmed(attempt):
             return True
         if any(a.broken for a in arrivals):
             return True
@@ -169,7 +170,7 @@
             for a in self.attempts
             if a.end is platform_client.End.TIMED_OUT
             and a.ended_ms
-            and self._waited_ms(a) >= DEADLINE_MS + margin_ms - 1
+            and self._waited_ms(a) >= self.deadline_ms + margin_ms - 1
             and not self._is_harmed(a)
         ]
 
--- a/soak/platform_client.py
+++ b/soak/platform_client.py
@@ -72,6 +72,7 @@
         self.impatient = False
         self.reads_late = False
         self.keeps_sending = False
+        self.deadline_s = DEADLINE_S
         self._zone, self._region = place
         self._directories = directories
         self._rng = random.Random(seed)
@@ -123,7 +124,7 @@
             headers = [
                 (b"host", platform_server.HOST_NAME.encode()),
                 (b"x-request-id", request_id.encode()),
-                (b"x-deadline-ms", str(int(DEADLINE_S * 1_000)).encode()),
+                (b"x-deadline-ms", str(int(self.deadline_s * 1_000)).encode()),
             ]
             method, body = ("GET", b"") if kind == "safe" else ("POST", b"x" * 300)
             data += http_messages.encode_request(method, f"/{service}/{kind}/1", headers, body)
@@ -148,7 +149,7 @@
         margin_s = ANSWER_MARGIN_S + (LATE_READ_S * (attempt.position + 1) * self.reads_late)
         passed_s = (clock.monotonic_ms() - attempt.sent_ms) / 1_000
         try:
-            with anyio.fail_after(DEADLINE_S + margin_s - passed_s):
+            with anyio.fail_after(self.deadline_s + margin_s - passed_s):
                 keep = await self._read_answer(attempt)
         except TimeoutError:
             attempt.end = End.TIMED_OUT
--- a/soak/platform_server.py
+++ b/soak/platform_server.py
@@ -37,7 +37,8 @@
 class PlatformServer:
     """Runs one request in each slot, queues a few more, and rejects all others as not run.
 
-    A share ``shed_ratio`` of the requests is rejected although there is room.
+    A share ``shed_ratio`` of the requests is rejected although there is room. ``unsafe_work_s`` is
+    the work on unsafe requests, 0 if it is as for others.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self.arrivals: list[Arrival] = []
         self.shed_ratio = 0.0
         self.work_s = WORK_S
+        self.unsafe_work_s = 0.0
         self._slots = slots
         self._free_slots = anyio.Semaphore(slots)
         self._running = 0
@@ -108,15 +110,17 @@
                 await self._resumed.wait()
             else:
                 self.arrivals.append(arrival)
-            response = await self._answer(arrival, request.header(b"x-target-instance"))
+            response = await self._answer(arrival, request)
             arrival.answered = True
             return response
         finally:
             arrival.until_ms = clock.monotonic_ms()
             self._open.discard(arrival)
 
-    async def _answer(self, arrival: Arrival, target: str) -> http_messages.Response:
-        request_id = arrival.request_id
+    async def _answer(
+        self, arrival: Arrival, request: http_messages.Request
+    ) -> http_messages.Response:
+        request_id, target = arrival.request_id, request.header(b"x-target-instance")
         if target and target != self.server_id:
             arrival.ran = False
             return http_messages.Response(421, self._headers(request_id))
@@ -125,13 +129,13 @@
             arrival.ran = False
             headers = [*self._headers(request_id), (b"x-not-executed", b"1")]
             return http_messages.Response(503, headers)
-        await self._work()
+        await self._work(self.unsafe_work_s if request.method == "POST" else 0.0)
         headers = [*self._headers(request_id), (b"x-response-signature", b"s")]
         large = self._rng.random() < LARGE_ANSWER_RATIO
         size_bytes = LARGE_ANSWER_BYTES if large else self._rng.randint(200, 9_000)
         return http_messages.Response(200, headers, request_id.encode() * (size_bytes // 16))
 
-    async def _work(self) -> None:
+    async def _work(self, work_s: float) -> None:
         self._waiting += 1
         try:
             await self._free_slots.acquire()
@@ -139,7 +143,7 @@
             self._waiting -= 1
         self._running += 1
         try:
-            await anyio.sleep(self._rng.uniform(*self.work_s))
+            await anyio.sleep(work_s or self._rng.uniform(*self.work_s))
         finally:
             self._running -= 1
             self._free_slots.release()
