SHIFT: a probe of a server that joined keeps to the region planned for its request

Cause: at the start most servers count as joined, so that the first requests of each entry probe them, up to two for each server, whichever region the plan has for the request: 74 of 291 in the first second of a play on, all to servers of the own region, which gets 34 in 100 by plan. How many join late differs between plays.

--- a/benchmarks/region_world.py
+++ b/benchmarks/region_world.py
@@ -10,7 +10,6 @@
 
 SLOTS, QUEUE = 3, 9
 REGIONS = ("north", "south", "west")
-ENTRIES_PER_REGION = 4
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -47,20 +46,51 @@
 
 
 KNOWN_RATIO = 0.3
-FLOWS = (
+_FLOWS = (
     Flow(_route("look-up", "finder", 250, 800, 2), 360.0, 39, 57.0, 1.0),
     Flow(_route("poll", "board", 600, 1_500, 2), 880.0, 24, 20.0, 1.0),
     Flow(_route("manifest", "board", 150, 800, 1), 144.0, 24, 12.0, 2.0),
 )
-SERVICES = (
+_SERVICES = (
     routing_table.Service("finder", 390, 3_000, 5.3),
     routing_table.Service("board", 390, 3_000, 5.3),
 )
-SERVERS = {
+_SERVERS = {
     "finder": {"north": 8, "south": 2, "west": 6},
     "board": {"north": 6, "south": 2, "west": 6},
 }
-KEPT = {"finder": 32, "board": 43}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shape:
+    """The size of an installation, and how the demand of its regions changes.
+
+    :param servers: the number of servers by service and region.
+    :param kept: the objects that a server keeps in memory, by service.
+    :param phases: the start of each region's wave of demand, as a part of its period.
+    :param evacuated_s: from when until when the evacuated zone is.
+    """
+
+    flows: tuple[Flow, ...]
+    services: tuple[routing_table.Service, ...]
+    servers: dict[str, dict[str, int]]
+    kept: dict[str, int]
+    entries_per_region: int
+    phases: dict[str, float]
+    seconds: int
+    evacuated_s: tuple[int, int]
+
+
+USUAL = Shape(
+    _FLOWS,
+    _SERVICES,
+    _SERVERS,
+    {"finder": 32, "board": 43},
+    4,
+    {"north": 0.3, "south": 0.63, "west": 0.97},
+    50,
+    (8, 18),
+)
 
 
 class _Entries:
@@ -77,7 +107,7 @@
 class Entry:
     """One entry: the real decisions on servers and plans, with its own registry."""
 
-    def __init__(self, entry_id: str, region: str, ids: dict[str, str]) -> None:
+    def __init__(self, entry_id: str, region: str, ids: dict[str, str], shape: Shape) -> None:
         self.entry_id, self.region = entry_id, region
         self.registry = registry.Registry()
         limiter = cold_start.ColdStartLimiter(entry_id, 1.5, 5.0)
@@ -85,12 +115,12 @@
         self.members = roster.Roster(entry_id)
         state = routing_state.RoutingState(self.registry, self.members)
         state.table = routing_table.RoutingTable(
-            routing_table.Intents(1, tuple(f.route for f in FLOWS), SERVICES)
+            routing_table.Intents(1, tuple(f.route for f in shape.flows), shape.services)
         )
         place = edge_settings.EdgeSettings(entry_id, f"{region}-a", region, "h:1", "", "", "h:2")
         self.planner = planner.Planner(place, state, self.placer, self.members)
         self.beat = 0
-        for report in server_reports():
+        for report in server_reports(shape):
             self.registry.apply_report(report, 0, False, 0)
 
     def record(self, now_ms: int) -> roster.MemberRecord:
@@ -105,8 +135,11 @@
         )  # fmt: skip
 
 
-def server_reports() -> list[registry.ServerReport]:
-    """Return the rows of all servers, half of each region's in its zone ``a``."""
+def server_reports(shape: Shape) -> list[registry.ServerReport]:
+    """Return the rows of all servers, half of each region's in its zone ``a``.
+
+    :param shape: the installation.
+    """
     return [
         registry.ServerReport(
             f"{service}-{region}-{number}",
@@ -117,7 +150,7 @@
             SLOTS,
             registry.ServerState.READY,
         )
-        for service, regions in SERVERS.items()
+        for service, regions in shape.servers.items()
         for region, count in regions.items()
         for number in range(count)
     ]
--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -29,8 +29,6 @@
 GOSSIP_MS = 500
 CLIENT_MS, FAR_MS = 17.0, 40.0  # round trips to the client, and between regions
 WAVE_PERIOD_MS, WAVE_SWING = 36_000.0, 0.55
-PHASES = {"north": 0.3, "south": 0.63, "west": 0.97}
-SECONDS, EVACUATED_S = 50, (8, 18)
 EVACUATED_ZONE = "north-b"
 SHIFT_WINDOW_MS = 2_000
 PARTS_S = ((0, 4), (4, 8), (8, 18), (18, 30), (30, 50))
@@ -74,21 +72,21 @@
 class Simulation:
     """Entries of three regions, each with its own knowledge, before their servers."""
 
-    def __init__(self, seed: int, load: float = 1.0) -> None:
+    def __init__(
+        self, seed: int, load: float = 1.0, shape: region_world.Shape = region_world.USUAL
+    ) -> None:
         self.random = random.Random(seed)
         self.load = load
-        ids = {
-            f"{r}-{n}": r
-            for r in region_world.REGIONS
-            for n in range(region_world.ENTRIES_PER_REGION)
-        }
-        self.entries = [region_world.Entry(i, r, ids) for i, r in ids.items()]
+        self.shape = shape
+        self.gossip_ms = GOSSIP_MS
+        ids = {f"{r}-{n}": r for r in region_world.REGIONS for n in range(shape.entries_per_region)}
+        self.entries = [region_world.Entry(i, r, ids, shape) for i, r in ids.items()]
         self.by_region = {
             r: [e for e in self.entries if e.region == r] for r in region_world.REGIONS
         }
         self.servers = {
-            r.server_id: servers.QueueingServer(servers.KeptObjects(region_world.KEPT[r.service]))
-            for r in region_world.server_reports()
+            r.server_id: servers.QueueingServer(servers.KeptObjects(shape.kept[r.service]))
+            for r in region_world.server_reports(shape)
         }
         self.jobs: dict[int, _Job] = {}
         self.numbers = itertools.count()
@@ -102,15 +100,15 @@
     def run(self) -> None:
         """Play the whole time."""
         for region in region_world.REGIONS:
-            for flow in region_world.FLOWS:
+            for flow in self.shape.flows:
                 self._push_arrival(0.0, flow, region)
         self._push(0.0, PERIODIC, None)
         while self.events:
             now_ms, kind, _, what = heapq.heappop(self.events)
             if kind == PERIODIC:
                 self._gossip(int(now_ms))
-                if now_ms < SECONDS * 1_000:
-                    self._push(now_ms + GOSSIP_MS, PERIODIC, None)
+                if now_ms < self.shape.seconds * 1_000:
+                    self._push(now_ms + self.gossip_ms, PERIODIC, None)
             elif kind == ARRIVAL:
                 assert isinstance(what, _Request)
                 if not what.tries:
@@ -124,15 +122,15 @@
         heapq.heappush(self.events, (at_ms, kind, next(self.numbers), what))
 
     def _push_arrival(self, now_ms: float, flow: region_world.Flow, region: str) -> None:
-        phase = 2 * math.pi * (now_ms / WAVE_PERIOD_MS + PHASES[region])
+        phase = 2 * math.pi * (now_ms / WAVE_PERIOD_MS + self.shape.phases[region])
         rate_per_ms = self.load * flow.rate_per_s * (1 + WAVE_SWING * math.sin(phase)) / 1_000
         at_ms = now_ms + self.random.expovariate(rate_per_ms)
-        if at_ms < SECONDS * 1_000:
+        if at_ms < self.shape.seconds * 1_000:
             key = f"{flow.route.name}-{region}-{self.random.randrange(flow.objects)}"
             self._push(at_ms, ARRIVAL, _Request(flow, region, key, at_ms))
 
     def _gossip(self, now_ms: int) -> None:
-        for start_s, evacuated in zip(EVACUATED_S, (True, False), strict=True):
+        for start_s, evacuated in zip(self.shape.evacuated_s, (True, False), strict=True):
             if now_ms == start_s * 1_000:
                 for entry in self.entries:
                     entry.registry.apply_evacuation(EVACUATED_ZONE, evacuated, now_ms)
@@ -169,7 +167,7 @@
     def _arrive(self, request: _Request, now_ms: float) -> None:
         entry = self.random.choice(self.by_region[request.region])
         route = request.flow.route
-        service = next(s for s in region_world.SERVICES if s.name == route.destinations[0].service)
+        service = next(s for s in self.shape.services if s.name == route.destinations[0].service)
         if not request.tries:
             busy_ms = entry.placer.latency_of(route).expected_ms(route_latency.ObjectAffinity.KNOWN)
             entry.planner.record_demand(service.name, int(busy_ms), int(now_ms))
@@ -255,7 +253,7 @@
 
     def rows(self) -> list[Row]:
         """Return what became of requests, by route and by when they came."""
-        return [self._row(flow, *part) for flow in region_world.FLOWS for part in PARTS_S]
+        return [self._row(flow, *part) for flow in self.shape.flows for part in PARTS_S]
 
     def _row(self, flow: region_world.Flow, from_s: int, until_s: int) -> Row:
         found = [
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -140,7 +140,7 @@
         if chosen is not None:
             chosen.selection = candidates.selection_of(chosen, choices[0])
         if chosen is not None and request.idempotent and not request.attempts:
-            chosen = self._join_probe(request, now_ms) or chosen
+            chosen = self._join_probe(request, planned, now_ms) or chosen
         self._placed_count.add(now_ms)
         if chosen is None or candidates.is_too_late(chosen, request):
             chosen = self._spill_over(request, planned, chosen, now_ms) or chosen
@@ -153,11 +153,14 @@
         return self._cold_fallback(request, choices, now_ms)
 
     def _join_probe(
-        self, request: candidates.PlacementRequest, now_ms: int
+        self, request: candidates.PlacementRequest, planned: str, now_ms: int
     ) -> candidates.Choice | None:
-        """Return a recently joined server that has not answered this entry yet, if there is one."""
+        """Return a recently joined server that has not answered this entry yet, if there is one.
+
+        It is one of the planned region, since many servers join at once when a system starts.
+        """
         for server in self._join_probes.due(request.service.name, now_ms):
-            if not _is_allowed(request.route, server):
+            if server.region != planned or not _is_allowed(request.route, server):
                 continue
             if self.backpressure.hold(server, now_ms) is None:
                 probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -232,6 +232,20 @@
     assert placer.place(request_for(), 3400).server.server_id != "new"
 
 
+# Guards against many servers that join at once and draw requests out of their planned regions.
+def test_a_server_that_joined_draws_no_request_from_another_region():
+    placer = build(SERVERS)
+    ready = registry.ServerState.READY
+    report = registry.ServerReport("new", "s", "h:2", "b", "b-1", 3, ready, 0, 5)
+    placer.registry.apply_report(report, 100, True, 0)
+    placer.record_join("new", 100)
+    plan = placer.plans[("s", frozenset())] = region_plan.RegionPlan("a")
+    for region in "ab":
+        plan.weights = {region: 1.0}
+        regions = {placer.place(request_for(str(n)), 200).server.region for n in range(20)}
+        assert regions == {region}
+
+
 WARM_MS, COLD_MS, SLOTS, MAX_IN_MEMORY = 150.0, 500.0, 3, 10
 
 
