DRAIN, EVAC: a request that is given up resets its connection

Now such a connection is closed with a reset, which drops it. Answered and unused connections close as before.

test_a_request_that_is_given_up_resets_its_connection failed before.

--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -11,6 +11,8 @@
 import dataclasses
 import enum
 import re
+import socket
+import struct
 import typing
 
 import httptools
@@ -24,6 +26,7 @@
 _IDLE_TIMEOUT = re.compile(rb"timeout=[ \t]*([0-9]+)[ \t]*(?:,|$)")
 # In a head, it shows that a response begins inside another one that was cut off.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of zero
 SERVER_HEADERS_BYTES = 32 << 10  # added to the request header limit to bound response headers
 
 
@@ -103,6 +106,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._request_id = b""
         self._head_only = False
+        self._is_answered = True
         self._reusable = True
         self._new_message()
 
@@ -139,14 +143,23 @@
             reason = "the server asked for no further requests before this one was sent"
             self._complete(Exchange(Outcome.WITHHELD, reason=reason))
             return self._future
+        self._is_answered = False
         self._transport.write(data)
         return self._future
 
     def close(self) -> None:
-        """Abort the connection without flushing what is buffered."""
+        """Abort the connection without flushing what is buffered.
+
+        With a request unanswered it is reset. Otherwise what the network holds up would reach the
+        server later, which may want no requests any more by then.
+        """
         self.closed = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        tcp_socket = self._transport.get_extra_info("socket")
+        if tcp_socket is not None and not self._is_answered and not self._transport.is_closing():
+            tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
 
     # asyncio.Protocol
 
@@ -320,6 +333,7 @@
             self._reusable = False
         self._apply_keep_alive(response.header(b"keep-alive"))
         response.body = bytes(self._body)
+        self._is_answered = True
         self._complete(Exchange(Outcome.ANSWERED, response))
 
     def _apply_keep_alive(self, value: bytes) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from sassafraslock import clock
 from sassafraslock.services import server_connection, upstream
 from tests import loopback
 
@@ -226,6 +227,60 @@
     anyio.run(run_scenario, [], scenario, accepted)
 
 
+# Guards against requests that are given up while the network holds their bytes up, and that reach
+# their server afterwards, when it drains or its zone is evacuated.
+def test_a_request_that_is_given_up_resets_its_connection():
+    accepted = []
+
+    async def scenario(connections):
+        with anyio.move_on_after(0.1):
+            await ask(connections)
+        await anyio.sleep(0.05)
+        with pytest.raises(anyio.BrokenResourceError):  # not the end of the stream
+            await accepted[0].receive()
+
+    async def main():
+        async def serve(stream):
+            accepted.append(stream)
+            await stream.receive()
+            await anyio.sleep_forever()
+
+        listener = await anyio.create_tcp_listener(local_host=HOST, local_port=PORT)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            await scenario(upstream.Upstream(b"x-id"))
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_an_answered_request_does_not_reset_its_connection():
+    async def scenario(connections):
+        assert (await ask(connections)).outcome is Outcome.ANSWERED
+        connections.close_idle(clock.monotonic_ms() + 60_000)
+        await anyio.sleep(0.05)
+
+    ends = []
+
+    async def main():
+        async def serve(stream):
+            await stream.receive()
+            await stream.send(response())
+            try:
+                await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+                ends.append(type(error))
+
+        listener = await anyio.create_tcp_listener(local_host=HOST, local_port=PORT)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            await scenario(upstream.Upstream(b"x-id"))
+            group.cancel_scope.cancel()
+        assert ends == [anyio.EndOfStream]
+
+    anyio.run(main)
+
+
 def test_connections_are_closed_after_the_idle_limit():
     accepted = []
 
