LOST: a request that is being received is refused before one in progress is cut

Now one that is still being received is refused with 503 in its place; the largest in progress is cut only if there is none.

--- a/sassafraslock/decisions/message_quota.py
+++ b/sassafraslock/decisions/message_quota.py
@@ -17,6 +17,14 @@
 
     held_bytes: int
 
+    @property
+    def is_at_work(self) -> bool:
+        """Whether an abort would lose the answer to a request that is in progress."""
+
+    @property
+    def is_refusable(self) -> bool:
+        """Whether an abort would only refuse a request that is still being received."""
+
     def abort_message(self, reason: str) -> None:
         """Drop the message that is being received.
 
@@ -28,7 +36,8 @@
     """Limits the bytes buffered by all connections of an entry.
 
     If the sum exceeds the limit, the connection that holds the most is aborted. A peer that sends
-    an endless message soon holds the most, so that the other connections are not affected.
+    an endless message soon holds the most, so that the other connections are not affected. In place
+    of one whose request is in progress, a request that is still being received is refused.
     """
 
     __slots__ = ("limit_bytes", "held_bytes", "_connections")
@@ -67,7 +76,11 @@
             self._abort_largest()
 
     def _abort_largest(self) -> None:
-        largest = max(self._connections.values(), key=lambda c: c.held_bytes)
+        connections = self._connections.values()
+        largest = max(connections, key=_held_bytes)
+        if largest.is_at_work:
+            refusable = (c for c in connections if c.is_refusable)
+            largest = max(refusable, key=_held_bytes, default=largest)
         held_bytes = largest.held_bytes
         self.set_held_bytes(largest, 0)
         largest.abort_message(
@@ -79,3 +92,7 @@
     def dump(self) -> dict[str, object]:
         """Return the buffered bytes and the limit."""
         return {"held_bytes": self.held_bytes, "limit_bytes": self.limit_bytes}
+
+
+def _held_bytes(connection: BufferingConnection) -> int:
+    return connection.held_bytes
--- a/sassafraslock/services/client_connection.py
+++ b/sassafraslock/services/client_connection.py
@@ -162,6 +162,16 @@
             held_bytes += self._transport.get_write_buffer_size()
         self._server.quota.set_held_bytes(self, held_bytes)
 
+    @property
+    def is_at_work(self) -> bool:
+        """Whether requests are in progress, for a client that reads its responses."""
+        return bool(self._exchanges) and not self._is_blocked
+
+    @property
+    def is_refusable(self) -> bool:
+        """Whether a request is being received and no other one awaits its response."""
+        return not (self._exchanges or self._is_blocked or self._reader.ended)
+
     def abort_message(self, reason: str) -> None:
         """Reject the request that is being received, to free its memory.
 
@@ -171,7 +181,7 @@
         :param reason: which limit was exceeded, for the log.
         """
         events.log(events.Event.CLIENT_CUT, reason, client=self._client)
-        if self._exchanges or self._is_blocked or self._reader.ended:
+        if not self.is_refusable:
             self.cut(cut_log.CutCause.MEMORY)
             return
         self._reader.reject(UNAVAILABLE)
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -230,6 +230,16 @@
             return
         self._limits.quota.set_held_bytes(self, head_bytes + len(self._body))
 
+    @property
+    def is_at_work(self) -> bool:
+        """False, since a response without end must be aborted, whatever it answers."""
+        return False
+
+    @property
+    def is_refusable(self) -> bool:
+        """False, since the server has got its request."""
+        return False
+
     def abort_message(self, reason: str) -> None:
         """Abort the response that is being received and close the connection.
 
--- a/tests/test_message_quota.py
+++ b/tests/test_message_quota.py
@@ -310,6 +310,31 @@
     asyncio.run(scenario())
 
 
+# Guards against a burst of uploads that cuts off those at which servers are at work.
+def test_a_request_that_is_being_received_is_refused_before_one_in_progress_is_cut():
+    quota = message_quota.MessageQuota(MEMORY_BYTES)
+    handler = Handler(forever=True)
+    head = POST + b"content-length: 60000\r\n\r\n"
+
+    async def scenario():
+        at_work = [client(quota, handler) for _ in range(8)]
+        for connection, _ in at_work:
+            connection.data_received(head + b"a" * 60_000)
+        reading = [client(quota, handler) for _ in range(8)]
+        for connection, _ in reading:
+            connection.data_received(head + b"a" * 50_000)
+        await asyncio.sleep(0)
+        assert not any(transport.closed or transport.sent for _, transport in at_work)
+        refused = [t for _, t in reading if t.sent.startswith(b"HTTP/1.1 503")]
+        assert refused and quota.held_bytes <= quota.limit_bytes
+        for connection, _ in [*at_work, *reading]:
+            connection.connection_lost(None)
+        await asyncio.sleep(0)
+        assert quota.held_bytes == 0
+
+    asyncio.run(scenario())
+
+
 def test_a_client_that_reads_no_answers_is_disconnected():
     quota = message_quota.MessageQuota(MEMORY_BYTES)
     handler = Handler(answer_bytes=50_000)
