Access log: the start that an attempt was placed for, and its connection

Change: attempts have born_ms and connection (kept or new; left out if nothing was sent or the attempt ended without a result). explain prints both, and whether the server counted as cold. sassafraslock_cold_attempts_total counts attempts at cold servers by service. No decision changes.

--- a/sassafraslock/explain.py
+++ b/sassafraslock/explain.py
@@ -113,12 +113,19 @@
     )
     text = (
         f"{attempt['server']} in {attempt['region']} ({role}, load {attempt['load']},"
-        f" expected {attempt['expected_ms']} ms): {attempt['verdict']} after"
-        f" {attempt['took_ms']} ms"
+        f" expected {attempt['expected_ms']} ms{_describe_start(attempt)}):"
+        f" {attempt['verdict']} after {attempt['took_ms']} ms"
     )
     return f"{text}: {attempt['reason']}" if attempt.get("reason") else text
 
 
+def _describe_start(attempt: LogLine) -> str:
+    """Describe the server's start and the connection, which older versions did not log."""
+    start = f", start {attempt['born_ms']}" if "born_ms" in attempt else ""
+    connection = f", {attempt['connection']} connection" if "connection" in attempt else ""
+    return f"{', cold' if attempt.get('cold') else ''}{start}{connection}"
+
+
 def _describe_earlier_events(lines: list[LogLine], request: LogLine) -> list[str]:
     """Describe events of entries and of the tried servers shortly before the request ended."""
     asked = _latest_asked(lines, request)
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -8,7 +8,9 @@
 from sassafraslock import events
 from sassafraslock.decisions import candidates
 from sassafraslock.path import judge, request_context, send
-from sassafraslock.services import metrics
+from sassafraslock.services import metrics, server_connection
+
+_UNSENT = (server_connection.Outcome.NOT_CONNECTED, server_connection.Outcome.WITHHELD)
 
 
 class AccessLog:
@@ -41,6 +43,9 @@
         service = context.routed.service.name if context.routed else ""
         result = _result_label(context)
         self._metrics.record_request(service, result, took_ms / 1000)
+        cold_attempts = sum(_may_have_reached_cold(attempt) for attempt, _ in context.attempts)
+        if cold_attempts:
+            self._metrics.record_cold_attempts(service, cold_attempts)
         fields = self._fields(context, took_ms, now_ms)
         if context.response is None:
             events.log(
@@ -117,15 +122,23 @@
 def _attempt_fields(attempt: send.Attempt, verdict: judge.Verdict) -> dict[str, object]:
     fields = {
         **_choice_fields(attempt.choice),
+        "born_ms": attempt.choice.server.report.born_ms,
         "selection": attempt.choice.selection,
         "took_ms": attempt.took_ms,
         "verdict": verdict,
     }
+    if attempt.exchange is not None and attempt.exchange.outcome not in _UNSENT:
+        fields["connection"] = "new" if attempt.exchange.connect_ms >= 0 else "kept"
     if attempt.exchange is not None and attempt.exchange.reason:
         fields["reason"] = attempt.exchange.reason
     return fields
 
 
+def _may_have_reached_cold(attempt: send.Attempt) -> bool:
+    is_unsent = attempt.exchange is not None and attempt.exchange.outcome in _UNSENT
+    return attempt.choice.is_cold and not is_unsent
+
+
 def _result_label(context: request_context.RequestContext) -> str:
     if context.response is None:
         return "abandoned"
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -59,6 +59,7 @@
     "requests_total": "Requests by service and result.",
     "retries_granted_total": "Retries that the budget granted.",
     "retries_refused_total": "Retries that the budget refused.",
+    "cold_attempts_total": "Attempts that may have reached a server that counted as cold.",
 }
 
 
@@ -94,6 +95,14 @@
         self._counters["requests_total"].inc({"service": service, "result": result})
         self._latency.observe({"service": service}, seconds)
 
+    def record_cold_attempts(self, service: str, count: int) -> None:
+        """Count attempts at servers that counted as cold.
+
+        :param service: the service that the request was routed to.
+        :param count: the number of attempts that may have reached their server.
+        """
+        self._counters["cold_attempts_total"].add({"service": service}, count)
+
     def set_status(
         self, entry_id: str, ready: bool, facts_age_ms: int, servers: int, in_flight: int
     ) -> None:
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -5,10 +5,11 @@
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, registry, roster, route_latency
 from sassafraslock.path import access_log, judge, read, request_context, route, send
-from sassafraslock.services import metrics, planner
+from sassafraslock.services import metrics, planner, server_connection
 from tests import fact_source, test_planner
 
 NAMES = header_names.HeaderNames()
+READY = registry.ServerState.READY
 
 
 @pytest.fixture
@@ -21,7 +22,7 @@
 
 
 def choice(load=4.0):
-    report = registry.ServerReport("i-1", "s", "h:1", "b", "b-1", 3, registry.ServerState.READY)
+    report = registry.ServerReport("i-1", "s", "h:1", "b", "b-1", 3, READY, born_ms=77)
     affinity = route_latency.ObjectAffinity.KNOWN
     return candidates.Choice(registry.Server(report, 0), 500.4, affinity, load, True, False, 90.6)
 
@@ -35,7 +36,9 @@
 
 
 def record(ended, now_ms=120):
-    access_log.AccessLog("a", metrics.Metrics(), lambda now_ms: 30).record(ended, now_ms)
+    counters = metrics.Metrics()
+    access_log.AccessLog("a", counters, lambda now_ms: 30).record(ended, now_ms)
+    return counters.render().decode()
 
 
 def test_a_line_tells_why_a_server_was_selected_and_what_was_expected(logged):
@@ -54,6 +57,28 @@
     assert (attempt["expected_ms"], attempt["queue_ms"]) == (500, 91)
 
 
+def test_attempts_tell_the_start_and_the_connection_and_cold_ones_are_counted(logged):
+    ended, outcomes = context(), server_connection.Outcome
+    ended.response = http_messages.Response(200)
+    for outcome, connect_ms in (
+        (outcomes.NOT_CONNECTED, -1),
+        (outcomes.WITHHELD, 3),
+        (outcomes.BROKEN, -1),
+        (outcomes.ANSWERED, 0),
+    ):
+        exchange = server_connection.Exchange(outcome, connect_ms=connect_ms)
+        attempt = send.Attempt(choice(), exchange, 0, 10)
+        attempt.choice.is_cold = True
+        ended.attempts.append((attempt, judge.Verdict.FAILED))
+    ended.attempts.append((send.Attempt(choice(), None, 0, 10), judge.Verdict.SILENT))
+    text = record(ended)
+    [(_, fields)] = logged
+    connections = [attempt.get("connection") for attempt in fields["attempts"]]
+    assert connections == [None, None, "kept", "new", None]
+    assert {attempt["born_ms"] for attempt in fields["attempts"]} == {77}
+    assert 'sassafraslock_cold_attempts_total{service="s"} 2' in text
+
+
 def test_a_line_counts_the_servers_that_were_left_out_for_what_they_ask(logged):
     ended = context()
     ended.left_out = candidates.LeftOut(paused=2, leaving=1)
