E5015 tells when an entry takes up a new start of a server

Change: SERVER_RESTARTED (5015) with both starts, how long the server counts as cold here, whether the row came with the first full read, and the store's version. E5001 and E5005 name the start, too, since a server whose old row was removed before joins anew. explain shows the event. No decision changes.

Evidence: tests/test_rows.py and tests/test_explain.py pass. The demo has no restart, so no real process has logged the event yet.

--- a/sassafraslock/explain.py
+++ b/sassafraslock/explain.py
@@ -40,6 +40,7 @@
         events.Event.SERVER_PAUSED,
         events.Event.REQUEST_QUARANTINED,
         events.Event.CRASH_SUSPECTED,
+        events.Event.SERVER_RESTARTED,
     )
 )
 # Which events tell of the servers that a field of a request counts, and what the field says.
--- a/sassafraslock/services/routing_state.py
+++ b/sassafraslock/services/routing_state.py
@@ -17,13 +17,15 @@
     requests, while intents in force stay in force.
 
     ``listeners`` are called with each new routing table. ``on_server_joined`` is called for each
-    server that is added after the first full read.
+    server that is added after the first full read. ``restarts`` counts the new starts of known
+    servers.
     """
 
     __slots__ = (
         "table",
         "registry",
         "rejections",
+        "restarts",
         "_roster",
         "_hold_until_ms",
         "listeners",
@@ -34,6 +36,7 @@
         self.table: routing_table.RoutingTable | None = None
         self.registry = servers
         self.rejections = rejections.Rejections()
+        self.restarts = 0
         self._roster = members
         self._hold_until_ms: typing.Callable[[int], int] = lambda now_ms: 0
         self.listeners: list[typing.Callable[[routing_table.RoutingTable], None]] = []
@@ -126,12 +129,33 @@
             return
         previous = self.registry.servers.get(change.key)
         was_draining = previous is not None and previous.draining
+        previous_born_ms = previous.report.born_ms if previous is not None else report.born_ms
         cold_ms = self._cold_start_ms(report.service)
         self.registry.apply_report(report, now_ms, not first_read, cold_ms)
         if previous is None and not first_read:
             self.on_server_joined(report.server_id, now_ms)
+        if previous_born_ms != report.born_ms:
+            self._record_restart(change, previous_born_ms, first_read, now_ms)
         self._log_server(report, previous is None, was_draining, change.version)
 
+    def _record_restart(
+        self, change: facts.Change, previous_born_ms: int, first_read: bool, now_ms: int
+    ) -> None:
+        server = self.registry.servers[change.key]
+        self.restarts += 1
+        events.log(
+            events.Event.SERVER_RESTARTED,
+            "server started again under its id",
+            server=server.server_id,
+            service=server.report.service,
+            born_ms=server.report.born_ms,
+            previous_born_ms=previous_born_ms,
+            cold_ms=server.report.cold_ms,
+            cold_for_ms=max(0, server.cold_until_ms - now_ms),
+            first_read=first_read,
+            store_version=change.version,
+        )
+
     def _log_server(
         self, report: registry.ServerReport, joined: bool, was_draining: bool, version: int
     ) -> None:
@@ -148,6 +172,7 @@
             ),
             server=report.server_id,
             service=report.service,
+            born_ms=report.born_ms,
             cold_ms=report.cold_ms,
             store_version=version,
         )
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -60,12 +60,8 @@
 def test_attempts_tell_the_start_and_the_connection_and_cold_ones_are_counted(logged):
     ended, outcomes = context(), server_connection.Outcome
     ended.response = http_messages.Response(200)
-    for outcome, connect_ms in (
-        (outcomes.NOT_CONNECTED, -1),
-        (outcomes.WITHHELD, 3),
-        (outcomes.BROKEN, -1),
-        (outcomes.ANSWERED, 0),
-    ):
+    unsent = ((outcomes.NOT_CONNECTED, -1), (outcomes.WITHHELD, 3))
+    for outcome, connect_ms in (*unsent, (outcomes.BROKEN, -1), (outcomes.ANSWERED, 0)):
         exchange = server_connection.Exchange(outcome, connect_ms=connect_ms)
         attempt = send.Attempt(choice(), exchange, 0, 10)
         attempt.choice.is_cold = True
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -81,3 +81,14 @@
     report = "\n".join(explain.explain([*lines, refusal], "q"))
     assert text in report and report.count("before:") == 1
     assert all(f"{name}={value}" in report for name, value in told.items())
+
+
+def test_the_start_that_an_attempt_was_placed_for_and_the_one_taken_up_are_shown():
+    restarted = {"time_s": 5.0, "event": 5015, "name": "restarted", "message": "again"}
+    restarted |= {"server": "i-1", "born_ms": 8}
+    attempt = {"server": "i-1", "region": "a", "load": 1.0, "expected_ms": 9, "verdict": "broken"}
+    attempt |= {"took_ms": 1, "born_ms": 7, "connection": "kept", "cold": True}
+    failed = {"time_s": 6.0, "event": 6003, "name": "request_failed", "message": "broken"}
+    failed |= {"request": "q", "service": "s", "attempts": [attempt]}
+    report = "\n".join(explain.explain([restarted, failed], "q"))
+    assert "cold, start 7, kept connection): broken" in report and "born_ms=8" in report
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -13,7 +13,7 @@
 from sassafraslock import errors, events, facts, kernel
 from sassafraslock.decisions import registry, roster
 from sassafraslock.services import replica, routing_state
-from tests import platform_standin
+from tests import fact_source, platform_standin
 
 PORT = 24_316
 SERVERS, INTENTS, ENTRIES = facts.Topic.SERVERS, facts.Topic.INTENTS, facts.Topic.ENTRIES
@@ -293,3 +293,19 @@
     for name in (key, "config", f"evacuate/{key}"):
         found = decode(topic, name, value, tombstone=tombstone)
         assert found is None or (found.report is None and found.topic is topic)
+
+
+def test_a_new_start_of_a_known_server_is_logged_once_and_counted(monkeypatch):
+    logged = []
+    monkeypatch.setattr(events, "log", lambda *event, **fields: logged.append((event[0], fields)))
+    state = routing_state.RoutingState(registry.Registry(), roster.Roster("e-1"))
+    for version, born_ms in ((7, 100), (8, 200), (9, 200)):
+        report = fact_source.report("i-1", born_ms=born_ms, cold_ms=700)
+        state.apply(facts.Change(SERVERS, "i-1", version, report=report), version == 7, 1_000)
+    [(_, joined), (event, restarted)] = logged
+    assert joined["born_ms"] == 100
+    assert event is events.Event.SERVER_RESTARTED
+    assert (restarted["born_ms"], restarted["previous_born_ms"]) == (200, 100)
+    assert (restarted["cold_ms"], restarted["cold_for_ms"]) == (700, 700)
+    assert (restarted["first_read"], restarted["store_version"]) == (False, 8)
+    assert state.restarts == 1
