E5016 and counters tell what the limit on cold servers granted and held back

Change: the limiter counts what it granted and held back, and tells an observer of each. ColdLimitWatch logs COLD_LIMIT_REACHED (5016), at most one line a server and second and 20 a second in all, with the counts since the server's last line; counts after its last line are in the counters alone. /metrics has sassafraslock_cold_requests_granted_total, sassafraslock_cold_requests_held_back_total and sassafraslock_server_restarts_total, by entry. No decision changes.

Evidence: tests/test_cold_limit_watch.py passes, on the limiter alone and on an entry as a process builds it.

--- a/sassafraslock/decisions/cold_start.py
+++ b/sassafraslock/decisions/cold_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 from sassafraslock.decisions import hashing
 
@@ -23,12 +24,18 @@
     the live ones agree on them. Each assigned entry has a token bucket with an equal part of
     half the limit. If entries disagree on who is alive, twice as many may consider themselves
     assigned, and the limit still holds.
+
+    ``granted`` and ``held_back`` count calls of :meth:`try_acquire`. ``on_asked`` is called in
+    each with the id of the server's start, whether the request was granted, and the time.
     """
 
-    __slots__ = ("own_id", "_overage", "_slack", "_buckets")
+    __slots__ = ("own_id", "granted", "held_back", "on_asked", "_overage", "_slack", "_buckets")
 
     def __init__(self, own_id: str, overage: float, slack: float) -> None:
         self.own_id = own_id
+        self.granted = 0
+        self.held_back = 0
+        self.on_asked: typing.Callable[[str, bool, int], None] = lambda start, granted, now_ms: None
         self._overage = overage
         self._slack = slack
         self._buckets: dict[str, _TokenBucket] = {}
@@ -52,6 +59,15 @@
         :param entry_ids: the live entries, including this one.
         :param now_ms: the current monotonic time.
         """
+        is_granted = self._take_token(server_id, cold_per_s, entry_ids, now_ms)
+        self.granted += is_granted
+        self.held_back += not is_granted
+        self.on_asked(server_id, is_granted, now_ms)
+        return is_granted
+
+    def _take_token(
+        self, server_id: str, cold_per_s: float, entry_ids: list[str], now_ms: int
+    ) -> bool:
         if self.own_id not in assigned_entries(server_id, entry_ids):
             return False
         per_s = SAFETY_RATIO * (cold_per_s * self._overage + self._slack) / ASSIGNED_ENTRIES
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -40,6 +40,7 @@
 from sassafraslock.services import (
     backpressure_watch,
     claims,
+    cold_limit_watch,
     departure,
     directory,
     gossip,
@@ -121,6 +122,7 @@
         self.gossip.departures = self.watch.departing
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
+        placer.cold_limiter.on_asked = cold_limit_watch.ColdLimitWatch().record
 
     def _build_backpressure(self, servers: registry.Registry) -> backpressure.Backpressure:
         started_ms = clock.monotonic_ms()
--- a/sassafraslock/explain.py
+++ b/sassafraslock/explain.py
@@ -41,6 +41,7 @@
         events.Event.REQUEST_QUARANTINED,
         events.Event.CRASH_SUSPECTED,
         events.Event.SERVER_RESTARTED,
+        events.Event.COLD_LIMIT_REACHED,
     )
 )
 # Which events tell of the servers that a field of a request counts, and what the field says.
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -59,7 +59,10 @@
     "requests_total": "Requests by service and result.",
     "retries_granted_total": "Retries that the budget granted.",
     "retries_refused_total": "Retries that the budget refused.",
+    "cold_requests_granted_total": "Requests that the limit on cold servers granted.",
+    "cold_requests_held_back_total": "Requests that the limit on cold servers held back.",
     "cold_attempts_total": "Attempts that may have reached a server that counted as cold.",
+    "server_restarts_total": "New starts of known servers that were taken up.",
 }
 
 
@@ -159,6 +162,21 @@
             self._counters["retries_granted_total"].set(labels, retries.granted.get(service, 0))
             self._counters["retries_refused_total"].set(labels, retries.refused.get(service, 0))
 
+    def set_cold_starts(
+        self, entry_id: str, granted: int, held_back: int, server_restarts: int
+    ) -> None:
+        """Set the counters of the limit on cold servers and of servers that started again.
+
+        :param entry_id: the entry.
+        :param granted: the number of requests so far that the limit granted.
+        :param held_back: the number so far that it held back.
+        :param server_restarts: the number of new starts of known servers so far.
+        """
+        labels = {"entry": entry_id}
+        self._counters["cold_requests_granted_total"].set(labels, granted)
+        self._counters["cold_requests_held_back_total"].set(labels, held_back)
+        self._counters["server_restarts_total"].set(labels, server_restarts)
+
     def set_rejected(self, entry_id: str, counts: typing.Mapping[str, int]) -> None:
         """Set the gauges of the entries that others wrote and that could not be used.
 
