The limit on cold servers holds through any number of views and starts

What callers could see: a cold server flooded by entries that each took themselves for one of its two.

Cause: the entries that send to a cold server were chosen from those that an entry hears. Each view of who is alive has two of its own; pauses, kills and starts in series make more than the two views that the rate leaves room for. A bucket was that of one start of a server and was dropped with its row, so it was full again after a second start, after a row that was away, and at an entry that had just started.

Change: they are chosen from all known entries, silent ones included, as for rate limits that servers name. A bucket is that of a server, is kept for 10 s, and an entry sends to no cold server in its first second.

--- a/sassafraslock/decisions/cold_start.py
+++ b/sassafraslock/decisions/cold_start.py
@@ -9,6 +9,10 @@
 
 ASSIGNED_ENTRIES = 2  # per cold server
 SAFETY_RATIO = 0.5  # share of a server's rate limit that its assigned entries use together
+# An entry sends nothing to cold servers for so long after its start: it may not know all entries,
+# and its process may have sent some right before it was started again.
+SETTLE_MS = 1_000
+BUCKET_RETENTION_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,22 +24,36 @@
 class ColdStartLimiter:
     """Limits requests to cold servers, so that all entries together keep to each server's rate.
 
-    Only :data:`ASSIGNED_ENTRIES` entries send to a cold server; all entries with the same view of
-    the live ones agree on them. Each assigned entry has a token bucket with an equal part of
-    half the limit. If entries disagree on who is alive, twice as many may consider themselves
-    assigned, and the limit still holds.
+    Only :data:`ASSIGNED_ENTRIES` entries send to a cold server; all entries that know the same ones
+    agree on them. Each assigned entry has a token bucket with an equal part of half the limit. If
+    entries know different ones, twice as many may consider themselves assigned, and the limit still
+    holds. All starts of a server share a bucket, as there may be two starts in a second.
 
     ``granted`` and ``held_back`` count calls of :meth:`try_acquire`. ``on_asked`` is called in
-    each with the id of the server's start, whether the request was granted, and the time.
+    each with the id of the server, whether the request was granted, and the time.
     """
 
-    __slots__ = ("own_id", "granted", "held_back", "on_asked", "_overage", "_slack", "_buckets")
+    __slots__ = (
+        "own_id",
+        "granted",
+        "held_back",
+        "on_asked",
+        "_overage",
+        "_slack",
+        "_buckets",
+        "_started_ms",
+    )
 
-    def __init__(self, own_id: str, overage: float, slack: float) -> None:
+    def __init__(
+        self, own_id: str, overage: float, slack: float, started_ms: int = -SETTLE_MS
+    ) -> None:
         self.own_id = own_id
         self.granted = 0
         self.held_back = 0
-        self.on_asked: typing.Callable[[str, bool, int], None] = lambda start, granted, now_ms: None
+        self.on_asked: typing.Callable[[str, bool, int], None] = (
+            lambda server, granted, now_ms: None
+        )
+        self._started_ms = started_ms
         self._overage = overage
         self._slack = slack
         self._buckets: dict[str, _TokenBucket] = {}
@@ -54,9 +72,9 @@
     ) -> bool:
         """Return whether this entry may send a request to a cold server, and count it if so.
 
-        :param server_id: the id of the server's start.
+        :param server_id: the server.
         :param cold_per_s: the requests per second that the server tolerates while cold.
-        :param entry_ids: the live entries, including this one.
+        :param entry_ids: the entries from which those that may send are chosen.
         :param now_ms: the current monotonic time.
         """
         is_granted = self._take_token(server_id, cold_per_s, entry_ids, now_ms)
@@ -68,6 +86,8 @@
     def _take_token(
         self, server_id: str, cold_per_s: float, entry_ids: list[str], now_ms: int
     ) -> bool:
+        if now_ms - self._started_ms < SETTLE_MS:
+            return False
         if self.own_id not in assigned_entries(server_id, entry_ids):
             return False
         per_s = SAFETY_RATIO * (cold_per_s * self._overage + self._slack) / ASSIGNED_ENTRIES
@@ -82,12 +102,13 @@
         bucket.tokens -= 1.0
         return True
 
-    def retain(self, server_ids: set[str]) -> None:
-        """Discard all token buckets except those of the given servers.
+    def discard_unused(self, now_ms: int) -> None:
+        """Discard the token buckets that were not used for :data:`BUCKET_RETENTION_MS`.
 
-        :param server_ids: the ids of the starts of the servers to keep.
+        :param now_ms: the current monotonic time.
         """
-        self._buckets = {k: v for k, v in self._buckets.items() if k in server_ids}
+        oldest_ms = now_ms - BUCKET_RETENTION_MS
+        self._buckets = {k: v for k, v in self._buckets.items() if v.at_ms > oldest_ms}
 
 
 def assigned_entries(server_id: str, entry_ids: list[str]) -> list[str]:
@@ -95,8 +116,8 @@
 
     They are chosen by rendezvous hashing, whatever the order of ``entry_ids``.
 
-    :param server_id: the id of the server or of its start.
-    :param entry_ids: the live entries.
+    :param server_id: the server.
+    :param entry_ids: the entries to choose from.
     """
     ranked = sorted(
         entry_ids, key=lambda e: hashing.rendezvous_score(server_id, e, 1.0), reverse=True
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -6,6 +6,7 @@
 from sassafraslock.decisions import (
     backpressure,
     candidates,
+    cold_admission,
     cold_start,
     entry_view,
     join_probes,
@@ -14,7 +15,6 @@
     region_choice,
     region_plan,
     registry,
-    roster,
     route_latency,
     server_health,
     server_ranking,
@@ -38,8 +38,7 @@
         "health",
         "objects",
         "region",
-        "_entries",
-        "cold_limiter",
+        "cold",
         "_latencies",
         "loads",
         "backpressure",
@@ -63,8 +62,7 @@
         self.objects = object_memory.ObjectMemory()
         self._regions = region_choice.RegionChooser(region)
         self.region = region
-        self._entries = entries
-        self.cold_limiter = cold_limiter
+        self.cold = cold_admission.ColdAdmission(cold_limiter, entries)
         self.backpressure = asked or backpressure.Backpressure(
             cold_limiter.own_id, servers, entries
         )
@@ -111,7 +109,7 @@
         """
         start_ids = {registry.start_id(s) for s in self.registry.servers.values()}
         self.health = {k: v for k, v in self.health.items() if k in start_ids or v.in_flight}
-        self.cold_limiter.retain(start_ids)
+        self.cold.limiter.discard_unused(now_ms)
         self.backpressure.retain(self.registry.by_start_hash().keys(), now_ms)
 
     def place(
@@ -179,21 +177,9 @@
         server = self.registry.servers.get(server_id)
         if server is None:
             return
-        entry_ids = self._responsible_entries(server)
-        if self.cold_limiter.own_id in cold_start.assigned_entries(server_id, entry_ids):
+        if self.cold.may_probe_joined(server):
             self._join_probes.record(server_id, now_ms)
 
-    def _responsible_entries(self, server: registry.Server) -> list[str]:
-        """Return the entries from which a server's assigned entries are chosen.
-
-        These are the live entries of its region, or all live entries if the region has none. An
-        entry that hears too few others, which may hear each other, chooses from all known ones.
-        """
-        live, known = self._entries.live_ids(), self._entries.known_ids()
-        if len(live) < roster.HEARD_RATIO * len(known):
-            return self._entries.known_ids(server.region) or known
-        return self._entries.live_ids(server.region) or live
-
     def _choices(
         self,
         request: candidates.PlacementRequest,
@@ -314,11 +300,7 @@
     def _try_acquire_cold(
         self, chosen: candidates.Choice, request: candidates.PlacementRequest, now_ms: int
     ) -> bool:
-        start_id = registry.start_id(chosen.server)
-        entry_ids = self._responsible_entries(chosen.server)
-        return self.cold_limiter.try_acquire(
-            start_id, request.service.cold_per_s, entry_ids, now_ms
-        )
+        return self.cold.try_acquire(chosen.server, request.service.cold_per_s, now_ms)
 
     def _cold_fallback(
         self, request: candidates.PlacementRequest, choices: list[candidates.Choice], now_ms: int
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -122,7 +122,7 @@
         self.gossip.departures = self.watch.departing
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
-        placer.cold_limiter.on_asked = cold_limit_watch.ColdLimitWatch().record
+        placer.cold.limiter.on_asked = cold_limit_watch.ColdLimitWatch().record
 
     def _build_backpressure(self, servers: registry.Registry) -> backpressure.Backpressure:
         started_ms = clock.monotonic_ms()
@@ -136,7 +136,7 @@
     ) -> pipeline.RequestPipeline:
         bounds = self.settings.bounds
         cold = cold_start.ColdStartLimiter(
-            self.settings.entry_id, bounds.cold_overage, bounds.cold_slack
+            self.settings.entry_id, bounds.cold_overage, bounds.cold_slack, clock.monotonic_ms()
         )
         placer = placement.Placer(
             self.settings.region, servers, self.gossip, cold, self.backpressure
@@ -341,7 +341,7 @@
             bounds.retry_window_ms,
             clock.monotonic_ms(),
         )
-        self.pipeline.placer.cold_limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
+        self.pipeline.placer.cold.limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
         self.gossip.seeds = list(settings.seeds)
         self.kernel.stop_bound_ms = self._stop_bound_ms()
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -19,7 +19,7 @@
     gauges.set_status(entry_id, status.ready, status.facts_age_ms, status.servers, status.in_flight)
     gauges.set_entries(entry_id, members.entry_count(), 1 + len(members.live(now_ms)))
     gauges.set_retries(entry_id, entry.pipeline.retries, now_ms)
-    cold, restarts = entry.pipeline.placer.cold_limiter, entry.routing_state.restarts
+    cold, restarts = entry.pipeline.placer.cold.limiter, entry.routing_state.restarts
     gauges.set_cold_starts(entry_id, cold.granted, cold.held_back, restarts)
     rejected = entry.routing_state.rejections.counts + entry.gossip.rejections.counts
     gauges.set_rejected(entry_id, rejected)
--- a/sassafraslock/services/cold_limit_watch.py
+++ b/sassafraslock/services/cold_limit_watch.py
@@ -5,11 +5,10 @@
 import dataclasses
 
 from sassafraslock import events
-from sassafraslock.decisions import registry
 
-LOG_INTERVAL_MS = 1_000  # per start of a server
+LOG_INTERVAL_MS = 1_000  # per server
 MAX_LINES = 20  # per :data:`LOG_INTERVAL_MS`, of all servers together
-MAX_REMEMBERED = 4_096  # starts of servers
+MAX_REMEMBERED = 4_096  # servers
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,7 +19,7 @@
 
 
 class ColdLimitWatch:
-    """Counts, for each start of a server, what was granted and held back since its last line.
+    """Counts, for each server, what was granted and held back since its last line.
 
     A line that exceeds :data:`MAX_LINES` is left out; its counts go into the server's next one.
     """
@@ -32,26 +31,26 @@
         self._window_start_ms = 0
         self._lines = 0
 
-    def record(self, start_id: str, is_granted: bool, now_ms: int) -> None:
+    def record(self, server_id: str, is_granted: bool, now_ms: int) -> None:
         """Count one request to a cold server, and log the counts if it was held back.
 
-        :param start_id: the id of the server's start.
+        :param server_id: the server.
         :param is_granted: whether the limit granted the request.
         :param now_ms: the current monotonic time.
         """
-        counts = self._counts_of(start_id, now_ms)
+        counts = self._counts_of(server_id, now_ms)
         if is_granted:
             counts.granted += 1
             return
         counts.held_back += 1
         if now_ms - counts.logged_ms >= LOG_INTERVAL_MS and self._may_log(now_ms):
-            _log(registry.server_id_of(start_id), counts)
-            self._counts[start_id] = _Counts(now_ms)
+            _log(server_id, counts)
+            self._counts[server_id] = _Counts(now_ms)
 
-    def _counts_of(self, start_id: str, now_ms: int) -> _Counts:
-        counts = self._counts.get(start_id)
+    def _counts_of(self, server_id: str, now_ms: int) -> _Counts:
+        counts = self._counts.get(server_id)
         if counts is None:
-            counts = self._counts[start_id] = _Counts(now_ms - LOG_INTERVAL_MS)
+            counts = self._counts[server_id] = _Counts(now_ms - LOG_INTERVAL_MS)
             if len(self._counts) > MAX_REMEMBERED:
                 del self._counts[next(iter(self._counts))]
         return counts
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -187,12 +187,12 @@
     placer = build({"x": "b-1"}, region="b", entries=Entries(9))
     placer.registry.servers["x"].cold_until_ms = 10_000
     regions = {"e-7": "b", "e-8": "b"}
-    placer._entries.live_ids = lambda region="": [
+    placer.cold._entries.live_ids = lambda region="": [
         e for e in map("e-{}".format, range(9)) if not region or regions.get(e, "a") == region
     ]
-    placer.cold_limiter.own_id = "e-7"
+    placer.cold.limiter.own_id = "e-7"
     assert not isinstance(placer.place(request_for(), 0), errors.Refusal)
-    placer.cold_limiter.own_id = "e-1"
+    placer.cold.limiter.own_id = "e-1"
     assert isinstance(placer.place(request_for(), 0), errors.Refusal)
 
 
