A new start is cold for the time that its row tells, not anew from the row's arrival

Cause: a row with a new start made the server cold for the whole of its service's cold time from the moment at which the row was read, although the row tells how much is left. The opposite as well: a new start that came with a full read, or at another address with the same start time, was cold only as far as its row said, and no start for more than 4 s.

Change: a known server's new start is cold for the time that its row tells; if it tells none, for the whole cold time, whichever way the row was read. Only a server that was not known before keeps the bound of 4 s. A field tells "0" from "not told" (ServerReport.tells_cold_time); the adapter test expects it.

test_endless_answers and test_faulty_server move a server's row to another address and then ask it at once: their rows now say that it is warm.

--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -12,7 +12,7 @@
 from sassafraslock import field_types
 
 EVACUATION_COLD_MS = 5_000  # how long servers of a zone count as cold after its evacuation ends
-RESTART_COLD_MS = 4_000  # bounds the cold time assumed after a start
+JOINED_COLD_MS = 4_000  # bounds the cold time assumed of a server whose start is unknown
 
 
 class ServerState(enum.StrEnum):
@@ -29,6 +29,7 @@
     :param slots: the server's concurrency limit.
     :param cold_ms: how much longer the server stays cold, counted from the time it wrote the row.
     :param born_ms: the time of its start, which distinguishes starts under the same id.
+    :param tells_cold_time: whether the server stated ``cold_ms``, even if it is 0.
     """
 
     server_id: field_types.ServerId
@@ -40,6 +41,7 @@
     state: ServerState
     cold_ms: field_types.RemainingMs = 0
     born_ms: field_types.WallMs = 0
+    tells_cold_time: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,8 +88,9 @@
         return now_ms < self.cold_until_ms
 
 
-def _location(report: ServerReport) -> tuple[str, str, str]:
-    return report.service, report.address, report.zone
+def _start(report: ServerReport) -> tuple[int, str, str, str]:
+    """Return what differs between two starts of a server, as a start keeps its place."""
+    return report.born_ms, report.service, report.address, report.zone
 
 
 def start_id(server: Server) -> str:
@@ -148,18 +151,19 @@
 
         :param report: the server's row.
         :param now_ms: the current monotonic time.
-        :param joined: whether the row is a change, rather than part of the first full read. A new
-            start is cold only then.
-        :param cold_ms: how long servers of the service are cold after a start, bounded by
-            :data:`RESTART_COLD_MS`.
+        :param joined: whether the row is a change, rather than part of the first full read. An
+            unknown server is cold only then, for at most :data:`JOINED_COLD_MS`.
+        :param cold_ms: how long servers of the service are cold after a start. A new start of a
+            known server that tells its own time is cold for that time.
         """
         server = self.servers.get(report.server_id)
-        if server is None or server.report.born_ms != report.born_ms:
+        if server is None:
             server = self._add(report, now_ms)
             if joined:
-                server.cold_until_ms = now_ms + min(cold_ms, RESTART_COLD_MS)
-        elif _location(server.report) != _location(report):
+                server.cold_until_ms = now_ms + min(cold_ms, JOINED_COLD_MS)
+        elif _start(server.report) != _start(report):
             server = self._add(report, now_ms)
+            server.cold_until_ms = now_ms if report.tells_cold_time else now_ms + cold_ms
         cold_until_ms = now_ms + report.cold_ms if report.cold_ms > 0 else 0
         server.cold_until_ms = max(server.cold_until_ms, cold_until_ms)
         server.report = report
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -307,6 +307,7 @@
             zone=machine.zone,
             slots=fleet_servers.SLOTS,
             cold_ms=process.cold_ms,
+            tells_cold_time=True,
             born_ms=process.born_ms,
         )
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -59,7 +59,7 @@
     """Put the address of the faulty server in place of the home's one."""
     home = world.servers_by_preference()[0]
     address = f"{edge_world.HOST}:{PORT}"
-    world.source.put_server(home.server_id, address)
+    world.source.put_server(home.server_id, address, tells_cold_time=True)
     servers = world.edge.routing_state.registry.servers
     while servers[home.server_id].report.address != address:
         await anyio.sleep(0.02)
--- a/tests/test_faulty_server.py
+++ b/tests/test_faulty_server.py
@@ -45,7 +45,7 @@
 
     async def scenario(world):
         home = world.servers_by_preference()[0]
-        world.source.put_server(home.server_id, f"{edge_world.HOST}:{PORT}")
+        world.source.put_server(home.server_id, f"{edge_world.HOST}:{PORT}", tells_cold_time=True)
         servers = world.edge.routing_state.registry.servers
         while servers[home.server_id].report.address != f"{edge_world.HOST}:{PORT}":
             await anyio.sleep(0.02)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -191,7 +191,7 @@
         REGIONS,
     )
     assert found.report == registry.ServerReport(
-        "i-1", "logbook", "10.0.0.1:80", "a", "a-1", 3, registry.ServerState.READY, 1250, 77
+        "i-1", "logbook", "10.0.0.1:80", "a", "a-1", 3, registry.ServerState.READY, 1250, 77, True
     )
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,6 +1,7 @@
 """The registry as server rows are written, expire and are removed."""
 
 import collections
+import dataclasses
 
 import hypothesis
 import hypothesis.strategies as st
@@ -36,6 +37,26 @@
     assert servers.servers["i-1"].is_cold(9001)
 
 
+def test_a_new_start_is_cold_for_the_time_that_its_row_tells():
+    """Found in virtual time: servers were warm when the store came back, and got no requests."""
+    servers = registry.Registry()
+    servers.apply_report(report(born_ms=1), 0, False, 3000)
+    told = dataclasses.replace(report(born_ms=2, cold_ms=700), tells_cold_time=True)
+    servers.apply_report(told, 9000, True, 3000)
+    assert servers.servers["i-1"].is_cold(9699) and not servers.servers["i-1"].is_cold(9700)
+
+
+@pytest.mark.parametrize("joined", [True, False])
+def test_a_new_start_in_a_full_read_and_one_at_another_place_are_cold_in_full(joined):
+    """Guards against restarts that are taken as warm, or cut short, by how their row is read."""
+    servers = registry.Registry()
+    servers.apply_report(report(born_ms=1), 0, False, 8000)
+    servers.apply_report(report(born_ms=2), 9000, joined, 8000)
+    assert servers.servers["i-1"].is_cold(16_999)
+    servers.apply_report(report(born_ms=2, address="h:2"), 20_000, joined, 8000)
+    assert servers.servers["i-1"].is_cold(27_999)
+
+
 @pytest.mark.parametrize("order", [("early", "late"), ("late", "early")])
 def test_of_two_servers_at_an_address_only_the_later_start_is_used(order):
     """Found on a simulated day: 40 servers returned under new ids and got requests under both."""
