A server that may have started again counts as cold until something newer shows otherwise

Cause: a server's start was known from its row alone. What an entry itself saw of the end (refused connections, connections that all ended) lived in its health record, where the first answer wiped it out: an answer shows that some start answers, not which one. An entry that had stood still acted on rows, and on requests placed, from before. First requests after an ejection were sent by each entry for itself. The class: knowledge of a server that is older than its end is used as if it were newer.

Change: evidence of an end is kept with the server (decisions/possible_restart, server_restarts): a refused connection, none within the time limit, the end of this entry's last connection for no reason of its own, a peer's word. The server is left out until a probe of services/restart_watch opens a connection, and then counts as cold, under the limit that all entries share, for its cold time, or for as long as it tells in a health answer, for which the entries ask that may send to it. A second end begins anew; a row may be older than the evidence and does not end it; an answer on a connection from before refutes it. Peers share what they saw, each observation under an id, so that it does not renew itself. After a pause of its own an entry takes servers without a connection from before as cold until it has read their rows again, which it does at once. Right before a request is written, a server that was chosen as warm is looked at once more.

--- a/sassafraslock/decisions/cold_admission.py
+++ b/sassafraslock/decisions/cold_admission.py
@@ -7,22 +7,45 @@
     entry_view,
     registry,
     roster,
+    server_restarts,
 )
 
 
 class ColdAdmission:
-    """Admits requests to cold servers, so that all entries together keep to each server's rate."""
+    """Admits requests to cold servers, so that all entries together keep to each server's rate.
 
-    __slots__ = ("limiter", "_entries")
+    ``restarts`` holds which servers may be cold since they may have started again.
+    """
+
+    __slots__ = ("limiter", "restarts", "_entries")
 
     def __init__(
         self,
         limiter: cold_start.ColdStartLimiter,
+        restarts: server_restarts.ServerRestarts,
         entries: entry_view.EntryView,
     ) -> None:
         self.limiter = limiter
+        self.restarts = restarts
         self._entries = entries
 
+    def is_cold(self, server: registry.Server, now_ms: int) -> bool:
+        """Return whether a server is cold, or may be as far as this entry knows.
+
+        :param server: the server.
+        :param now_ms: the current monotonic time.
+        """
+        return self.restarts.is_cold(server, now_ms)
+
+    def has_become_cold(self, server: registry.Server, now_ms: int) -> bool:
+        """Return whether a server that was warm when it was chosen is cold now.
+
+        :param server: the server as it was chosen, which may be another start by now.
+        :param now_ms: the current monotonic time.
+        """
+        current = self.restarts.current(server)
+        return current is not None and self.is_cold(current, now_ms)
+
     def try_acquire(self, server: registry.Server, cold_per_s: float, now_ms: int) -> bool:
         """Return whether this entry may send a request to a cold server, and count it if so.
 
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -18,6 +18,7 @@
     route_latency,
     server_health,
     server_ranking,
+    server_restarts,
     windows,
 )
 
@@ -56,13 +57,15 @@
         entries: entry_view.EntryView,
         cold_limiter: cold_start.ColdStartLimiter,
         asked: backpressure.Backpressure | None = None,
+        restarts: server_restarts.ServerRestarts | None = None,
     ) -> None:
         self.registry = servers
         self.health: dict[str, server_health.ServerHealth] = {}
         self.objects = object_memory.ObjectMemory()
         self._regions = region_choice.RegionChooser(region)
         self.region = region
-        self.cold = cold_admission.ColdAdmission(cold_limiter, entries)
+        restarts = restarts or server_restarts.ServerRestarts(cold_limiter.own_id, servers)
+        self.cold = cold_admission.ColdAdmission(cold_limiter, restarts, entries)
         self.backpressure = asked or backpressure.Backpressure(
             cold_limiter.own_id, servers, entries
         )
@@ -201,7 +204,7 @@
             if len(choices) >= count and not self._has_handled(request, server, now_ms):
                 continue
             health = self.health_of(server)
-            if server.is_expired(now_ms) or not health.is_available(now_ms):
+            if server.is_expired(now_ms) or not health.is_available(now_ms) or server.is_down:
                 continue
             if not _is_allowed(request.route, server):
                 continue
@@ -232,7 +235,7 @@
     ) -> candidates.Choice:
         latency = self.latency_of(request.route)
         affinity = self._affinity(request, server, is_home, now_ms)
-        cold = server.is_cold(now_ms)
+        cold = self.cold.is_cold(server, now_ms)
         slots = max(1, server.report.slots)
         load = self.loads.load(server, health, now_ms)
         known_ms = latency.expected_ms(route_latency.ObjectAffinity.KNOWN)
@@ -330,7 +333,7 @@
         for server in self.registry.usable_servers(request.service.name):
             if not _is_allowed(request.route, server):
                 continue
-            if server.is_expired(now_ms) or server.is_cold(now_ms):
+            if server.is_expired(now_ms) or self.cold.is_cold(server, now_ms):
                 continue
             if server.server_id in request.tried:
                 continue
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from sassafraslock import field_types
+from sassafraslock.decisions import possible_restart
 
 EVACUATION_COLD_MS = 5_000  # how long servers of a zone count as cold after its evacuation ends
 JOINED_COLD_MS = 4_000  # bounds the cold time assumed of a server whose start is unknown
@@ -55,6 +56,7 @@
     :param draining: whether the server reported that it drains.
     :param held_until_ms: the time until which the server is kept although its row is gone; None
         while the row exists.
+    :param restart: the evidence that this start has ended, ``None`` if there is none.
     """
 
     report: ServerReport
@@ -62,6 +64,7 @@
     cold_until_ms: int = 0
     draining: bool = False
     held_until_ms: int | None = None
+    restart: possible_restart.PossibleRestart | None = None
 
     @property
     def server_id(self) -> str:
@@ -80,12 +83,21 @@
         """The region in which the server runs."""
         return self.report.region
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the server ended, as far as is known, and was not seen up again."""
+        return self.restart is not None and self.restart.up_ms is None
+
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the server takes few requests only, after a start or an evacuation.
 
+        A server that may have started again counts as cold.
+
         :param now_ms: the current monotonic time.
         """
-        return now_ms < self.cold_until_ms
+        if now_ms < self.cold_until_ms:
+            return True
+        return self.restart is not None and self.restart.is_cold(now_ms)
 
 
 def _start(report: ServerReport) -> tuple[int, str, str, str]:
@@ -130,6 +142,7 @@
         "_is_stale",
         "generation",
         "_by_start_hash",
+        "_by_address",
         "_indexed_generation",
         "_departing",
         "_departing_counts",
@@ -142,6 +155,7 @@
         self._is_stale = False
         self._by_service: dict[str, list[Server]] = {}
         self._by_start_hash: dict[int, Server] = {}
+        self._by_address: dict[str, list[Server]] = {}
         self._indexed_generation = -1
         self._departing: collections.abc.Container[int] = frozenset()
         self._departing_counts: collections.Counter[str] = collections.Counter()
@@ -162,7 +176,10 @@
             if joined:
                 server.cold_until_ms = now_ms + min(cold_ms, JOINED_COLD_MS)
         elif _start(server.report) != _start(report):
+            # What showed the end of the former start may be newer than this row.
+            restart = server.restart
             server = self._add(report, now_ms)
+            server.restart = restart
             server.cold_until_ms = now_ms if report.tells_cold_time else now_ms + cold_ms
         cold_until_ms = now_ms + report.cold_ms if report.cold_ms > 0 else 0
         server.cold_until_ms = max(server.cold_until_ms, cold_until_ms)
@@ -245,11 +262,26 @@
 
     def by_start_hash(self) -> dict[int, Server]:
         """Return all servers by the hashes of the ids of their starts."""
-        if self._indexed_generation != self.generation:
-            self._indexed_generation = self.generation
-            self._by_start_hash = {start_hash(s): s for s in self.servers.values()}
+        self._index()
         return self._by_start_hash
 
+    def servers_at(self, address: str) -> list[Server]:
+        """Return the servers whose rows name an address, of which the latest start is alive.
+
+        :param address: the IP address and port.
+        """
+        self._index()
+        return self._by_address.get(address, [])
+
+    def _index(self) -> None:
+        if self._indexed_generation == self.generation:
+            return
+        self._indexed_generation = self.generation
+        self._by_start_hash = {start_hash(s): s for s in self.servers.values()}
+        self._by_address = {}
+        for server in self.servers.values():
+            self._by_address.setdefault(server.report.address, []).append(server)
+
     def exclude(self, departing: collections.abc.Container[int]) -> None:
         """Leave out starts of servers that leave, whatever their rows say.
 
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -142,6 +142,11 @@
         backoff_ms = min(MAX_EJECTION_MS, FIRST_EJECTION_MS << min(self.connect_failures - 1, 4))
         self.ejected_until_ms = now_ms + backoff_ms
 
+    def end_ejection(self) -> None:
+        """Make the server available, since it accepted a connection."""
+        self.connect_failures = 0
+        self.ejected_until_ms = 0
+
     def record_replaced(self, now_ms: int) -> None:
         """Record that another server has the address, and eject this start, which has ended.
 
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -34,6 +34,7 @@
     registry,
     retry_budget,
     roster,
+    server_restarts,
     stop_schedule,
 )
 from sassafraslock.path import access_log, pipeline, retry_gate, send
@@ -53,6 +54,7 @@
     poison_watch,
     registrar,
     replica,
+    restart_watch,
     routing_state,
     server_connection,
     upstream,
@@ -103,8 +105,12 @@
         self.metrics = metrics.Metrics()
         self.backpressure = self._build_backpressure(servers)
         self.watch = backpressure_watch.BackpressureWatch(self.backpressure, servers, names)
+        self.restarts = server_restarts.ServerRestarts(settings.entry_id, servers)
         self.pipeline = self._build_pipeline(servers, names, keys)
         placer = self.pipeline.placer
+        self.restart_watch = restart_watch.RestartWatch(
+            self.restarts, placer, self.upstream, self.routing_state, names, self.replica
+        )
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
         self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
@@ -120,8 +126,10 @@
         self.gossip.objects = placer.objects
         self.gossip.limits = self.watch.limits
         self.gossip.departures = self.watch.departing
+        self.gossip.restarts = self.restart_watch
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
+        self.routing_state.on_server_restarted = self.restarts.record_start
         placer.cold.limiter.on_asked = cold_limit_watch.ColdLimitWatch().record
 
     def _build_backpressure(self, servers: registry.Registry) -> backpressure.Backpressure:
@@ -139,7 +147,7 @@
             self.settings.entry_id, bounds.cold_overage, bounds.cold_slack, clock.monotonic_ms()
         )
         placer = placement.Placer(
-            self.settings.region, servers, self.gossip, cold, self.backpressure
+            self.settings.region, servers, self.gossip, cold, self.backpressure, self.restarts
         )
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
@@ -156,7 +164,7 @@
             self.routing_state,
             placer,
             retry_gate.RetryGate(budget, self.gossip.roster.sharing_count),
-            send.Sender(self.upstream, names, self.watch, self.settings.entry_id),
+            send.Sender(self.upstream, names, self.watch, placer.cold, self.settings.entry_id),
             names,
             log,
             self.poison,
@@ -178,6 +186,7 @@
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
         self.kernel.register("poison", self.poison)
+        self.kernel.register("restarts", self.restart_watch)
         link_mbps = settings.link_mbps
         copies = peer_copies.PeerApi(self.replica, settings.peer_token, link_mbps)
         self.kernel.register("copies", self._http_server(copies, settings.gossip_address))
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -7,7 +7,7 @@
 import typing
 
 from sassafraslock import clock, header_names, http_messages
-from sassafraslock.decisions import candidates, registry, server_health
+from sassafraslock.decisions import candidates, cold_admission, registry, server_health
 from sassafraslock.path import route
 from sassafraslock.services import backpressure_watch, server_connection, upstream
 
@@ -29,17 +29,25 @@
 
 @dataclasses.dataclass(slots=True)
 class _ServerObserver:
-    """Passes the heads of one server's answers on, and tells whether it wants requests."""
+    """Passes the heads of one server's answers on, and tells whether it may get the request."""
 
-    server: registry.Server
+    choice: candidates.Choice
     watch: backpressure_watch.BackpressureWatch
+    cold: cold_admission.ColdAdmission
+
+    @property
+    def server(self) -> registry.Server:
+        return self.choice.server
 
     def __call__(self, status: int, headers: http_messages.Headers) -> None:
         now_ms = clock.monotonic_ms()
         self.watch.record_head(self.server, status, headers, now_ms, clock.wall_ms())
 
     def may_send(self) -> bool:
-        return not self.watch.is_closed(self.server, clock.monotonic_ms())
+        now_ms = clock.monotonic_ms()
+        if self.watch.is_closed(self.server, now_ms):
+            return False
+        return self.choice.is_cold or not self.cold.has_become_cold(self.server, now_ms)
 
 
 class Sender:
@@ -48,19 +56,21 @@
     Servers are told the ``entry_id``, if the entry header has a name.
     """
 
-    __slots__ = ("_upstream", "_names", "_watch", "_entry_id")
+    __slots__ = ("_upstream", "_names", "_watch", "_cold", "_entry_id")
 
     def __init__(
         self,
         connections: upstream.Upstream,
         names: header_names.HeaderNames,
         watch: backpressure_watch.BackpressureWatch,
+        cold: cold_admission.ColdAdmission,
         entry_id: str,
     ) -> None:
         self._entry_id = entry_id.encode("latin-1")
         self._upstream = connections
         self._names = names
         self._watch = watch
+        self._cold = cold
 
     async def send(
         self,
@@ -90,7 +100,7 @@
                 lambda: self._encode(routed, choice.server),
                 routed.incoming.request_id,
                 routed.incoming.request.method == "HEAD",
-                _ServerObserver(choice.server, self._watch),
+                _ServerObserver(choice, self._watch, self._cold),
             )
         )
         abandoned = False
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -1,8 +1,8 @@
 """Gossip between entries over UDP.
 
 It spreads which entries are alive and ready, the store version that each has reached, suspected
-poison requests, servers' reported loads and rate limits, which of them leave, and which objects
-they have handled.
+poison requests, servers' reported loads and rate limits, which of them leave or may have started
+again, and which objects they have handled.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
     quarantine,
     roster,
     server_limits,
+    server_restarts,
 )
 from sassafraslock.services import list_decoder, poison_watch, rejections
 
@@ -42,9 +43,10 @@
     """One gossip datagram before compression.
 
     ``records`` holds the sender's record, first, and those of some live entries; ``beats`` holds
-    heartbeat counters of other live entries. ``limits`` and ``departures`` go to all entries,
-    ``loads`` to entries nearby only, and ``objects`` to entries of the same region. New fields go
-    to the end, as entries of former versions ignore what follows the last field that they know.
+    heartbeat counters of other live entries. ``limits``, ``departures`` and ``restarts`` go to all
+    entries, ``loads`` to entries nearby only, and ``objects`` to entries of the same region. New
+    fields go to the end, as entries of former versions ignore what follows the last field that they
+    know.
     """
 
     records: list[roster.MemberRecord]
@@ -54,6 +56,7 @@
     objects: list[object_memory.ObjectReport] = []
     limits: list[server_limits.LimitReport] = []
     departures: list[departing_servers.DepartureReport] = []
+    restarts: list[server_restarts.RestartReport] = []
 
 
 class ReportExchange(typing.Protocol[ReportT]):
@@ -101,6 +104,7 @@
         "objects",
         "limits",
         "departures",
+        "restarts",
         "token",
         "rejections",
     )
@@ -127,6 +131,7 @@
         self.limits: ReportExchange[server_limits.LimitReport] | None = None
         self.rejections = rejections.Rejections()
         self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
+        self.restarts: ReportExchange[server_restarts.RestartReport] | None = None
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = list_decoder.ListDecoder(Message)
@@ -217,8 +222,15 @@
         heartbeats = [m.heartbeat() for m in others]
         limits = self.limits.recent_reports(now_ms) if self.limits is not None else []
         departures = self.departures.recent_reports(now_ms) if self.departures is not None else []
-        suspects = self._poison.recent_reports(now_ms)
-        return Message([own, *records], heartbeats, suspects, limits=limits, departures=departures)
+        restarts = self.restarts.recent_reports(now_ms) if self.restarts is not None else []
+        return Message(
+            [own, *records],
+            heartbeats,
+            self._poison.recent_reports(now_ms),
+            limits=limits,
+            departures=departures,
+            restarts=restarts,
+        )
 
     def pack(self, message: Message) -> bytes:
         """Encode and compress a message, and sign it with the peer token.
@@ -287,6 +299,8 @@
             self.limits.merge_reports(message.limits, now_ms)
         if self.departures is not None:
             self.departures.merge_reports(message.departures, now_ms)
+        if self.restarts is not None:
+            self.restarts.merge_reports(message.restarts, now_ms)
 
     def _reject_message(self, reason: str, now_ms: int) -> None:
         event = events.Event.PEER_MESSAGE_REJECTED
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -64,6 +64,8 @@
         "_rows",
         "store_recovered_ms",
         "last_answer_ms",
+        "servers_read_ms",
+        "_due",
         "_source",
         "_fallback",
         "_entry_count",
@@ -83,6 +85,8 @@
         self._rows = store_rows.StoreRows(sink, self._era, source.operator_topics)
         self.store_recovered_ms = -REMOVAL_HOLD_MS
         self.last_answer_ms = clock.monotonic_ms()
+        self.servers_read_ms = self.last_answer_ms
+        self._due = anyio.Event()
         self._source = source
         self._fallback: FallbackSource | None = None
         self._entry_count: typing.Callable[[], int] = lambda: 1
@@ -222,9 +226,27 @@
         """Stop following the zone reader; from now on this entry reads the store itself."""
         self._reads_store.set()
 
+    def refresh_servers(self) -> None:
+        """Read the rows of servers from the store at once; ``servers_read_ms`` tells when it did.
+
+        It is when the last read that succeeded began.
+        """
+        self.read_directly()
+        scope = self._pending_calls.get(facts.Topic.SERVERS)
+        if scope is not None:
+            scope.cancel()
+        self._due.set()
+        self._due = anyio.Event()
+
+    async def _pause(self, topic: facts.Topic) -> None:
+        """Wait until the next read of a topic, or until :meth:`refresh_servers` is called."""
+        with anyio.move_on_after(self._pause_s(topic)):
+            await self._due.wait()
+
     async def _watch(self, topic: facts.Topic) -> None:
         while True:
             await self._reads_store.wait()
+            began_ms = clock.monotonic_ms()
             if self._era.settle(topic, clock.monotonic_ms()):
                 self._fully_read.discard(topic)
             reads_all = topic not in self._fully_read
@@ -236,11 +258,13 @@
                 await self._record_refusal(topic, result, now_ms)
                 continue
             self._record_answer(topic, now_ms)
+            if topic is facts.Topic.SERVERS:
+                self.servers_read_ms = began_ms
             if not self._is_of_present_era(result.version, now_ms):
                 await anyio.sleep(RETRY_PAUSE_S * random.random())
             elif reads_all or topic in self._fully_read:
                 self._apply_batch(topic, result, now_ms)
-                await anyio.sleep(self._pause_s(topic))
+                await self._pause(topic)
 
     def _is_of_present_era(self, version: int, now_ms: int) -> bool:
         """Enter the era of an answer if it is later; return false for an earlier one."""
--- a/sassafraslock/services/routing_state.py
+++ b/sassafraslock/services/routing_state.py
@@ -17,8 +17,8 @@
     requests, while intents in force stay in force.
 
     ``listeners`` are called with each new routing table. ``on_server_joined`` is called for each
-    server that is added after the first full read. ``restarts`` counts the new starts of known
-    servers.
+    server that is added after the first full read, ``on_server_restarted`` for each new start of a
+    known one. ``restarts`` counts the new starts of known servers.
     """
 
     __slots__ = (
@@ -30,6 +30,7 @@
         "_hold_until_ms",
         "listeners",
         "on_server_joined",
+        "on_server_restarted",
     )
 
     def __init__(self, servers: registry.Registry, members: roster.Roster) -> None:
@@ -41,6 +42,9 @@
         self._hold_until_ms: typing.Callable[[int], int] = lambda now_ms: 0
         self.listeners: list[typing.Callable[[routing_table.RoutingTable], None]] = []
         self.on_server_joined: typing.Callable[[str, int], None] = lambda server_id, now_ms: None
+        self.on_server_restarted: typing.Callable[[registry.Server, int], None] = (
+            lambda server, now_ms: None
+        )
 
     def set_removal_hold(self, hold_until_ms: typing.Callable[[int], int]) -> None:
         """Set how long a removed server stays in use; without it, the removal applies at once.
@@ -130,7 +134,7 @@
         previous = self.registry.servers.get(change.key)
         was_draining = previous is not None and previous.draining
         previous_born_ms = previous.report.born_ms if previous is not None else report.born_ms
-        cold_ms = self._cold_start_ms(report.service)
+        cold_ms = self.cold_start_ms(report.service)
         self.registry.apply_report(report, now_ms, not first_read, cold_ms)
         if previous is None and not first_read:
             self.on_server_joined(report.server_id, now_ms)
@@ -143,6 +147,7 @@
     ) -> None:
         server = self.registry.servers[change.key]
         self.restarts += 1
+        self.on_server_restarted(server, now_ms)
         events.log(
             events.Event.SERVER_RESTARTED,
             "server started again under its id",
@@ -177,7 +182,11 @@
             store_version=version,
         )
 
-    def _cold_start_ms(self, service: str) -> int:
+    def cold_start_ms(self, service: str) -> int:
+        """Return how long servers of a service are cold after a start, 0 if it is unknown.
+
+        :param service: the service.
+        """
         if self.table is None or service not in self.table.services:
             return 0
         return self.table.services[service].cold_start_ms
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -89,10 +89,13 @@
 
     With an empty ``id_header``, the first final response is accepted whatever its id.
     ``observe_head`` also gets the heads of responses that are late, repeated or not accepted.
+    ``on_ended_by_server`` is called if the server, or the network, ends the connection.
     """
 
     def __init__(self, id_header: bytes, limits: ResponseLimits) -> None:
+        self.opened_ms = 0
         self.idle_since_ms = 0
+        self.on_ended_by_server: typing.Callable[[Connection], None] = lambda connection: None
         self.max_idle_ms = MAX_IDLE_MS
         self.closed = False
         self.held_bytes = 0
@@ -230,6 +233,16 @@
             return
         self._limits.quota.set_held_bytes(self, head_bytes + len(self._body))
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request uses the connection."""
+        return self._future is None
+
+    @property
+    def has_announced_end(self) -> bool:
+        """Whether the last response ends the connection, by what it says or by its framing."""
+        return self._is_answered and not self._reusable
+
     @property
     def is_at_work(self) -> bool:
         """False, since a response without end must be aborted, whatever it answers."""
@@ -256,8 +269,13 @@
 
         :param exc: the error that ended the connection, ``None`` if it was closed normally.
         """
-        self.closed = True
+        was_closed, self.closed = self.closed, True
         self._limits.quota.set_held_bytes(self, 0)
+        self._complete_at_end(exc)
+        if not was_closed:
+            self.on_ended_by_server(self)
+
+    def _complete_at_end(self, exc: Exception | None) -> None:
         if self._future is None or self._future.done():
             return
         if exc is None and self._head_done and not self._is_framed():
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -20,6 +20,7 @@
 # What connecting to an address may raise; an address that is none raises ValueError.
 _CONNECT_ERRORS = (OSError, ValueError, OverflowError)
 IDLE_GROWTH_RATIO = 1.05  # growth of a reduced limit on idle time at each check
+LONG_IDLE_MS = 4_000  # servers may close connections that were idle for so long
 
 
 class Reachability(enum.Enum):
@@ -33,22 +34,62 @@
     UNREACHABLE = "unreachable"
 
 
+class ConnectionObserver(typing.Protocol):
+    """Observes what connections show of the servers at their addresses."""
+
+    def on_connected(self, address: str) -> None:
+        """Observe that an address accepted a connection.
+
+        :param address: the IP address and port.
+        """
+
+    def on_not_connected(self, address: str, reachability: Reachability) -> None:
+        """Observe that an address did not accept a connection.
+
+        :param address: the IP address and port.
+        :param reachability: whether it refused it, or could not be reached.
+        """
+
+    def on_disconnected(self, address: str) -> None:
+        """Observe that the last connection to an address ended, without a reason of its own.
+
+        :param address: the IP address and port.
+        """
+
+    def on_answered(self, address: str, opened_ms: int) -> None:
+        """Observe an answer on a connection that was used before.
+
+        :param address: the IP address and port.
+        :param opened_ms: when the connection was opened.
+        """
+
+
 class Upstream:
     """Opens connections to servers and keeps idle ones for reuse.
 
     The pool does not limit the number of connections; callers limit the requests in flight at
     each server. If a connection breaks on reuse after it was idle, the limit on idle time is
-    reduced for all servers, and then grows back slowly.
+    reduced for all servers, and then grows back slowly. ``observer`` is told what connections show.
     """
 
-    __slots__ = ("limits", "_id_header", "_idle", "_open", "_idle_limit_ms")
+    __slots__ = (
+        "limits",
+        "observer",
+        "_id_header",
+        "_idle",
+        "_open",
+        "_connections",
+        "_idle_limit_ms",
+    )
 
     def __init__(self, id_header: bytes, quota: message_quota.MessageQuota | None = None) -> None:
         self.limits = server_connection.ResponseLimits(quota or message_quota.MessageQuota())
+        self.observer: ConnectionObserver | None = None
         self._id_header = id_header
         self._idle_limit_ms = float(server_connection.MAX_IDLE_MS)
         self._idle: dict[str, list[server_connection.Connection]] = {}
         self._open: dict[str, int] = {}
+        self._connections: dict[str, list[server_connection.Connection]] = {}
 
     async def run(self, ready: anyio.Event) -> None:
         """Close connections that were idle for too long, once a second, until cancelled.
@@ -82,6 +123,13 @@
                 self._idle[address] = kept
             else:
                 del self._idle[address]
+        self._forget_closed()
+
+    def _forget_closed(self) -> None:
+        for address, connections in list(self._connections.items()):
+            self._connections[address] = [c for c in connections if not c.closed]
+            if not self._connections[address]:
+                del self._connections[address]
 
     def open_connections(self, address: str) -> int:
         """Return the number of connections in use at a server, idle ones excluded.
@@ -90,6 +138,15 @@
         """
         return self._open.get(address, 0)
 
+    def connected_before(self, address: str, at_ms: int) -> bool:
+        """Return whether a connection to an address is open that was open at a given time.
+
+        :param address: the server's IP address and port.
+        :param at_ms: the monotonic time.
+        """
+        connections = self._connections.get(address, ())
+        return any(c.opened_ms < at_ms and not c.closed for c in connections)
+
     async def exchange(
         self,
         address: str,
@@ -124,6 +181,7 @@
             connection.observe_head = observe_head
             exchange = await connection.send(encode(), request_id, head_only)
             exchange.connect_ms = connect_ms
+            self._observe_answer(address, connection, exchange)
             self._adapt_idle_limit(exchange, idle_ms)
             if connection.release(clock.monotonic_ms()):
                 self._idle.setdefault(address, []).append(connection)
@@ -142,6 +200,16 @@
             if not self._open[address]:
                 del self._open[address]
 
+    def _observe_answer(
+        self,
+        address: str,
+        connection: server_connection.Connection,
+        exchange: server_connection.Exchange,
+    ) -> None:
+        is_answered = exchange.outcome is server_connection.Outcome.ANSWERED
+        if self.observer is not None and is_answered and exchange.connect_ms < 0:
+            self.observer.on_answered(address, connection.opened_ms)
+
     def _adapt_idle_limit(self, exchange: server_connection.Exchange, idle_ms: int) -> None:
         """Reduce the limit on idle time if a connection broke on reuse.
 
@@ -177,6 +245,17 @@
         return None
 
     async def _connect(self, address: str) -> server_connection.Connection:
+        try:
+            connection = await self._open_connection(address)
+        except _CONNECT_ERRORS as error:
+            if self.observer is not None:
+                self.observer.on_not_connected(address, _reachability(error))
+            raise
+        if self.observer is not None:
+            self.observer.on_connected(address)
+        return connection
+
+    async def _open_connection(self, address: str) -> server_connection.Connection:
         host, port = field_types.split_address(address)
         loop = asyncio.get_running_loop()
         with anyio.fail_after(CONNECT_TIMEOUT_MS / 1000):
@@ -186,8 +265,25 @@
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
             tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        connection.opened_ms = clock.monotonic_ms()
+        connection.on_ended_by_server = lambda ended: self._observe_end(address, ended)
+        opened = [c for c in self._connections.get(address, ()) if not c.closed]
+        self._connections[address] = [*opened, connection]
         return connection
 
+    def _observe_end(self, address: str, ended: server_connection.Connection) -> None:
+        """Tell the observer that the last connection to an address ended unexpectedly."""
+        idle_ms = clock.monotonic_ms() - ended.idle_since_ms if ended.is_idle else 0
+        if ended.has_announced_end or idle_ms >= LONG_IDLE_MS or self.observer is None:
+            return
+        if all(c.closed for c in self._connections.get(address, ())):
+            self.observer.on_disconnected(address)
+
+
+def _reachability(error: Exception) -> Reachability:
+    refused = isinstance(error, ConnectionRefusedError)
+    return Reachability.REFUSES if refused else Reachability.UNREACHABLE
+
 
 def _is_reusable(connection: server_connection.Connection, limit_ms: int, now_ms: int) -> bool:
     return not connection.closed and now_ms - connection.idle_since_ms < limit_ms
