Quarantine: keep crashes as long as they speak for a suspected request

Callers of a proper request would get 503 quarantined for up to ten minutes, a minute after an outage: a request under which two servers of a mass failure had ended is not to blame, since more servers ended beside it. Those others were forgotten 60 s after they ended, the request's own evidence 60 s after its last server ended.

Crashes are now kept while they are near those of a suspect that is no culprit yet, which ends with the suspect. The number of crashes stays bounded as before.

--- a/sassafraslock/decisions/crash_evidence.py
+++ b/sassafraslock/decisions/crash_evidence.py
@@ -48,6 +48,11 @@
         """The servers of :attr:`evidence`, the latest last."""
         return [server_id for server_id in self.crashed_ms if server_id not in self.refuted]
 
+    @property
+    def first_crash_ms(self) -> int:
+        """When the first server that counts against the request became known to have crashed."""
+        return min(self.crashed_ms[server_id] for server_id in self.evidence)
+
     @property
     def may_be_culprit(self) -> bool:
         """Whether there are enough servers, and callers if it stands for all of them."""
--- a/sassafraslock/decisions/quarantine.py
+++ b/sassafraslock/decisions/quarantine.py
@@ -263,11 +263,25 @@
             kept_ms = QUARANTINE_MS if self.is_culprit(name, now_ms) else SUSPECT_MS
             if now_ms - suspect.last_ms >= kept_ms:
                 del self._suspects[name]
-        recent = {s: at for s, at in self._crashed_ms.items() if now_ms - at < SUSPECT_MS}
+        oldest_ms = self._oldest_crash_ms(now_ms)
+        recent = {s: at for s, at in self._crashed_ms.items() if at >= oldest_ms}
         newest = heapq.nlargest(MAX_CRASHED_SERVERS, recent, key=recent.__getitem__)
         self._crashed_ms = {server_id: recent[server_id] for server_id in newest}
         self._culprits = None
 
+    def _oldest_crash_ms(self, now_ms: int) -> int:
+        """Return the time of the oldest crashes to keep.
+
+        Those near the crashes under a request that is no culprit yet speak for it as long as it is
+        suspected.
+        """
+        first_ms = [
+            suspect.first_crash_ms
+            for name, suspect in self._suspects.items()
+            if suspect.may_be_culprit and not self.is_culprit(name, now_ms)
+        ]
+        return min([now_ms - SUSPECT_MS + 1, *(ms - crash_evidence.NEARBY_MS for ms in first_ms)])
+
     def recent_reports(self, now_ms: int) -> list[SuspectReport]:
         """Return the evidence to send to other entries.
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -63,6 +63,21 @@
     assert known.is_quarantined(identity(), 9_000)
 
 
+# Guards against a proper request that is refused for minutes after an outage, once the other
+# servers that ended in it are forgotten sooner than the request's own.
+@pytest.mark.parametrize("second_ms", [1_200, 30_500])
+def test_a_request_of_a_mass_failure_is_not_quarantined_when_the_others_are_forgotten(second_ms):
+    known = quarantine.Quarantine()
+    for number in range(5):
+        crash(known, identity(f"/{number}"), f"s{number}", now_ms=500)
+    crash(known, identity(), "s8", now_ms=700)
+    assert not known.is_quarantined(identity(), 1_000)  # the time of a sweep
+    crash(known, identity(), "s9", now_ms=second_ms)
+    end_ms = second_ms + 2 * quarantine.SUSPECT_MS
+    assert not any(known.is_quarantined(identity(), t) for t in range(second_ms, end_ms, 100))
+    assert known.size == 0
+
+
 @pytest.mark.parametrize(
     "other", [identity(caller="d"), identity(body=b"b"), identity("/q"), identity(host="g")]
 )
