A new start read after the store's era went back is cold

When a store's era goes back, an entry forgets all versions and reads all rows again. It took that for the first read of its process, in which no server counts as new: servers that had started again meanwhile, and servers with new ids, got requests as if they were warm.

Evidence: a test in which a server starts again as the era goes back failed. A read is the first one only if no row of its topic is known; what was known stays in use all the while, so what differs from it is new.

--- a/sassafraslock/services/store_rows.py
+++ b/sassafraslock/services/store_rows.py
@@ -106,7 +106,7 @@
         :param batch: the rows.
         :param now_ms: the current monotonic time.
         """
-        first_read = topic not in self.positions
+        first_read = topic not in self.positions and not self._has_rows(topic)
         self._history_start[topic] = batch.version
         if topic in self._era.unsettled:
             batch = self._era.date_rows(batch, self.rows, self.positions.get(topic, 0))
@@ -115,6 +115,10 @@
             self._apply(change, first_read, now_ms, batch.version)
         self._reach(topic, batch.version)
 
+    def _has_rows(self, topic: facts.Topic) -> bool:
+        """Return whether any row of a topic is known, of whatever era."""
+        return any(row_topic is topic for row_topic, _ in self.rows)
+
     def merge(self, export: store_export.Export, first_read: bool, now_ms: int) -> None:
         """Merge a peer's rows.
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -243,6 +243,24 @@
     with_replica(scenario)
 
 
+# Guards against servers that started again meanwhile and get requests as if they were warm.
+def test_a_new_start_that_is_read_after_the_era_went_back_is_cold(monkeypatch):
+    monkeypatch.setattr(store_era, "LOWER_ERA_MS", 50)
+
+    async def scenario(source, copy, state):
+        source.era = 3
+        source.put_intents(5, ROUTES)
+        source.put_server("x", born_ms=1)
+        await until(lambda: server_ids(state) == {"x"} and state.table is not None)
+        assert not state.registry.servers["x"].is_cold(clock.monotonic_ms())
+        source.era, source.version = 0, 1
+        source.put_server("x", born_ms=2)
+        await until(lambda: state.registry.servers["x"].report.born_ms == 2)
+        assert state.registry.servers["x"].is_cold(clock.monotonic_ms())
+
+    with_replica(scenario)
+
+
 HEADERS = {
     b"3": 3, b" 3 ": 3, b"0": 0, b"": 7, b"-1": 7, b"x": 7, b"1e3": 7, b"9" * 40: 7, b"\xb2": 7,
     b"4194303": 4_194_303, b"4194304": 7,
