Each new start of a server counts as joined, also under its old id

A server that joins gets one early request of each of two entries once it is warm, so that a faulty one is seen before many requests are at it. Only new ids were taken for joins: a server that had started again under its id got its share of all requests at once, without that probe.

Evidence: a test in which a server's row changes its time of start; the callback was not called. It is now called whenever the registry holds a new start after the first read, and not for other changes of a row. Probes are still due only for servers that are neither cold nor draining.

--- a/sassafraslock/services/routing_state.py
+++ b/sassafraslock/services/routing_state.py
@@ -17,8 +17,8 @@
     requests, while intents in force stay in force.
 
     ``listeners`` are called with each new routing table. ``on_server_joined`` is called for each
-    server that is added after the first full read, ``on_server_restarted`` for each new start of a
-    known one. ``restarts`` counts the new starts of known servers.
+    new start of a server after the first full read, be its id new or not, ``on_server_restarted``
+    for each new start of a known one. ``restarts`` counts the latter.
     """
 
     __slots__ = (
@@ -136,7 +136,8 @@
         previous_born_ms = previous.report.born_ms if previous is not None else report.born_ms
         cold_ms = self.cold_start_ms(report.service)
         self.registry.apply_report(report, now_ms, not first_read, cold_ms)
-        if previous is None and not first_read:
+        is_new_start = self.registry.servers[report.server_id] is not previous
+        if is_new_start and not first_read:
             self.on_server_joined(report.server_id, now_ms)
         if previous_born_ms != report.born_ms:
             self._record_restart(change, previous_born_ms, first_read, now_ms)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -58,6 +58,22 @@
     return set(state.registry.servers)
 
 
+# Guards against servers that start again under their ids and are not probed before many requests.
+def test_each_new_start_of_a_server_joins():
+    async def scenario(source, copy, state):
+        joined = []
+        state.on_server_joined = lambda server_id, now_ms: joined.append(server_id)
+        source.put_server("x", born_ms=1)
+        await until(lambda: server_ids(state) == {"x"})
+        source.put_server("x", born_ms=1, slots=4)
+        await until(lambda: state.registry.servers["x"].report.slots == 4)
+        assert not joined
+        source.put_server("x", born_ms=2)
+        await until(lambda: joined == ["x"])
+
+    with_replica(scenario)
+
+
 def test_rows_are_read_updated_and_removed():
     async def scenario(source, copy, state):
         source.put_server("x")
