What entries know of a start can be forgotten when it may have ended

A server that starts again under its id is known under the id of the old start until its row comes, and for good if rows tell no time of start. Until then it is judged by the load, the speed, the failures and the pause of the old one, and it gets the requests for all objects that the old one had in memory, for up to 30 s, as if it had them.

Load, health, objects and pauses get a method each that forgets a start. What peers tell of the time before is ignored afterwards, with a margin for the time that datagrams take. Requests in flight and ejections stay. Nothing calls the methods yet: they are for the evidence that a start may have ended. Evidence: a test for each method.

--- a/sassafraslock/decisions/load_reports.py
+++ b/sassafraslock/decisions/load_reports.py
@@ -57,6 +57,13 @@
         latest.load, latest.at_ms = load, at_ms
         return True
 
+    def forget(self, start_hash: int) -> None:
+        """Forget the load of a start.
+
+        :param start_hash: the hash of the id of the server's start.
+        """
+        self._loads.pop(start_hash, None)
+
     def recent(self, now_ms: int) -> list[LoadReport]:
         """Return the latest loads for a message, at most :data:`MAX_REPORTS`.
 
--- a/sassafraslock/decisions/load_view.py
+++ b/sassafraslock/decisions/load_view.py
@@ -74,10 +74,21 @@
             if server is not None and self._reports.record(report.start_hash, report.load, at_ms):
                 self._update(server, report.load, at_ms, now_ms)
 
+    def forget_start(self, server: registry.Server, now_ms: int) -> None:
+        """Forget the load and the health of a start, since another one may run by now.
+
+        Until its next report it is assumed to have the typical load.
+
+        :param server: the server.
+        :param now_ms: the current monotonic time.
+        """
+        self._reports.forget(registry.start_hash(server))
+        self._health_of(server).forget_start(now_ms)
+
     def _update(self, server: registry.Server, load: int, at_ms: int, now_ms: int) -> None:
         health = self._health_of(server)
-        health.record_load(load, at_ms)
-        self._typical_load(server).record(health.others_load, now_ms)
+        if health.record_load(load, at_ms):
+            self._typical_load(server).record(health.others_load, now_ms)
 
     def _typical_load(self, server: registry.Server) -> typical_load.TypicalLoad:
         key = (server.report.service, server.region)
--- a/sassafraslock/decisions/object_memory.py
+++ b/sassafraslock/decisions/object_memory.py
@@ -17,6 +17,8 @@
 RENEWAL_MS = 10_000
 SHARED_FOR_MS = 2_000  # long enough for several gossip rounds, since datagrams may be lost
 MAX_SERVERS_PER_OBJECT = 16  # beyond this, the server that handled it longest ago is forgotten
+# The age of a report leaves out the time that its datagrams took.
+REPORT_DELAY_MS = 300
 MAX_REPORTS = 48  # per gossip message; bounds the bytes that an entry sends
 
 
@@ -58,13 +60,14 @@
     Objects and starts of servers are identified by their hashes.
     """
 
-    __slots__ = ("_objects", "_renewed")
+    __slots__ = ("_objects", "_renewed", "_forgotten_ms")
 
     def __init__(self) -> None:
         self._objects: collections.OrderedDict[int, dict[int, _Sighting]] = (
             collections.OrderedDict()
         )
         self._renewed: dict[tuple[int, int], _Sighting] = {}
+        self._forgotten_ms: dict[int, int] = {}
 
     def record(self, object_hash: int, start_hash: int, handled_ms: int, now_ms: int) -> None:
         """Record that a server answered a request for an object.
@@ -85,7 +88,9 @@
             sighting = sightings[start_hash] = _Sighting(handled_ms, now_ms)
             self._renewed[object_hash, start_hash] = sighting
             return
-        if now_ms - sighting.renewed_ms > RENEWAL_MS and handled_ms > sighting.handled_ms:
+        is_due = now_ms - sighting.renewed_ms > RENEWAL_MS
+        is_due = is_due or self._is_forgotten(start_hash, sighting.handled_ms)
+        if is_due and handled_ms > sighting.handled_ms:
             sighting.renewed_ms = now_ms
             self._renewed[object_hash, start_hash] = sighting
         sighting.handled_ms = max(sighting.handled_ms, handled_ms)
@@ -98,7 +103,25 @@
         :param now_ms: the current monotonic time.
         """
         sighting = self._objects.get(object_hash, {}).get(start_hash)
-        return sighting is not None and now_ms - sighting.handled_ms < RETENTION_MS
+        if sighting is None or self._is_forgotten(start_hash, sighting.handled_ms):
+            return False
+        return now_ms - sighting.handled_ms < RETENTION_MS
+
+    def forget_start(self, start_hash: int, now_ms: int) -> None:
+        """Forget all objects of a start, since another one may run by now, which has none.
+
+        What peers tell of the time before is ignored from now on.
+
+        :param start_hash: the hash of the id of the server's start.
+        :param now_ms: the current monotonic time.
+        """
+        oldest_ms = now_ms - RETENTION_MS
+        self._forgotten_ms = {h: at for h, at in self._forgotten_ms.items() if at > oldest_ms}
+        self._forgotten_ms[start_hash] = now_ms
+
+    def _is_forgotten(self, start_hash: int, handled_ms: int) -> bool:
+        forgotten_ms = self._forgotten_ms.get(start_hash)
+        return forgotten_ms is not None and handled_ms <= forgotten_ms
 
     def recent_reports(self, now_ms: int) -> list[ObjectReport]:
         """Return what to send to entries nearby: at most :data:`MAX_REPORTS`, the newest first.
@@ -107,7 +130,10 @@
         """
         oldest_ms = now_ms - SHARED_FOR_MS
         self._renewed = {k: s for k, s in self._renewed.items() if s.renewed_ms > oldest_ms}
-        newest = heapq.nlargest(MAX_REPORTS, self._renewed.items(), key=_renewed_ms)
+        held = [
+            i for i in self._renewed.items() if not self._is_forgotten(i[0][1], i[1].handled_ms)
+        ]
+        newest = heapq.nlargest(MAX_REPORTS, held, key=_renewed_ms)
         return [
             ObjectReport(object_hash, start_hash, max(0, now_ms - sighting.handled_ms))
             for (object_hash, start_hash), sighting in newest
@@ -123,6 +149,8 @@
             age_ms = max(0, report.age_ms)
             if age_ms < RETENTION_MS:
                 handled_ms = now_ms - age_ms
+                if self._is_forgotten(report.start_hash, handled_ms - REPORT_DELAY_MS):
+                    continue
                 self.record(report.object_hash, report.start_hash, handled_ms, now_ms)
 
 
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -44,6 +44,7 @@
     :param in_flight: this entry's requests at the server.
     :param others_load: the requests of other entries at the server, by the latest reported load.
     :param others_load_at_ms: when that load was reported.
+    :param forgotten_ms: when the start was last suspected to have ended; older loads do not count.
     :param slowness: a moving average of measured over expected latency.
     :param failure_ratio: a moving average of the share of failed requests.
     :param connect_failures: connection failures since the last answer.
@@ -55,6 +56,7 @@
     in_flight: int = 0
     others_load: float = 0.0
     others_load_at_ms: int = NEVER_MS
+    forgotten_ms: int = NEVER_MS
     slowness: float = 1.0
     slowness_at_ms: int = 0
     failure_ratio: float = 0.0
@@ -76,19 +78,35 @@
         weight = 0.5 ** ((now_ms - self.others_load_at_ms) / LOAD_HALF_LIFE_MS)
         return self.in_flight + weight * self.others_load + (1.0 - weight) * typical
 
-    def record_load(self, load: int, at_ms: int) -> None:
+    def record_load(self, load: int, at_ms: int) -> bool:
         """Record the load that the server reported to this entry or to another one.
 
         This entry's own requests are subtracted, as :meth:`load` adds them. A load older than the
-        recorded one is ignored.
+        recorded one, or than the last :meth:`forget_start`, is ignored.
 
         :param load: the requests that ran or waited.
         :param at_ms: when the server reported it.
+        :returns: whether the load was recorded.
         """
-        if at_ms < self.others_load_at_ms:
-            return
+        if at_ms < self.others_load_at_ms or at_ms <= self.forgotten_ms:
+            return False
         self.others_load = float(max(0, load - self.in_flight))
         self.others_load_at_ms = at_ms
+        return True
+
+    def forget_start(self, now_ms: int) -> None:
+        """Forget what holds for this start alone, since another one may run by now.
+
+        Requests in flight are still this entry's, and an ejection and the probe after it go on.
+
+        :param now_ms: the current monotonic time.
+        """
+        self.forgotten_ms = now_ms
+        self.others_load = 0.0
+        self.others_load_at_ms = NEVER_MS
+        self.slowness = 1.0
+        self.failure_ratio = 0.0
+        self.answers = 0
 
     def slow_factor(self, now_ms: int) -> float:
         """Return the factor by which the server is slower than expected, 1 if nothing is known.
--- a/sassafraslock/decisions/server_pauses.py
+++ b/sassafraslock/decisions/server_pauses.py
@@ -170,6 +170,13 @@
         if pause.answered >= SLOW_START_ANSWERS:
             del self._pauses[start_hash]
 
+    def forget_start(self, start_hash: int) -> None:
+        """Forget the pause of a start, since another one may run by now, which asked for none.
+
+        :param start_hash: the hash of the id of the server's start.
+        """
+        self._pauses.pop(start_hash, None)
+
     def paused_count(self, now_ms: int) -> int:
         """Return how many servers are in a pause.
 
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -114,3 +114,16 @@
     steady = simulation.rows()[-1]
     assert steady.in_target_ratio > 0.9
     assert steady.failed_ratio < 0.02
+
+
+# Guards against a new start that gets requests by the load that peers tell of the old one.
+def test_the_load_of_a_start_that_may_have_ended_is_forgotten():
+    view, servers, _ = built = build()
+    view.record(servers["x"], 9, 1_000)
+    typical = load(built, "y", 1_100)
+    view.forget_start(servers["x"], 1_100)
+    assert not view.recent_reports(1_100)
+    view.merge_reports([load_reports.LoadReport(registry.start_hash(servers["x"]), 9, 200)], 1_110)
+    assert load(built, "x", 1_110) == pytest.approx(typical, rel=0.02)
+    view.merge_reports([load_reports.LoadReport(registry.start_hash(servers["x"]), 1, 0)], 1_200)
+    assert load(built, "x", 1_200) == 1
--- a/tests/test_object_memory.py
+++ b/tests/test_object_memory.py
@@ -115,3 +115,19 @@
             message = decoder.decode(zlib.decompress(datagram))
             regions.add((region_of[address], bool(message.objects)))
     assert regions == {("a", True), ("b", False)}
+
+
+# Guards against a new start that gets the requests for all objects of the old one.
+def test_the_objects_of_a_start_that_may_have_ended_are_forgotten():
+    memory, peer = object_memory.ObjectMemory(), object_memory.ObjectMemory()
+    for start in (X, Y):
+        memory.record(1, start, 1_000, 1_000)
+        peer.record(1, start, 1_000, 1_000)
+    memory.forget_start(X, 1_200)
+    assert [r.start_hash for r in memory.recent_reports(1_300)] == [Y]
+    memory.merge_reports(peer.recent_reports(1_250), 1_500)
+    assert not memory.has_handled(1, X, 1_500) and memory.has_handled(1, Y, 1_500)
+    assert not memory.recent_reports(5_000)
+    memory.record(1, X, 5_000, 5_000)
+    assert memory.has_handled(1, X, 5_000)
+    assert [r.start_hash for r in memory.recent_reports(5_100)] == [X]
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -87,3 +87,18 @@
 def test_a_server_counts_the_request_that_it_answers(running, waiting, was_run, remaining):
     reported = server_health.ReportedLoad(running, waiting, 3)
     assert reported.remaining(was_run) == remaining
+
+
+# Guards against a new start that is judged by the load, the speed and the failures of the old one.
+def test_a_start_that_may_have_ended_is_forgotten_but_not_what_is_in_flight():
+    health = server_health.ServerHealth(in_flight=2)
+    health.record_load(9, 900)
+    health.record_latency_ratio(9.0, 900)
+    for _ in range(9):
+        health.record_answer(True, 900)
+    health.record_connect_failure(1_000)
+    health.forget_start(1_000)
+    assert health.load(1_000, typical=1.5) == 3.5 and health.slow_factor(1_000) == 1.0
+    assert not health.answers and not health.is_available(1_000)
+    assert not health.record_load(9, 990)
+    assert health.record_load(5, 1_010) and health.load(1_010) == 5
--- a/tests/test_server_pauses.py
+++ b/tests/test_server_pauses.py
@@ -124,3 +124,13 @@
     pauses = paused(1_000)
     pauses.retain({START + 1})
     assert not pauses and pauses.may_send(START, 0)
+
+
+# Guards against a new start that gets nothing for as long as the old one asked for a pause.
+def test_the_pause_of_a_start_that_may_have_ended_is_forgotten():
+    pauses = server_pauses.ServerPauses("e-1")
+    pauses.record(START, 60_000, 0)
+    pauses.record(START + 1, 60_000, 0)
+    pauses.forget_start(START)
+    assert pauses.may_send(START, 10) and not pauses.may_send(START + 1, 10)
+    assert pauses.record(START, 1_000, 20) and pauses.is_paused(START, 20)
