A kept connection whose end was read is not used for a request

An entry that has stood still, or is busy, reads in one turn of its loop what clients sent and that servers closed kept connections. A request read before such an end took the connection, which was closing by then: nothing of the request was sent, and it counted as broken off under its server. Callers got 502 for requests that may not be repeated although they had not run, others used up a retry, and the request was suspected if the server was down or had started again, though that server never had it.

Evidence: a test over real sockets in which a client's bytes and the end of a kept connection are read in one turn; the request ended as broken, with the connection closed or reset. The transport tells that it is closing before the protocol is told of the end, so this is asked as well, when a connection is taken from the pool and right before the request is written.

--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -121,6 +121,11 @@
         self._head_done = False
         self._reason_phrase = b""
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the connection has ended, or its end was read and is yet to be told."""
+        return self.closed or self._transport is None or self._transport.is_closing()
+
     def send(self, data: bytes, request_id: bytes, head_only: bool) -> asyncio.Future[Exchange]:
         """Send a request and return the future of its result; failures are results as well.
 
@@ -134,7 +139,7 @@
         self._reusable = not head_only
         self._received_bytes = self._total_body_bytes = 0
         self._future = asyncio.get_running_loop().create_future()
-        if self.closed:
+        if self.is_ending:
             self._complete(
                 Exchange(
                     Outcome.NOT_CONNECTED,
@@ -388,7 +393,7 @@
         """
         self._future = None
         transport = self._transport
-        if self.closed or not self._reusable or transport is None or transport.is_closing():
+        if self.is_ending or not self._reusable or transport is None:
             return False
         if transport.get_write_buffer_size() > 0:
             return False
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -286,4 +286,4 @@
 
 
 def _is_reusable(connection: server_connection.Connection, limit_ms: int, now_ms: int) -> bool:
-    return not connection.closed and now_ms - connection.idle_since_ms < limit_ms
+    return not connection.is_ending and now_ms - connection.idle_since_ms < limit_ms
