Load, speed, objects and pauses of a start that ended are forgotten; edge.py is split

Cause: this knowledge is kept by start, and a new start is known only by its row. With the evidence of an end there is an earlier moment to drop it: when a connection is refused, a peer tells of that, or the server tells a cold time. Weaker evidence keeps it.

--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -115,6 +115,17 @@
         self.cold.limiter.discard_unused(now_ms)
         self.backpressure.retain(self.registry.by_start_hash().keys(), now_ms)
 
+    def forget_start(self, server: registry.Server, now_ms: int) -> None:
+        """Forget what holds for a server's start alone, since it has ended.
+
+        :param server: the server, whose row may still name that start.
+        :param now_ms: the current monotonic time.
+        """
+        start_hash = registry.start_hash(server)
+        self.loads.forget_start(server, now_ms)
+        self.objects.forget_start(start_hash, now_ms)
+        self.backpressure.pauses.forget_start(start_hash)
+
     def place(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> candidates.Choice | errors.Refusal:
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -13,6 +13,7 @@
 import sassafraslock
 from sassafraslock import (
     clock,
+    edge_decisions,
     edge_settings,
     entry_gauges,
     entry_interfaces,
@@ -27,17 +28,13 @@
     signals,
 )
 from sassafraslock.decisions import (
-    backpressure,
-    cold_start,
     message_quota,
     placement,
     registry,
-    retry_budget,
     roster,
-    server_restarts,
     stop_schedule,
 )
-from sassafraslock.path import access_log, pipeline, retry_gate, send
+from sassafraslock.path import access_log, pipeline, send
 from sassafraslock.services import (
     backpressure_watch,
     claims,
@@ -99,17 +96,15 @@
         )
         self.routing_state = routing_state.RoutingState(servers, self.gossip.roster)
         self.replica = replica.Replica(source, self.routing_state)
-        self.routing_state.set_removal_hold(self.replica.hold_until_ms)
-        self.replica.set_entry_count(self.gossip.roster.entry_count)
-        self.replica.set_fallback(peer_copies.PeerCopyReader(self.gossip))
         self.metrics = metrics.Metrics()
-        self.backpressure = self._build_backpressure(servers)
+        self.backpressure = edge_decisions.build_backpressure(
+            settings, servers, self.gossip, clock.monotonic_ms()
+        )
         self.watch = backpressure_watch.BackpressureWatch(self.backpressure, servers, names)
-        self.restarts = server_restarts.ServerRestarts(settings.entry_id, servers)
-        self.pipeline = self._build_pipeline(servers, names, keys)
+        self.pipeline = self._build_pipeline(names, keys)
         placer = self.pipeline.placer
         self.restart_watch = restart_watch.RestartWatch(
-            self.restarts, placer, self.upstream, self.routing_state, names, self.replica
+            placer, self.upstream, self.routing_state, names, self.replica
         )
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
@@ -122,6 +117,9 @@
         self._subscribe(placer)
 
     def _subscribe(self, placer: placement.Placer) -> None:
+        self.routing_state.set_removal_hold(self.replica.hold_until_ms)
+        self.replica.set_entry_count(self.gossip.roster.entry_count)
+        self.replica.set_fallback(peer_copies.PeerCopyReader(self.gossip))
         self.gossip.loads = placer.loads
         self.gossip.objects = placer.objects
         self.gossip.limits = self.watch.limits
@@ -129,42 +127,26 @@
         self.gossip.restarts = self.restart_watch
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
-        self.routing_state.on_server_restarted = self.restarts.record_start
+        self.routing_state.on_server_restarted = placer.cold.restarts.record_start
         placer.cold.limiter.on_asked = cold_limit_watch.ColdLimitWatch().record
 
-    def _build_backpressure(self, servers: registry.Registry) -> backpressure.Backpressure:
-        started_ms = clock.monotonic_ms()
-        return backpressure.Backpressure(self.settings.entry_id, servers, self.gossip, started_ms)
-
     def _build_pipeline(
-        self,
-        servers: registry.Registry,
-        names: header_names.HeaderNames,
-        keys: claims.Claims | None,
+        self, names: header_names.HeaderNames, keys: claims.Claims | None
     ) -> pipeline.RequestPipeline:
-        bounds = self.settings.bounds
-        cold = cold_start.ColdStartLimiter(
-            self.settings.entry_id, bounds.cold_overage, bounds.cold_slack, clock.monotonic_ms()
-        )
-        placer = placement.Placer(
-            self.settings.region, servers, self.gossip, cold, self.backpressure, self.restarts
-        )
-        budget = retry_budget.RetryBudget(
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            bounds.retry_window_ms,
-            clock.monotonic_ms(),
+        settings, now_ms = self.settings, clock.monotonic_ms()
+        placer = edge_decisions.build_placer(
+            settings, self.gossip, self.backpressure, self.routing_state.registry, now_ms
         )
         log = access_log.AccessLog(
-            self.settings.region,
+            settings.region,
             self.metrics,
             lambda now_ms: now_ms - self.replica.last_answer_ms,
         )
         return pipeline.RequestPipeline(
             self.routing_state,
             placer,
-            retry_gate.RetryGate(budget, self.gossip.roster.sharing_count),
-            send.Sender(self.upstream, names, self.watch, placer.cold, self.settings.entry_id),
+            edge_decisions.build_retry_gate(settings, self.gossip.roster, now_ms),
+            send.Sender(self.upstream, names, self.watch, placer.cold, settings.entry_id),
             names,
             log,
             self.poison,
--- a/sassafraslock/services/restart_watch.py
+++ b/sassafraslock/services/restart_watch.py
@@ -43,14 +43,13 @@
 
     def __init__(
         self,
-        restarts: server_restarts.ServerRestarts,
         placer: placement.Placer,
         connections: upstream.Upstream,
         state: routing_state.RoutingState,
         names: header_names.HeaderNames,
         copy: replica.Replica,
     ) -> None:
-        self._restarts = restarts
+        self._restarts = restarts = placer.cold.restarts
         self._placer = placer
         self._connections = connections
         self._state = state
@@ -131,6 +130,8 @@
             warm_in_ms = self._warm_in_ms(server, exchange)
             if warm_in_ms is not None:
                 self._restarts.record_warm_in(server, warm_in_ms, sent_ms)
+                if warm_in_ms:
+                    self._placer.forget_start(server, sent_ms)
                 self._log(server, f"server tells that it is warm in {warm_in_ms} ms")
 
     def _service_of(self, server: registry.Server) -> routing_table.Service | None:
@@ -205,6 +206,8 @@
         for server in self._servers_at(address):
             if self._restarts.record_end(server, evidence, now_ms):
                 self._log(server, "server may have ended")
+            if evidence is possible_restart.Evidence.REFUSED:
+                self._placer.forget_start(server, now_ms)
 
     def recent_reports(self, now_ms: int) -> list[server_restarts.RestartReport]:
         """Return what entries observed lately, to send to other entries.
@@ -220,6 +223,7 @@
         :param now_ms: the current monotonic time.
         """
         for server in self._restarts.merge_reports(reports, now_ms):
+            self._placer.forget_start(server, now_ms)
             self._log(server, "a peer saw that the server may have ended")
 
     def _servers_at(self, address: str) -> list[registry.Server]:
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -19,6 +19,7 @@
 
 from sassafraslock import http_messages, routing_table
 from sassafraslock.decisions import message_quota
+from sassafraslock.services import head_observer
 
 MAX_IDLE_MS = 8_000
 MAX_IDLE_DIGITS = 9  # of the announced seconds; int() refuses thousands of digits
@@ -70,20 +71,6 @@
     max_head_bytes: int = routing_table.DEFAULT_HEADER_BYTES + SERVER_HEADERS_BYTES
 
 
-class HeadObserver(typing.Protocol):
-    """Observes the heads of a server's responses, whichever request they answer."""
-
-    def __call__(self, status: int, headers: http_messages.Headers) -> None:
-        """Observe one complete head.
-
-        :param status: the HTTP status, not of an interim response.
-        :param headers: the headers, with names in lower case.
-        """
-
-    def may_send(self) -> bool:
-        """Return whether the server may still get the request, which is about to be written."""
-
-
 class Connection(asyncio.Protocol):
     """A connection to a server, which runs one request at a time.
 
@@ -99,7 +86,7 @@
         self.max_idle_ms = MAX_IDLE_MS
         self.closed = False
         self.held_bytes = 0
-        self.observe_head: HeadObserver | None = None
+        self.observe_head: head_observer.HeadObserver | None = None
         self._id_header = id_header
         self._limits = limits
         self._received_bytes = 0
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -11,7 +11,7 @@
 
 from sassafraslock import clock, field_types
 from sassafraslock.decisions import message_quota
-from sassafraslock.services import server_connection
+from sassafraslock.services import head_observer, server_connection
 
 CONNECT_TIMEOUT_MS = 600
 TCP_USER_TIMEOUT_MS = 2_000  # the connection fails if sent data stays unacknowledged for longer
@@ -153,7 +153,7 @@
         encode: typing.Callable[[], bytes],
         request_id: bytes,
         head_only: bool,
-        observe_head: server_connection.HeadObserver | None = None,
+        observe_head: head_observer.HeadObserver | None = None,
     ) -> server_connection.Exchange:
         """Send a request to a server and wait for its response.
 
@@ -188,11 +188,7 @@
                 connection = None
             return exchange
         except _CONNECT_ERRORS as error:
-            return server_connection.Exchange(
-                server_connection.Outcome.NOT_CONNECTED,
-                reason=f"connecting to {address} failed (time limit {CONNECT_TIMEOUT_MS} ms):"
-                f" {type(error).__name__}: {error}",
-            )
+            return _not_connected(address, error)
         finally:
             if connection is not None:
                 connection.close()
@@ -280,6 +276,14 @@
             self.observer.on_disconnected(address)
 
 
+def _not_connected(address: str, error: Exception) -> server_connection.Exchange:
+    reason = (
+        f"connecting to {address} failed (time limit {CONNECT_TIMEOUT_MS} ms):"
+        f" {type(error).__name__}: {error}"
+    )
+    return server_connection.Exchange(server_connection.Outcome.NOT_CONNECTED, reason=reason)
+
+
 def _reachability(error: Exception) -> Reachability:
     refused = isinstance(error, ConnectionRefusedError)
     return Reachability.REFUSES if refused else Reachability.UNREACHABLE
