Evidence of restarts: what a review by fresh eyes found

Any unexpected end counts now once no connection is left. Servers of evacuated zones get no health checks. A request that waits for a server whose row is gone is withheld. tests/test_cold_admission.py did not build its subject since the evidence came in, and passes now.

--- a/sassafraslock/decisions/cold_admission.py
+++ b/sassafraslock/decisions/cold_admission.py
@@ -38,13 +38,13 @@
         return self.restarts.is_cold(server, now_ms)
 
     def has_become_cold(self, server: registry.Server, now_ms: int) -> bool:
-        """Return whether a server that was warm when it was chosen is cold now.
+        """Return whether a server that was warm when it was chosen is cold or gone now.
 
         :param server: the server as it was chosen, which may be another start by now.
         :param now_ms: the current monotonic time.
         """
         current = self.restarts.current(server)
-        return current is not None and self.is_cold(current, now_ms)
+        return current is None or self.is_cold(current, now_ms)
 
     def try_acquire(self, server: registry.Server, cold_per_s: float, now_ms: int) -> bool:
         """Return whether this entry may send a request to a cold server, and count it if so.
--- a/sassafraslock/decisions/possible_restart.py
+++ b/sassafraslock/decisions/possible_restart.py
@@ -30,6 +30,7 @@
     :param up_ms: when a server accepted a connection after the end, ``None`` if none did yet.
     :param warm_at_ms: when the server is warm, as it or a peer said; ``None`` if neither did.
     :param told_ms: when this entry last told peers of the end.
+    :param idle_ms: for :attr:`Evidence.DISCONNECTED`, how long the last connection was idle.
     """
 
     ended_ms: int
@@ -38,6 +39,7 @@
     up_ms: int | None = None
     warm_at_ms: int | None = None
     told_ms: int = NEVER_TOLD_MS
+    idle_ms: int = 0
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the server may be a new start that is cold.
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -176,11 +176,12 @@
             if joined:
                 server.cold_until_ms = now_ms + min(cold_ms, JOINED_COLD_MS)
         elif _start(server.report) != _start(report):
+            known, server = server, self._add(report, now_ms)
             # What showed the end of the former start may be newer than this row.
-            restart = server.restart
-            server = self._add(report, now_ms)
-            server.restart = restart
+            server.restart = known.restart
             server.cold_until_ms = now_ms if report.tells_cold_time else now_ms + cold_ms
+            if report.born_ms < known.report.born_ms:
+                server.cold_until_ms = max(server.cold_until_ms, known.cold_until_ms)
         cold_until_ms = now_ms + report.cold_ms if report.cold_ms > 0 else 0
         server.cold_until_ms = max(server.cold_until_ms, cold_until_ms)
         server.report = report
--- a/sassafraslock/decisions/server_restarts.py
+++ b/sassafraslock/decisions/server_restarts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import collections
+import dataclasses
 import enum
 import heapq
 import typing
@@ -13,23 +13,27 @@
 from sassafraslock import field_types
 from sassafraslock.decisions import possible_restart, registry
 
-# A connection shows that its server did not end only if it is this much older than the evidence:
-# peers tell the time of an end with the delays of their messages.
+# Peers tell the time of an end with the delays of their messages. What contradicts it has to be
+# earlier or later by as much.
 CONNECTION_MARGIN_MS = 1_000
+MESSAGE_DELAY_MS = 300
 SHARED_FOR_MS = 4_000  # long enough for several gossip rounds, since datagrams may be lost
 MAX_REPORTS = 96  # per gossip message
 MAX_OBSERVATIONS = 4_096
-# After a pause of this entry, what it knows counts as outdated for so long at most.
+PAUSE_MS = 600  # between two ticks, this entry's clock advances by less unless it was paused
+# For so long after a pause, rows of new starts may not have been written or read yet.
 OUTDATED_MS = 1_000
-PAUSE_MS = 600  # this entry's clock advances by less between two ticks, unless it was paused
+# Messages that waited in the socket through a pause are older than they tell.
+LATE_MESSAGES_MS = 200
 
 
 class Finding(enum.IntEnum):
     """What an entry observed of a start of a server."""
 
-    ENDED = 0  # the start may have ended
+    ENDED = 0  # the start has ended
     UP = 1  # a server accepted a connection after the end
     WARM = 2  # the server is warm, or it is known when it will be
+    SUSPECTED = 3  # this entry's connections to the server ended, or none can be opened
 
 
 class RestartReport(msgspec.Struct, frozen=True, array_like=True):
@@ -50,11 +54,30 @@
     warm_in_ms: field_types.DurationMs = 0
 
 
-class _Observation(typing.NamedTuple):
-    """A report with the local time of what was observed."""
+@dataclasses.dataclass(slots=True)
+class _Observation:
+    """A report with the local time of what was observed, and how many messages held it."""
 
     report: RestartReport
     at_ms: int
+    sent_count: int = 0
+
+    @property
+    def urgency(self) -> tuple[bool, int, int]:
+        """The key that orders reports: ends first, then those sent least often, the latest."""
+        return self.report.finding is not Finding.ENDED, self.sent_count, -self.at_ms
+
+
+@dataclasses.dataclass(slots=True)
+class Merged:
+    """What the reports of another entry changed.
+
+    :param suspected: servers that did not count as possibly restarted before.
+    :param to_check: servers of which a peer has weak evidence, to be asked for their cold time.
+    """
+
+    suspected: list[registry.Server] = dataclasses.field(default_factory=list)
+    to_check: list[registry.Server] = dataclasses.field(default_factory=list)
 
 
 def server_hash(server_id: str) -> int:
@@ -73,15 +96,13 @@
 
     ``cold_start_ms`` returns how long servers of a service are cold after a start.
     ``connected_before`` returns whether this entry has a connection to an address that was open
-    at a given time already, ``rows_read_ms`` when the last read of servers' rows began.
-    ``on_resumed`` is called after a pause of this entry.
+    at a given time already. ``on_observed`` is called if this entry has something new to tell.
     """
 
     __slots__ = (
         "cold_start_ms",
         "connected_before",
-        "rows_read_ms",
-        "on_resumed",
+        "on_observed",
         "_own_id",
         "_registry",
         "_observed_count",
@@ -95,12 +116,11 @@
     def __init__(self, own_id: str, servers: registry.Registry) -> None:
         self.cold_start_ms: typing.Callable[[str], int] = lambda service: 0
         self.connected_before: typing.Callable[[str, int], bool] = lambda address, at_ms: True
-        self.rows_read_ms: typing.Callable[[], int] = lambda: 0
-        self.on_resumed: typing.Callable[[], None] = lambda: None
+        self.on_observed: typing.Callable[[], None] = lambda: None
         self._own_id = own_id
         self._registry = servers
         self._observed_count = 0
-        self._observations: collections.OrderedDict[int, _Observation] = collections.OrderedDict()
+        self._observations: dict[int, _Observation] = {}
         self._ticked_ms: int | None = None
         self._resumed_ms: int | None = None
         self._by_hash: dict[int, registry.Server] = {}
@@ -124,42 +144,52 @@
     def _may_be_outdated(self, server: registry.Server, now_ms: int) -> bool:
         """Return whether the server may have started again in a pause of this entry.
 
-        A connection from before the pause shows that it did not, or its row if it was read since.
+        A connection from before the pause shows that it did not.
         """
+        resumed_ms = self._resumed_ms
         if self._ticked_ms is not None and now_ms - self._ticked_ms >= PAUSE_MS:
-            self.tick(now_ms)
-        if self._resumed_ms is None or now_ms - self._resumed_ms >= OUTDATED_MS:
-            return False
-        if self.rows_read_ms() >= self._resumed_ms:
+            resumed_ms = now_ms
+        if resumed_ms is None or now_ms - resumed_ms >= OUTDATED_MS:
             return False
-        return not self.connected_before(server.report.address, self._resumed_ms)
+        return not self.connected_before(server.report.address, resumed_ms)
 
-    def tick(self, now_ms: int) -> None:
+    def tick(self, now_ms: int) -> bool:
         """Note the time, from which a pause of this entry is seen; call it regularly.
 
         :param now_ms: the current monotonic time.
+        :returns: whether this entry was paused since the last call.
         """
         was_paused = self._ticked_ms is not None and now_ms - self._ticked_ms >= PAUSE_MS
         self._ticked_ms = now_ms
         if was_paused:
             self._resumed_ms = now_ms
-            self.on_resumed()
+        return was_paused
 
     def record_end(
-        self, server: registry.Server, evidence: possible_restart.Evidence, now_ms: int
+        self,
+        server: registry.Server,
+        evidence: possible_restart.Evidence,
+        now_ms: int,
+        idle_ms: int = 0,
     ) -> bool:
         """Record that this entry saw evidence that a server's start has ended.
 
-        Refused connections alone are told to peers: a broken link ends connections as well.
+        Peers are told of a refused connection as an end. Other evidence may come from the network,
+        so that they are only told to ask the server.
 
         :param server: the server.
         :param evidence: what it saw.
         :param now_ms: the current monotonic time.
+        :param idle_ms: how long the last connection was idle, if it ended.
         :returns: whether the server did not count as possibly restarted before.
         """
         is_new = self._suspect(server, evidence, now_ms)
+        if server.restart is not None and is_new:
+            server.restart.idle_ms = idle_ms
         if evidence is possible_restart.Evidence.REFUSED:
             self._tell_of_end(server, now_ms)
+        elif is_new:
+            self._observe(server, Finding.SUSPECTED, now_ms, 0)
         return is_new
 
     def _tell_of_end(self, server: registry.Server, now_ms: int) -> None:
@@ -187,15 +217,14 @@
         :param server: the server with its new row.
         :param now_ms: the current monotonic time.
         """
-        if server.restart is None:
-            self._observe(server, Finding.UP, now_ms, 0)
+        self._observe(server, Finding.WARM, now_ms, max(0, server.cold_until_ms - now_ms))
 
     def record_warm_in(self, server: registry.Server, warm_in_ms: int, now_ms: int) -> None:
         """Record a server's own word of how long it stays cold.
 
         :param server: the server.
         :param warm_in_ms: the remaining time, 0 if it is warm.
-        :param now_ms: the current monotonic time.
+        :param now_ms: when it was asked.
         """
         _mark_warm(server, now_ms, now_ms + warm_in_ms)
         self._observe(server, Finding.WARM, now_ms, warm_in_ms)
@@ -221,7 +250,7 @@
             known.ended_ms = max(known.ended_ms, ended_ms)
             return False
         if known is not None and known.up_ms is not None and ended_ms <= known.up_ms:
-            return False
+            return False  # what was seen up is later than this end
         cold_ms = self.cold_start_ms(server.report.service)
         server.restart = possible_restart.PossibleRestart(ended_ms, evidence, cold_ms)
         return True
@@ -240,14 +269,17 @@
             min(warm_in_ms, field_types.MAX_DURATION_S * 1_000),
         )
         self._remember(report, now_ms)
+        self.on_observed()
 
-    def _remember(self, report: RestartReport, at_ms: int) -> None:
+    def _remember(self, report: RestartReport, at_ms: int) -> bool:
+        """Keep a report to pass it on, unless there are too many."""
+        if len(self._observations) >= MAX_OBSERVATIONS:
+            return False
         self._observations[report.observation_id] = _Observation(report, at_ms)
-        if len(self._observations) > MAX_OBSERVATIONS:
-            self._observations.popitem(last=False)
+        return True
 
     def recent_reports(self, now_ms: int) -> list[RestartReport]:
-        """Return the latest observations of each kind and server to send, the newest first.
+        """Return the latest observation of each kind and server to send, in turn, ends first.
 
         :param now_ms: the current monotonic time.
         """
@@ -255,54 +287,60 @@
         recent = [o for o in self._observations.values() if o.at_ms > oldest_ms]
         recent.sort(key=lambda observation: observation.at_ms)
         latest = {(o.report.server_hash, o.report.finding): o for o in recent}
-        newest = heapq.nlargest(MAX_REPORTS, latest.values(), key=lambda o: o.at_ms)
+        chosen = heapq.nsmallest(MAX_REPORTS, latest.values(), key=lambda o: o.urgency)
+        for observation in chosen:
+            observation.sent_count += 1
         return [
             msgspec.structs.replace(o.report, age_ms=field_types.age_ms(o.at_ms, now_ms))
-            for o in newest
+            for o in chosen
         ]
 
-    def merge_reports(self, reports: list[RestartReport], now_ms: int) -> list[registry.Server]:
+    def merge_reports(self, reports: list[RestartReport], now_ms: int) -> Merged:
         """Merge what other entries observed; each observation counts once.
 
-        Those of unregistered servers, and of an earlier start than the known one, are ignored.
+        Those of unregistered servers are ignored, as are, right after a pause of this entry, those
+        that say that a server is up or warm.
 
         :param reports: the observations.
         :param now_ms: the current monotonic time.
-        :returns: the servers that did not count as possibly restarted before.
         """
-        suspected: list[registry.Server] = []
+        merged = Merged()
         self._discard_old(now_ms)
+        is_late = self._resumed_ms is not None and now_ms - self._resumed_ms < LATE_MESSAGES_MS
         for report in sorted(reports, key=lambda r: (r.age_ms, r.finding), reverse=True):
-            at_ms = now_ms - report.age_ms
-            if report.observation_id in self._observations or report.age_ms >= SHARED_FOR_MS:
-                continue
-            self._remember(report, at_ms)
             server = self._servers_by_hash().get(report.server_hash)
-            if server is not None and self._apply(server, report, at_ms):
-                suspected.append(server)
-        return suspected
+            is_known = report.observation_id in self._observations
+            if server is None or is_known or report.age_ms >= SHARED_FOR_MS:
+                continue
+            if is_late and report.finding in (Finding.UP, Finding.WARM):
+                continue
+            at_ms = now_ms - report.age_ms
+            if self._remember(report, at_ms) and _may_concern(server, report, at_ms):
+                self._apply(server, report, at_ms, merged)
+        return merged
 
-    def _apply(self, server: registry.Server, report: RestartReport, at_ms: int) -> bool:
-        """Apply a peer's observation; return whether the server is suspected anew."""
-        if report.born_ms < server.report.born_ms:
-            return False
+    def _apply(
+        self, server: registry.Server, report: RestartReport, at_ms: int, merged: Merged
+    ) -> None:
+        if report.finding is Finding.SUSPECTED:
+            merged.to_check.append(server)
+            return
         is_unknown_start = report.born_ms > server.report.born_ms
-        is_new = False
-        if report.finding is Finding.ENDED or (is_unknown_start and server.restart is None):
-            is_new = self._suspect(server, possible_restart.Evidence.PEER, at_ms)
+        shows_end = report.finding is Finding.ENDED or is_unknown_start
+        if shows_end and self._suspect(server, possible_restart.Evidence.PEER, at_ms):
+            merged.suspected.append(server)
+        delay_ms = 0 if is_unknown_start else MESSAGE_DELAY_MS
         if report.finding is Finding.UP:
-            _mark_up(server, at_ms)
+            _mark_up(server, at_ms, delay_ms)
         elif report.finding is Finding.WARM:
-            _mark_warm(server, at_ms, at_ms + report.warm_in_ms)
-        return is_new
+            _mark_warm(server, at_ms, at_ms + report.warm_in_ms, delay_ms)
 
     def _discard_old(self, now_ms: int) -> None:
         oldest_ms = now_ms - 2 * SHARED_FOR_MS
-        while self._observations:
-            observation_id, observation = next(iter(self._observations.items()))
-            if observation.at_ms > oldest_ms:
-                return
-            del self._observations[observation_id]
+        if any(o.at_ms <= oldest_ms for o in self._observations.values()):
+            self._observations = {
+                i: o for i, o in self._observations.items() if o.at_ms > oldest_ms
+            }
 
     def _servers_by_hash(self) -> dict[int, registry.Server]:
         if self._indexed_generation != self._registry.generation:
@@ -312,18 +350,29 @@
         return self._by_hash
 
 
-def _mark_up(server: registry.Server, at_ms: int) -> bool:
+def _may_concern(server: registry.Server, report: RestartReport, at_ms: int) -> bool:
+    """Return whether a report is of the known start of a server, or of a later one.
+
+    An observer that does not know the present start may have seen its end all the same.
+    """
+    if report.born_ms >= server.report.born_ms:
+        return True
+    is_later = at_ms > server.first_seen_ms + CONNECTION_MARGIN_MS
+    return is_later and report.finding in (Finding.ENDED, Finding.SUSPECTED)
+
+
+def _mark_up(server: registry.Server, at_ms: int, delay_ms: int = 0) -> bool:
     restart = server.restart
-    if restart is None or restart.up_ms is not None or at_ms < restart.ended_ms:
+    if restart is None or restart.up_ms is not None or at_ms < restart.ended_ms + delay_ms:
         return False
     restart.up_ms = at_ms
     return True
 
 
-def _mark_warm(server: registry.Server, said_ms: int, warm_at_ms: int) -> None:
+def _mark_warm(server: registry.Server, said_ms: int, warm_at_ms: int, delay_ms: int = 0) -> None:
     restart = server.restart
-    if restart is not None and said_ms >= restart.ended_ms:
+    if restart is None:
+        server.cold_until_ms = max(server.cold_until_ms, warm_at_ms)
+    elif said_ms >= restart.ended_ms + delay_ms:
         restart.up_ms = said_ms if restart.up_ms is None else restart.up_ms
         restart.warm_at_ms = warm_at_ms
-    elif restart is None:
-        server.cold_until_ms = max(server.cold_until_ms, warm_at_ms)
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -125,6 +125,7 @@
         self.gossip.limits = self.watch.limits
         self.gossip.departures = self.watch.departing
         self.gossip.restarts = self.restart_watch
+        placer.cold.restarts.on_observed = self.gossip.send_soon
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
         self.routing_state.on_server_restarted = placer.cold.restarts.record_start
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -37,6 +37,7 @@
 
     @property
     def server(self) -> registry.Server:
+        """The server that was chosen, with the row of that time."""
         return self.choice.server
 
     def __call__(self, status: int, headers: http_messages.Headers) -> None:
@@ -44,6 +45,7 @@
         self.watch.record_head(self.server, status, headers, now_ms, clock.wall_ms())
 
     def may_send(self) -> bool:
+        """Return whether the server may still get the request, by what is known now."""
         now_ms = clock.monotonic_ms()
         if self.watch.is_closed(self.server, now_ms):
             return False
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -30,6 +30,7 @@
 from sassafraslock.services import list_decoder, poison_watch, rejections
 
 INTERVAL_S = 0.5
+URGENT_INTERVAL_S = 0.15  # between rounds while there is something urgent to tell
 SILENT_TARGETS = 2
 RECORDS_PER_MESSAGE = 12
 HEARTBEATS_PER_MESSAGE = 300
@@ -106,6 +107,7 @@
         "departures",
         "restarts",
         "token",
+        "_is_urgent",
         "rejections",
     )
 
@@ -132,6 +134,7 @@
         self.rejections = rejections.Rejections()
         self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
         self.restarts: ReportExchange[server_restarts.RestartReport] | None = None
+        self._is_urgent = anyio.Event()
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = list_decoder.ListDecoder(Message)
@@ -150,7 +153,18 @@
                 while True:
                     await self.send_round(bound)
                     self._log_liveness_changes(clock.monotonic_ms())
-                    await anyio.sleep(INTERVAL_S * (0.8 + 0.4 * self._rng.random()))
+                    await self._pause()
+
+    def send_soon(self) -> None:
+        """Send the next round earlier, since there is something urgent to tell."""
+        self._is_urgent.set()
+
+    async def _pause(self) -> None:
+        await anyio.sleep(URGENT_INTERVAL_S)
+        left_s = INTERVAL_S * (0.8 + 0.4 * self._rng.random()) - URGENT_INTERVAL_S
+        with anyio.move_on_after(left_s):
+            await self._is_urgent.wait()
+        self._is_urgent = anyio.Event()
 
     async def send_round(self, bound: anyio.abc.UDPSocket) -> None:
         """Send one round of datagrams; an address that cannot be reached is skipped.
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -64,7 +64,6 @@
         "_rows",
         "store_recovered_ms",
         "last_answer_ms",
-        "servers_read_ms",
         "_due",
         "_source",
         "_fallback",
@@ -85,7 +84,6 @@
         self._rows = store_rows.StoreRows(sink, self._era, source.operator_topics)
         self.store_recovered_ms = -REMOVAL_HOLD_MS
         self.last_answer_ms = clock.monotonic_ms()
-        self.servers_read_ms = self.last_answer_ms
         self._due = anyio.Event()
         self._source = source
         self._fallback: FallbackSource | None = None
@@ -227,10 +225,7 @@
         self._reads_store.set()
 
     def refresh_servers(self) -> None:
-        """Read the rows of servers from the store at once; ``servers_read_ms`` tells when it did.
-
-        It is when the last read that succeeded began.
-        """
+        """Read the rows of servers from the store at once."""
         self.read_directly()
         scope = self._pending_calls.get(facts.Topic.SERVERS)
         if scope is not None:
@@ -246,7 +241,6 @@
     async def _watch(self, topic: facts.Topic) -> None:
         while True:
             await self._reads_store.wait()
-            began_ms = clock.monotonic_ms()
             if self._era.settle(topic, clock.monotonic_ms()):
                 self._fully_read.discard(topic)
             reads_all = topic not in self._fully_read
@@ -258,8 +252,6 @@
                 await self._record_refusal(topic, result, now_ms)
                 continue
             self._record_answer(topic, now_ms)
-            if topic is facts.Topic.SERVERS:
-                self.servers_read_ms = began_ms
             if not self._is_of_present_era(result.version, now_ms):
                 await anyio.sleep(RETRY_PAUSE_S * random.random())
             elif reads_all or topic in self._fully_read:
--- a/sassafraslock/services/restart_watch.py
+++ b/sassafraslock/services/restart_watch.py
@@ -17,9 +17,12 @@
 MAX_PROBE_INTERVAL_MS = 800
 # What a peer saw, it usually follows up itself.
 PEER_PROBE_DELAY_MS = 1_000
+CHECK_FOR_MS = 1_000  # how long to try to check a server of which a peer has weak evidence
+MIN_REFRESH_INTERVAL_MS = 2_000
 HEALTH_CHECK_INTERVAL_MS = 500
 HEALTH_CHECK_TIMEOUT_S = 1.0
 MAX_PROBES = 32
+HEALTHY = 200  # the status of a health check that succeeds
 _MILLISECONDS = re.compile(r"[0-9]{1,8}")
 
 
@@ -39,7 +42,17 @@
     it while it is cold. Others hear of it from these, or wait until it is warm at the latest.
     """
 
-    __slots__ = ("_restarts", "_placer", "_connections", "_state", "_names", "_replica", "_probes")
+    __slots__ = (
+        "_restarts",
+        "_placer",
+        "_connections",
+        "_state",
+        "_names",
+        "_replica",
+        "_probes",
+        "_checks",
+        "_refreshed_ms",
+    )
 
     def __init__(
         self,
@@ -57,8 +70,8 @@
         self._replica = copy
         self._probes: dict[str, _Probe] = {}
         connections.observer = self
-        restarts.on_resumed = self._refresh
-        restarts.rows_read_ms = lambda: copy.servers_read_ms
+        self._refreshed_ms = -MIN_REFRESH_INTERVAL_MS
+        self._checks: dict[str, int] = {}  # until when, by the server's id
         restarts.connected_before = connections.connected_before
         restarts.cold_start_ms = state.cold_start_ms
 
@@ -72,12 +85,17 @@
         async with anyio.create_task_group() as group:
             while True:
                 now_ms = clock.monotonic_ms()
-                self._restarts.tick(now_ms)
+                if self._restarts.tick(now_ms):
+                    self._refresh(now_ms)
                 self._start_probes(group, now_ms)
+                self._start_checks(group, now_ms)
                 await anyio.sleep(TICK_S)
 
-    def _refresh(self) -> None:
+    def _refresh(self, now_ms: int) -> None:
         """Ask the store for what happened while this entry was paused."""
+        if now_ms - self._refreshed_ms < MIN_REFRESH_INTERVAL_MS:
+            return
+        self._refreshed_ms = now_ms
         events.log(
             events.Event.ENTRY_RESUMED, "this entry was paused; it reads the rows of servers again"
         )
@@ -91,16 +109,27 @@
             for name, probe in self._probes.items()
             if name in unsettled or probe.is_running
         }
-        running = sum(probe.is_running for probe in self._probes.values())
         for name, server in unsettled.items():
-            probe = self._probes.get(name)
-            if probe is None:
-                probe = self._probes[name] = _Probe(_first_probe_ms(server, now_ms))
-            if probe.is_running or now_ms < probe.due_ms or running >= MAX_PROBES:
-                continue
-            running += 1
-            probe.is_running = True
-            group.start_soon(self._probe, server, probe)
+            if name not in self._probes:
+                self._probes[name] = _Probe(_first_probe_ms(server, now_ms))
+        running = sum(probe.is_running for probe in self._probes.values())
+        waiting_names = [n for n, p in self._probes.items() if not p.is_running and n in unsettled]
+        waiting_names.sort(key=lambda name: self._probes[name].due_ms)
+        for name in waiting_names[: max(0, MAX_PROBES - running)]:
+            probe = self._probes[name]
+            if now_ms >= probe.due_ms:
+                probe.is_running = True
+                group.start_soon(self._probe, unsettled[name], probe)
+
+    def _start_checks(self, group: anyio.abc.TaskGroup, now_ms: int) -> None:
+        """Ask servers of which a peer has weak evidence, if this entry may send to them."""
+        self._checks = {i: until_ms for i, until_ms in self._checks.items() if now_ms < until_ms}
+        for server_id in list(self._checks):
+            server = self._state.registry.servers.get(server_id)
+            if server is None or self._try_acquire_check(server, now_ms):
+                del self._checks[server_id]
+            if server is not None and server_id not in self._checks:
+                group.start_soon(self._check_health, server, now_ms)
 
     async def _probe(self, server: registry.Server, probe: _Probe) -> None:
         try:
@@ -110,18 +139,29 @@
                 probe.interval_ms = min(MAX_PROBE_INTERVAL_MS, 2 * probe.interval_ms)
                 probe.due_ms = clock.monotonic_ms() + probe.interval_ms
                 return
-            await self._check_health(server)
-            probe.due_ms = clock.monotonic_ms() + HEALTH_CHECK_INTERVAL_MS
+            now_ms = clock.monotonic_ms()
+            if self._try_acquire_check(server, now_ms):
+                await self._check_health(server, now_ms)
+            probe.due_ms = now_ms + HEALTH_CHECK_INTERVAL_MS
         finally:
             probe.is_running = False
 
-    async def _check_health(self, server: registry.Server) -> None:
-        """Ask a server that is up for its remaining cold time, if this entry may send to it."""
+    def _try_acquire_check(self, server: registry.Server, now_ms: int) -> bool:
+        """Return whether this entry may ask a server for its cold time, and count that if so.
+
+        A health check is a request, which servers of evacuated zones do not get, and cold ones
+        from the entries alone that may send to them.
+        """
         service = self._service_of(server)
         if service is None or not service.health_path or not self._names.cold_ms:
-            return
-        sent_ms = clock.monotonic_ms()
-        if not self._placer.cold.try_acquire(server, service.cold_per_s, sent_ms):
+            return False
+        if server.report.zone in self._state.registry.evacuated_zones:
+            return False
+        return self._placer.cold.try_acquire(server, service.cold_per_s, now_ms)
+
+    async def _check_health(self, server: registry.Server, sent_ms: int) -> None:
+        service = self._service_of(server)
+        if service is None:
             return
         with anyio.move_on_after(HEALTH_CHECK_TIMEOUT_S):
             exchange = await self._connections.exchange(
@@ -129,10 +169,16 @@
             )
             warm_in_ms = self._warm_in_ms(server, exchange)
             if warm_in_ms is not None:
-                self._restarts.record_warm_in(server, warm_in_ms, sent_ms)
-                if warm_in_ms:
-                    self._placer.forget_start(server, sent_ms)
-                self._log(server, f"server tells that it is warm in {warm_in_ms} ms")
+                self._record_warm_in(server, warm_in_ms, sent_ms)
+
+    def _record_warm_in(self, server: registry.Server, warm_in_ms: int, sent_ms: int) -> None:
+        restart = server.restart
+        if warm_in_ms:
+            self._placer.forget_start(server, sent_ms)
+        elif restart is not None and restart.idle_ms:
+            self._connections.record_idle_close(restart.idle_ms)
+        self._restarts.record_warm_in(server, warm_in_ms, sent_ms)
+        self._log(server, f"server tells that it is warm in {warm_in_ms} ms")
 
     def _service_of(self, server: registry.Server) -> routing_table.Service | None:
         table = self._state.table
@@ -148,10 +194,10 @@
     ) -> int | None:
         """Return the remaining cold time that a health answer tells, ``None`` if it tells none.
 
-        An answer of the server without the header is one of a warm server.
+        A good answer of the server without the header is one of a warm server.
         """
         response = exchange.response
-        if response is None or response.status == http_messages.MISDIRECTED:
+        if response is None or response.status != HEALTHY:
             return None
         if response.header(self._names.server_id) != server.server_id.encode("latin-1"):
             return None
@@ -184,12 +230,13 @@
             evidence = possible_restart.Evidence.REFUSED
         self._record_end(address, evidence)
 
-    def on_disconnected(self, address: str) -> None:
+    def on_disconnected(self, address: str, idle_ms: int) -> None:
         """Record that the server at an address may have ended.
 
         :param address: the IP address and port.
+        :param idle_ms: how long the connection was idle that ended.
         """
-        self._record_end(address, possible_restart.Evidence.DISCONNECTED)
+        self._record_end(address, possible_restart.Evidence.DISCONNECTED, idle_ms)
 
     def on_answered(self, address: str, opened_ms: int) -> None:
         """Record that the server at an address has not ended since a connection was opened.
@@ -201,10 +248,12 @@
             if self._restarts.record_answer(server, opened_ms):
                 self._log(server, "server did not end: it answered on an older connection")
 
-    def _record_end(self, address: str, evidence: possible_restart.Evidence) -> None:
+    def _record_end(
+        self, address: str, evidence: possible_restart.Evidence, idle_ms: int = 0
+    ) -> None:
         now_ms = clock.monotonic_ms()
         for server in self._servers_at(address):
-            if self._restarts.record_end(server, evidence, now_ms):
+            if self._restarts.record_end(server, evidence, now_ms, idle_ms):
                 self._log(server, "server may have ended")
             if evidence is possible_restart.Evidence.REFUSED:
                 self._placer.forget_start(server, now_ms)
@@ -222,7 +271,10 @@
         :param reports: the observations.
         :param now_ms: the current monotonic time.
         """
-        for server in self._restarts.merge_reports(reports, now_ms):
+        merged = self._restarts.merge_reports(reports, now_ms)
+        for server in merged.to_check:
+            self._checks.setdefault(server.server_id, now_ms + CHECK_FOR_MS)
+        for server in merged.suspected:
             self._placer.forget_start(server, now_ms)
             self._log(server, "a peer saw that the server may have ended")
 
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -76,13 +76,13 @@
 
     With an empty ``id_header``, the first final response is accepted whatever its id.
     ``observe_head`` also gets the heads of responses that are late, repeated or not accepted.
-    ``on_ended_by_server`` is called if the server, or the network, ends the connection.
+    ``on_end`` is called when the connection has ended, with whether this entry closed it.
     """
 
     def __init__(self, id_header: bytes, limits: ResponseLimits) -> None:
         self.opened_ms = 0
         self.idle_since_ms = 0
-        self.on_ended_by_server: typing.Callable[[Connection], None] = lambda connection: None
+        self.on_end: typing.Callable[[Connection, bool], None] = lambda connection, is_own: None
         self.max_idle_ms = MAX_IDLE_MS
         self.closed = False
         self.held_bytes = 0
@@ -264,8 +264,7 @@
         was_closed, self.closed = self.closed, True
         self._limits.quota.set_held_bytes(self, 0)
         self._complete_at_end(exc)
-        if not was_closed:
-            self.on_ended_by_server(self)
+        self.on_end(self, was_closed)
 
     def _complete_at_end(self, exc: Exception | None) -> None:
         if self._future is None or self._future.done():
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -20,7 +20,7 @@
 # What connecting to an address may raise; an address that is none raises ValueError.
 _CONNECT_ERRORS = (OSError, ValueError, OverflowError)
 IDLE_GROWTH_RATIO = 1.05  # growth of a reduced limit on idle time at each check
-LONG_IDLE_MS = 4_000  # servers may close connections that were idle for so long
+IDLE_CLOSE_RATIO = 0.8  # of the idle time at which a server closed a connection
 
 
 class Reachability(enum.Enum):
@@ -50,10 +50,11 @@
         :param reachability: whether it refused it, or could not be reached.
         """
 
-    def on_disconnected(self, address: str) -> None:
-        """Observe that the last connection to an address ended, without a reason of its own.
+    def on_disconnected(self, address: str, idle_ms: int) -> None:
+        """Observe that no connection to an address is left, and that one ended unexpectedly.
 
         :param address: the IP address and port.
+        :param idle_ms: how long that connection was idle.
         """
 
     def on_answered(self, address: str, opened_ms: int) -> None:
@@ -79,6 +80,7 @@
         "_idle",
         "_open",
         "_connections",
+        "_unexpected_ends",
         "_idle_limit_ms",
     )
 
@@ -90,6 +92,7 @@
         self._idle: dict[str, list[server_connection.Connection]] = {}
         self._open: dict[str, int] = {}
         self._connections: dict[str, list[server_connection.Connection]] = {}
+        self._unexpected_ends: dict[str, int] = {}  # idle times by address
 
     async def run(self, ready: anyio.Event) -> None:
         """Close connections that were idle for too long, once a second, until cancelled.
@@ -203,9 +206,20 @@
         exchange: server_connection.Exchange,
     ) -> None:
         is_answered = exchange.outcome is server_connection.Outcome.ANSWERED
-        if self.observer is not None and is_answered and exchange.connect_ms < 0:
+        if not is_answered or exchange.connect_ms >= 0:
+            return
+        self._unexpected_ends.pop(address, None)
+        if self.observer is not None:
             self.observer.on_answered(address, connection.opened_ms)
 
+    def record_idle_close(self, idle_ms: int) -> None:
+        """Reduce the limit on idle time, since a server that goes on closed a connection.
+
+        :param idle_ms: how long the connection was idle.
+        """
+        limit_ms = IDLE_CLOSE_RATIO * idle_ms
+        self._idle_limit_ms = max(MIN_IDLE_MS, min(self._idle_limit_ms, limit_ms))
+
     def _adapt_idle_limit(self, exchange: server_connection.Exchange, idle_ms: int) -> None:
         """Reduce the limit on idle time if a connection broke on reuse.
 
@@ -262,18 +276,21 @@
         if tcp_socket is not None:
             tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         connection.opened_ms = clock.monotonic_ms()
-        connection.on_ended_by_server = lambda ended: self._observe_end(address, ended)
+        connection.on_end = lambda ended, is_own: self._observe_end(address, ended, is_own)
         opened = [c for c in self._connections.get(address, ()) if not c.closed]
         self._connections[address] = [*opened, connection]
         return connection
 
-    def _observe_end(self, address: str, ended: server_connection.Connection) -> None:
-        """Tell the observer that the last connection to an address ended unexpectedly."""
-        idle_ms = clock.monotonic_ms() - ended.idle_since_ms if ended.is_idle else 0
-        if ended.has_announced_end or idle_ms >= LONG_IDLE_MS or self.observer is None:
+    def _observe_end(self, address: str, ended: server_connection.Connection, is_own: bool) -> None:
+        """Tell the observer once no connection is left, if any ended unexpectedly."""
+        if not is_own and not ended.has_announced_end:
+            idle_ms = clock.monotonic_ms() - ended.idle_since_ms if ended.is_idle else 0
+            self._unexpected_ends.setdefault(address, idle_ms)
+        if any(not c.closed for c in self._connections.get(address, ())):
             return
-        if all(c.closed for c in self._connections.get(address, ())):
-            self.observer.on_disconnected(address)
+        unexpected_idle_ms = self._unexpected_ends.pop(address, None)
+        if unexpected_idle_ms is not None and self.observer is not None:
+            self.observer.on_disconnected(address, unexpected_idle_ms)
 
 
 def _not_connected(address: str, error: Exception) -> server_connection.Exchange:
--- a/tests/test_cold_admission.py
+++ b/tests/test_cold_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sassafraslock.decisions import cold_admission, cold_start, registry
+from sassafraslock.decisions import cold_admission, cold_start, registry, server_restarts
 from tests import fact_source, test_cold_start
 
 PER_S, OVERAGE, SLACK = 4.9, 1.5, 5.0
@@ -25,7 +25,8 @@
 
 def admission(entry_id, members, started_ms=-10_000):
     limiter = cold_start.ColdStartLimiter(entry_id, OVERAGE, SLACK, started_ms)
-    return cold_admission.ColdAdmission(limiter, members)
+    restarts = server_restarts.ServerRestarts(entry_id, registry.Registry())
+    return cold_admission.ColdAdmission(limiter, restarts, members)
 
 
 # Guards against FAILBACK: each view of who is alive had two entries of its own that sent.
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -46,6 +46,15 @@
     assert servers.servers["i-1"].is_cold(9699) and not servers.servers["i-1"].is_cold(9700)
 
 
+def test_a_row_of_an_earlier_start_does_not_make_a_server_warm():
+    """A store that was restored from an older copy may have such rows."""
+    servers = registry.Registry()
+    servers.apply_report(report(born_ms=1), 0, False, 3000)
+    servers.apply_report(report(born_ms=2), 1000, True, 3000)
+    servers.apply_report(dataclasses.replace(report(), tells_cold_time=True), 2000, False, 3000)
+    assert servers.servers["i-1"].is_cold(3999)
+
+
 @pytest.mark.parametrize("joined", [True, False])
 def test_a_new_start_in_a_full_read_and_one_at_another_place_are_cold_in_full(joined):
     """Guards against restarts that are taken as warm, or cut short, by how their row is read."""
