--- a/tests/fleet_plays.py
+++ b/tests/fleet_plays.py
@@ -5,13 +5,14 @@
 import math
 
 from sassafraslock import facts
-from tests import fleet_loop, fleet_world
+from tests import fleet_loop, fleet_servers, fleet_world
 
 USUAL_DEMAND = 0.7  # of what fills all servers while they are warm
 BURST_DEMAND = 3.0
 STEP_S = 0.1
 FIRST_S = 1.5  # after the last start
 KNOWN_LIMIT_S = 8.0
+FEED_DELAY_S = (0.02, 0.3)
 ENTRY_DOWN_S = 0.1
 
 
@@ -40,7 +41,7 @@
     kills_s: tuple = ()
     pauses_s: tuple = ()
     pause_s: float = 0.6
-    feed_delay_s: tuple = (0.02, 0.3)
+    feed_delay_s: tuple = FEED_DELAY_S
     only_cold: bool = False
     settle_s: float = 1.0
     burst_s: float = 0.5
@@ -109,6 +110,31 @@
             world.close()
 
 
+def play_after_quiet(shape, quiet_s, down_s, seed):
+    """Restart servers to which no entry has sent for a while, and return the worst second.
+
+    The store is away, and demand returns with the servers.
+    """
+    world = fleet_world.World(shape, seed, FEED_DELAY_S)
+    with fleet_loop.VirtualClock(world.network):
+        try:
+            world.set_demand(USUAL_DEMAND)
+            world.run(2.0)
+            world.set_demand(0.0)
+            world.run(0.5)
+            world.store.set_away(True)
+            world.run(quiet_s)
+            for machine in world.restarted:
+                machine.restart(down_s)
+            world.run(down_s + 0.02)
+            world.set_demand(BURST_DEMAND)
+            world.run(shape.cold_start_s)
+            starts = [start for m in world.restarted for start in m.cold_arrivals]
+            return max(len(fleet_servers.worst_second(start)) for start in starts)
+        finally:
+            world.close()
+
+
 def _play(world, what):
     if what.all_servers:
         world.restarted = world.machines
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -12,6 +12,7 @@
 MAX_FAILED_RATIO = 0.02  # requests in flight at a server that fails to answer in time fail as well
 SEED = 4  # all that is listed in KNOWN-RED.txt is clearly beyond its bound
 LARGE = [(67, name) for name in fleet_cases.LARGE_PLAYS] + [(195, "store-away-down-0.4-s")]
+QUIET = [(9, 2.0, 0), (9, 2.0, 1), (9, 4.5, 0), (9, 4.5, 1), (67, 2.0, 0)]
 
 
 @functools.cache
@@ -53,3 +54,10 @@
     refused = [a for a in result.answers if a.status == 503]
     assert all(float(a.retry_after) > 0 for a in refused)
     assert result.failed_ratio <= MAX_FAILED_RATIO
+
+
+# Guards against FAILBACK where entries had no traffic, so that few saw the end or none.
+@pytest.mark.parametrize(("entries", "quiet_s", "seed"), QUIET)
+def test_cold_servers_get_no_more_than_they_tolerate_after_a_quiet_time(entries, quiet_s, seed):
+    shape = fleet_cases.SHAPES[entries]
+    assert fleet_plays.play_after_quiet(shape, quiet_s, 0.05, seed) <= shape.bound
