--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -386,7 +386,9 @@
         for server in range(poison_watch.MAX_CHECKED_SERVERS):
             for path in paths[: 2 if server else None]:
                 watch.record_broken_connection(broken_connection(path, f"s{server}"))
-        await anyio.sleep(0.2)
+        with anyio.fail_after(5):
+            while len(probes) < poison_watch.MAX_CHECKED_SERVERS or watch._unchecked:
+                await anyio.sleep(0.01)
         assert all(watch.quarantine.is_suspected(identity(path)) for path in paths)
         assert len(probes) == poison_watch.MAX_CHECKED_SERVERS
         assert not watch._unchecked
