One list of outcomes without a sent request, one constructor less

The access log named the outcomes in which nothing was sent a second time; judge.NOTHING_SENT serves both. edge_decisions.build_backpressure only passed its arguments on. The docstring of PossibleRestart.evidence said last for first. Behaviour is the same; test_access_log, test_edge, test_house, test_server_restarts and test_cold_limit_watch, formatter, linter and types pass.

--- a/sassafraslock/decisions/possible_restart.py
+++ b/sassafraslock/decisions/possible_restart.py
@@ -25,7 +25,7 @@
     from then on at most.
 
     :param ended_ms: when the start may have ended at the latest.
-    :param evidence: what showed it last.
+    :param evidence: what showed it first.
     :param cold_start_ms: how long servers of the service are cold after a start.
     :param up_ms: when a server accepted a connection after the end, ``None`` if none did yet.
     :param warm_at_ms: when the server is warm, as it or a peer said; ``None`` if neither did.
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -28,6 +28,7 @@
     signals,
 )
 from sassafraslock.decisions import (
+    backpressure,
     message_quota,
     placement,
     registry,
@@ -97,8 +98,8 @@
         self.routing_state = routing_state.RoutingState(servers, self.gossip.roster)
         self.replica = replica.Replica(source, self.routing_state)
         self.metrics = metrics.Metrics()
-        self.backpressure = edge_decisions.build_backpressure(
-            settings, servers, self.gossip, clock.monotonic_ms()
+        self.backpressure = backpressure.Backpressure(
+            settings.entry_id, servers, self.gossip, clock.monotonic_ms()
         )
         self.watch = backpressure_watch.BackpressureWatch(self.backpressure, servers, names)
         self.pipeline = self._build_pipeline(names, keys)
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -1,4 +1,4 @@
-"""Builds what an entry decides with: the choice of servers, what they ask for, and retries."""
+"""Builds what an entry decides with: the choice of servers, and retries."""
 
 from __future__ import annotations
 
@@ -16,22 +16,6 @@
 from sassafraslock.path import retry_gate
 
 
-def build_backpressure(
-    settings: edge_settings.EdgeSettings,
-    servers: registry.Registry,
-    entries: entry_view.EntryView,
-    now_ms: int,
-) -> backpressure.Backpressure:
-    """Return what servers ask of this entry, which starts now.
-
-    :param settings: the entry's settings.
-    :param servers: the registered servers.
-    :param entries: the entry's view of all entries.
-    :param now_ms: the current monotonic time.
-    """
-    return backpressure.Backpressure(settings.entry_id, servers, entries, now_ms)
-
-
 def build_placer(
     settings: edge_settings.EdgeSettings,
     entries: entry_view.EntryView,
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -8,9 +8,7 @@
 from sassafraslock import events
 from sassafraslock.decisions import candidates
 from sassafraslock.path import judge, request_context, send
-from sassafraslock.services import metrics, server_connection
-
-_UNSENT = (server_connection.Outcome.NOT_CONNECTED, server_connection.Outcome.WITHHELD)
+from sassafraslock.services import metrics
 
 
 class AccessLog:
@@ -127,7 +125,7 @@
         "took_ms": attempt.took_ms,
         "verdict": verdict,
     }
-    if attempt.exchange is not None and attempt.exchange.outcome not in _UNSENT:
+    if attempt.exchange is not None and attempt.exchange.outcome not in judge.NOTHING_SENT:
         fields["connection"] = "new" if attempt.exchange.connect_ms >= 0 else "kept"
     if attempt.exchange is not None and attempt.exchange.reason:
         fields["reason"] = attempt.exchange.reason
@@ -135,7 +133,7 @@
 
 
 def _may_have_reached_cold(attempt: send.Attempt) -> bool:
-    is_unsent = attempt.exchange is not None and attempt.exchange.outcome in _UNSENT
+    is_unsent = attempt.exchange is not None and attempt.exchange.outcome in judge.NOTHING_SENT
     return attempt.choice.is_cold and not is_unsent
 
 
