Access log: attempts given up for another server; why a request that may have run fails

Nothing told that a silent attempt was given up before the deadline, nor how long after the request's arrival; the reason of the failure was that of an invalid response, though the last server had rejected the request. E1002 tells how long after the signal a stop began. No decision is changed.

--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -44,6 +44,10 @@
         cold_attempts = sum(_may_have_reached_cold(attempt) for attempt, _ in context.attempts)
         if cold_attempts:
             self._metrics.record_cold_attempts(service, cold_attempts)
+        abandoned_attempts = sum(attempt.abandoned for attempt, _ in context.attempts)
+        if abandoned_attempts:
+            is_answered = context.response is not None and context.refusal is None
+            self._metrics.record_abandoned_attempts(service, is_answered, abandoned_attempts)
         fields = self._fields(context, took_ms, now_ms)
         if context.response is None:
             events.log(
@@ -87,7 +91,8 @@
         if isinstance(context.refusal, candidates.QueueRefusal) and context.refusal.choice:
             fields["limit_ms"] = round(context.refusal.limit_ms)
             fields["best"] = _choice_fields(context.refusal.choice)
-        fields["attempts"] = [_attempt_fields(a, v) for a, v in context.attempts]
+        received_ms = context.incoming.request.received_ms
+        fields["attempts"] = [_attempt_fields(a, v, received_ms) for a, v in context.attempts]
         return fields
 
 
@@ -117,14 +122,19 @@
     return fields
 
 
-def _attempt_fields(attempt: send.Attempt, verdict: judge.Verdict) -> dict[str, object]:
+def _attempt_fields(
+    attempt: send.Attempt, verdict: judge.Verdict, received_ms: int
+) -> dict[str, object]:
     fields = {
         **_choice_fields(attempt.choice),
         "born_ms": attempt.choice.server.report.born_ms,
         "selection": attempt.choice.selection,
+        "after_ms": attempt.sent_ms - received_ms,
         "took_ms": attempt.took_ms,
         "verdict": verdict,
     }
+    if attempt.abandoned:
+        fields["abandoned"] = True
     if attempt.exchange is not None and attempt.exchange.outcome not in judge.NOTHING_SENT:
         fields["connection"] = "new" if attempt.exchange.connect_ms >= 0 else "kept"
     if attempt.exchange is not None and attempt.exchange.reason:
--- a/sassafraslock/services/departure.py
+++ b/sassafraslock/services/departure.py
@@ -88,6 +88,7 @@
             "entry is shutting down",
             entry=self._entry.settings.entry_id,
             in_flight=self._entry.in_flight,
+            delay_ms=clock.monotonic_ms() - self._entry.stop_requested_ms,
         )
         schedule = stop_schedule.StopSchedule(
             self._entry.stop_requested_ms, self._entry.settings.bounds.grace_ms
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -62,6 +62,7 @@
     "cold_requests_granted_total": "Requests that the limit on cold servers granted.",
     "cold_requests_held_back_total": "Requests that the limit on cold servers held back.",
     "cold_attempts_total": "Attempts that may have reached a server that counted as cold.",
+    "abandoned_attempts_total": "Attempts given up for another server, by the requests' success.",
     "server_restarts_total": "New starts of known servers that were taken up.",
 }
 
@@ -106,6 +107,16 @@
         """
         self._counters["cold_attempts_total"].add({"service": service}, count)
 
+    def record_abandoned_attempts(self, service: str, is_answered: bool, count: int) -> None:
+        """Count attempts that were given up while their servers may have been at work.
+
+        :param service: the service that the request was routed to.
+        :param is_answered: whether a server answered the request in the end.
+        :param count: the number of attempts.
+        """
+        labels = {"service": service, "answered": str(is_answered).lower()}
+        self._counters["abandoned_attempts_total"].add(labels, count)
+
     def set_status(
         self, entry_id: str, ready: bool, facts_age_ms: int, servers: int, in_flight: int
     ) -> None:
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -4,7 +4,7 @@
 
 from sassafraslock import events, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, registry, roster, route_latency
-from sassafraslock.path import access_log, judge, read, request_context, route, send
+from sassafraslock.path import access_log, judge, read, refusals, request_context, route, send
 from sassafraslock.services import metrics, planner, server_connection
 from tests import fact_source, test_planner
 
@@ -75,6 +75,23 @@
     assert 'sassafraslock_cold_attempts_total{service="s"} 2' in text
 
 
+def test_attempts_given_up_for_another_server_are_told_and_counted(logged):
+    ended = context()
+    abandoned = send.Attempt(choice(), None, 5, 300, abandoned=True)
+    shed = send.Attempt(
+        choice(), server_connection.Exchange(server_connection.Outcome.ANSWERED), 305, 9
+    )
+    ended.attempts += [(abandoned, judge.Verdict.SILENT), (shed, judge.Verdict.NOT_RUN)]
+    ended.refusal = refusals.final_refusal(ended, None)
+    ended.response = http_messages.Response(502)
+    text = record(ended)
+    [(_, fields)] = logged
+    assert [attempt.get("abandoned", False) for attempt in fields["attempts"]] == [True, False]
+    assert [attempt["after_ms"] for attempt in fields["attempts"]] == [5, 305]
+    assert "did not run the request" in ended.refusal.reason
+    assert 'abandoned_attempts_total{answered="false",service="s"} 1' in text
+
+
 def test_a_line_counts_the_servers_that_were_left_out_for_what_they_ask(logged):
     ended = context()
     ended.left_out = candidates.LeftOut(paused=2, leaving=1)
