LOST: no server's work is given up before another server has answered

Callers saw 502 for requests at which a server was at work; on machines that were being stopped or had just been started again (a SIGTERM less than graceS + 1 s ago) that counts as a lost request.

Cause: a safe request that passed its soft timeout was broken off at its server for another one, before it was known whether that one runs it. If it rejected the request, or failed, nobody was left to answer. An entry that stops had been spared this since it handles the signal, but not in the moments before that, nor after its process had been started again.

Now the attempt stays in flight beside the one that may replace it. The first whole answer counts and ends the others; a rejection or failure ends its own attempt alone.

Entries that are leaving hedge no request, as before.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -35,7 +35,7 @@
     roster,
     stop_schedule,
 )
-from sassafraslock.path import access_log, pipeline, send
+from sassafraslock.path import access_log, attempt_recorder, forwarder, pipeline, send
 from sassafraslock.services import (
     backpressure_watch,
     claims,
@@ -144,18 +144,18 @@
             self.metrics,
             lambda now_ms: now_ms - self.replica.last_answer_ms,
         )
-        return pipeline.RequestPipeline(
-            self.routing_state,
+        request_forwarder = forwarder.Forwarder(
             placer,
             edge_decisions.build_retry_gate(settings, self.gossip.roster, now_ms),
+            attempt_recorder.AttemptRecorder(placer, names, self.poison, self.watch),
             send.Sender(self.upstream, names, self.watch, placer.cold, settings.entry_id),
             names,
-            log,
-            self.poison,
-            self.watch,
-            self.gossip.roster.entry_count,
+            self.poison.quarantine,
             self._region_entry_count,
-            keys,
+        )
+        entry_count = self.gossip.roster.entry_count
+        return pipeline.RequestPipeline(
+            self.routing_state, request_forwarder, names, log, entry_count, keys
         )
 
     def _register_services(self, handlers: entry_interfaces.HandlerFactory) -> None:
@@ -288,7 +288,7 @@
         self.upstream.limits.max_head_bytes = (
             table.limits.max_header_bytes + server_connection.SERVER_HEADERS_BYTES
         )
-        self.pipeline.links.limits = table.link_bytes_per_s(self.settings.region)
+        self.pipeline.forwarder.links.limits = table.link_bytes_per_s(self.settings.region)
         self.planner.update(clock.monotonic_ms())
         self.pipeline.splitter.reset()
 
@@ -303,7 +303,7 @@
         :param schedule: the times of the stop, by which requests are accepted from now on.
         """
         self.leaving = True
-        self.pipeline.schedule = schedule
+        self.pipeline.begin_leaving(schedule)
         self.client_server.begin_closing()
 
     def interrupt_requests(self) -> None:
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -46,8 +46,7 @@
             self._metrics.record_cold_attempts(service, cold_attempts)
         abandoned_attempts = sum(attempt.abandoned for attempt, _ in context.attempts)
         if abandoned_attempts:
-            is_answered = context.response is not None and context.refusal is None
-            self._metrics.record_abandoned_attempts(service, is_answered, abandoned_attempts)
+            self._metrics.record_abandoned_attempts(service, abandoned_attempts)
         fields = self._fields(context, took_ms, now_ms)
         if context.response is None:
             events.log(
--- a/sassafraslock/path/refusals.py
+++ b/sassafraslock/path/refusals.py
@@ -4,7 +4,7 @@
 
 from sassafraslock import errors, http_messages
 from sassafraslock.decisions import candidates
-from sassafraslock.path import judge, request_context, route, send
+from sassafraslock.path import request_context, route
 
 # Clients may take these as not run: timeout of the request, too many requests, unavailable.
 NOT_RUN_STATUSES = (408, 429, 503)
@@ -93,18 +93,13 @@
     if not _may_have_run(context):
         return refusal or budget_refusal()
     attempt, verdict = context.attempts[-1]
-    if verdict is judge.Verdict.SILENT and not attempt.abandoned:
+    if attempt.exchange is None:
         return errors.Refusal(
             errors.ErrorKind.TIMED_OUT,
             f"no server answered before the deadline (attempts: {len(context.attempts)})",
         )
-    return errors.Refusal(errors.ErrorKind.SERVER_FAILED, _failure_reason(attempt, verdict))
-
-
-def _failure_reason(attempt: send.Attempt, verdict: judge.Verdict) -> str:
-    """Return why a request that may have run fails after its last attempt."""
     if verdict.certainly_not_run:
-        return "the last server did not run the request, but an earlier one may have run it"
-    if attempt.exchange is None:
-        return "the server did not answer before the soft timeout"
-    return attempt.exchange.reason or "the server's response is unsigned or invalid"
+        reason = "the last server did not run the request, but an earlier one may have run it"
+    else:
+        reason = attempt.exchange.reason or "the server's response is unsigned or invalid"
+    return errors.Refusal(errors.ErrorKind.SERVER_FAILED, reason)
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import typing
 
 from sassafraslock import clock, header_names, http_messages
 from sassafraslock.decisions import candidates, cold_admission, registry, server_health
@@ -14,10 +13,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One attempt: the chosen server, the result and the time taken.
+    """One ended attempt: the chosen server, the result and the time taken.
 
     ``exchange`` is none if the attempt was cancelled without a result: at the request's deadline,
-    or at the soft timeout, in which case ``abandoned`` is true.
+    or since another server answered first, in which case ``abandoned`` is true. ``health`` holds
+    this entry's statistics of the server's start that got the request.
     """
 
     choice: candidates.Choice
@@ -25,6 +25,43 @@
     sent_ms: int
     took_ms: int
     abandoned: bool = False
+    health: server_health.ServerHealth = dataclasses.field(
+        default_factory=server_health.ServerHealth
+    )
+
+
+class PendingAttempt:
+    """An attempt in flight, which counts among the server's requests until it is ended."""
+
+    __slots__ = ("choice", "health", "sent_ms", "exchange")
+
+    def __init__(
+        self,
+        choice: candidates.Choice,
+        health: server_health.ServerHealth,
+        sent_ms: int,
+        exchange: asyncio.Task[server_connection.Exchange],
+    ) -> None:
+        self.choice = choice
+        self.health = health
+        self.sent_ms = sent_ms
+        self.exchange = exchange
+        health.in_flight += 1
+        health.probing = health.connect_failures > 0
+
+    def end(self, now_ms: int, abandoned: bool = False) -> Attempt:
+        """Return the ended attempt; without a result, it is cancelled.
+
+        :param now_ms: the current monotonic time.
+        :param abandoned: whether it is ended since another server answered.
+        """
+        self.health.in_flight -= 1
+        self.health.probing = False
+        self.exchange.cancel()
+        is_done = self.exchange.done() and not self.exchange.cancelled()
+        result = self.exchange.result() if is_done else None
+        took_ms = now_ms - self.sent_ms
+        return Attempt(self.choice, result, self.sent_ms, took_ms, abandoned, self.health)
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,7 +90,7 @@
 
 
 class Sender:
-    """Sends requests to servers, and cancels them at the deadline or the soft timeout.
+    """Sends requests to servers.
 
     Servers are told the ``entry_id``, if the entry header has a name.
     """
@@ -74,53 +111,28 @@
         self._watch = watch
         self._cold = cold
 
-    async def send(
+    def start(
         self,
         routed: route.RoutedRequest,
         choice: candidates.Choice,
         health: server_health.ServerHealth,
-        soft_timeout_ms: int,
-        may_abandon: typing.Callable[[], bool],
-    ) -> Attempt:
-        """Send a request to the chosen server and wait for the answer.
+        now_ms: int,
+    ) -> PendingAttempt:
+        """Begin to send a request to the chosen server.
 
         :param routed: the request.
         :param choice: the chosen server with the reasons for it.
-        :param health: this entry's statistics of the server; its requests in flight are counted.
-        :param soft_timeout_ms: the time after which the attempt may be abandoned for another
-            server, 0 for never.
-        :param may_abandon: called once if the soft timeout passes without an answer; returns
-            whether to abandon the attempt.
+        :param health: this entry's statistics of the server.
+        :param now_ms: the current monotonic time.
         """
-        sent_ms = clock.monotonic_ms()
-        remaining_ms = routed.remaining_ms(sent_ms)
-        health.in_flight += 1
-        health.probing = health.connect_failures > 0
-        exchange = asyncio.ensure_future(
-            self._upstream.exchange(
-                choice.server.report.address,
-                lambda: self._encode(routed, choice.server),
-                routed.incoming.request_id,
-                routed.incoming.request.method == "HEAD",
-                _ServerObserver(choice, self._watch, self._cold),
-            )
+        exchange = self._upstream.exchange(
+            choice.server.report.address,
+            lambda: self._encode(routed, choice.server),
+            routed.incoming.request_id,
+            routed.incoming.request.method == "HEAD",
+            _ServerObserver(choice, self._watch, self._cold),
         )
-        abandoned = False
-        try:
-            if 0 < soft_timeout_ms < remaining_ms:
-                await asyncio.wait((exchange,), timeout=soft_timeout_ms / 1000)
-                abandoned = not exchange.done() and may_abandon()
-            if not exchange.done() and not abandoned:
-                remaining_ms = routed.remaining_ms(clock.monotonic_ms())
-                await asyncio.wait((exchange,), timeout=max(0, remaining_ms) / 1000)
-        finally:
-            health.in_flight -= 1
-            health.probing = False
-            if not exchange.done():
-                exchange.cancel()
-        took_ms = clock.monotonic_ms() - sent_ms
-        outcome = exchange.result() if exchange.done() and not exchange.cancelled() else None
-        return Attempt(choice, outcome, sent_ms, took_ms, abandoned)
+        return PendingAttempt(choice, health, now_ms, asyncio.ensure_future(exchange))
 
     def _encode(self, routed: route.RoutedRequest, server: registry.Server) -> bytes:
         remaining_ms = routed.remaining_ms(clock.monotonic_ms())
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -62,7 +62,7 @@
     "cold_requests_granted_total": "Requests that the limit on cold servers granted.",
     "cold_requests_held_back_total": "Requests that the limit on cold servers held back.",
     "cold_attempts_total": "Attempts that may have reached a server that counted as cold.",
-    "abandoned_attempts_total": "Attempts given up for another server, by the requests' success.",
+    "abandoned_attempts_total": "Attempts ended since another server answered first.",
     "server_restarts_total": "New starts of known servers that were taken up.",
 }
 
@@ -107,15 +107,13 @@
         """
         self._counters["cold_attempts_total"].add({"service": service}, count)
 
-    def record_abandoned_attempts(self, service: str, is_answered: bool, count: int) -> None:
-        """Count attempts that were given up while their servers may have been at work.
+    def record_abandoned_attempts(self, service: str, count: int) -> None:
+        """Count attempts that were ended since another server answered first.
 
         :param service: the service that the request was routed to.
-        :param is_answered: whether a server answered the request in the end.
         :param count: the number of attempts.
         """
-        labels = {"service": service, "answered": str(is_answered).lower()}
-        self._counters["abandoned_attempts_total"].add(labels, count)
+        self._counters["abandoned_attempts_total"].add({"service": service}, count)
 
     def set_status(
         self, entry_id: str, ready: bool, facts_age_ms: int, servers: int, in_flight: int
