LOST: clients that are queued without a free descriptor are answered at a stop

Callers saw their connection reset with an unread request: when accept failed for lack of a file descriptor just as a stop began to close the listener, the queue was reset with it. The listener now stays until its queue is accepted, for as long as the stop lasts. Evidence: the new test fails before (connection reset) and passes.

--- a/sassafraslock/services/acceptor.py
+++ b/sassafraslock/services/acceptor.py
@@ -23,7 +23,15 @@
     ``failures`` counts the errors of ``accept``, without clients that left before it.
     """
 
-    __slots__ = ("failures", "_listener", "_create_protocol", "_opening", "_retry", "_logged_ms")
+    __slots__ = (
+        "failures",
+        "_listener",
+        "_create_protocol",
+        "_opening",
+        "_retry",
+        "_logged_ms",
+        "_is_closing",
+    )
 
     def __init__(
         self, listener: socket.socket, create_protocol: typing.Callable[[], asyncio.Protocol]
@@ -34,6 +42,7 @@
         self._opening: set[asyncio.Task[None]] = set()
         self._retry: asyncio.TimerHandle | None = None
         self._logged_ms: int | None = None
+        self._is_closing = False
 
     def start(self) -> None:
         """Listen, and accept from now on."""
@@ -43,15 +52,17 @@
 
     @property
     def is_opening(self) -> bool:
-        """Whether an accepted connection is not yet known to its protocol."""
-        return bool(self._opening)
+        """Whether a connection is queued or not yet known to its protocol, once closed."""
+        return bool(self._opening) or self._listener.fileno() >= 0
 
     def close(self) -> None:
-        """Accept what is queued, since closing the socket resets it, and stop listening."""
-        if self._listener.fileno() < 0:
-            return
-        self._accept_queued()
-        self.abort()
+        """Stop listening once all that is queued is accepted, since closing the socket resets it.
+
+        That takes until connections have ended if no file descriptor is free.
+        """
+        self._is_closing = True
+        if self._listener.fileno() >= 0 and self._retry is None:
+            self._accept_queued()
 
     def abort(self) -> None:
         """Stop listening; connections that are queued are reset."""
@@ -63,15 +74,20 @@
 
     def _resume(self) -> None:
         self._retry = None
-        asyncio.get_running_loop().add_reader(self._listener, self._accept_queued)
+        if self._is_closing:
+            self._accept_queued()
+        else:
+            asyncio.get_running_loop().add_reader(self._listener, self._accept_queued)
 
     def _accept_queued(self) -> None:
         for _ in range(BACKLOG):
             try:
                 accepted, _address = self._listener.accept()
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
+                if self._is_closing:
+                    self.abort()
                 return
-            except ConnectionAbortedError:
+            except (ConnectionAbortedError, InterruptedError):
                 continue
             except OSError as error:
                 self._pause(error, clock.monotonic_ms())
@@ -79,6 +95,8 @@
             task = asyncio.get_running_loop().create_task(self._open(accepted))
             self._opening.add(task)
             task.add_done_callback(self._opening.discard)
+        if self._is_closing:
+            self._retry = asyncio.get_running_loop().call_later(0, self._resume)
 
     async def _open(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -63,6 +63,32 @@
     anyio.run(main)
 
 
+# Guards against LOST: at a stop without a free descriptor, queued clients were reset unread.
+def test_clients_that_are_queued_without_a_free_descriptor_are_answered_at_a_stop(monkeypatch):
+    sockets = failing_listen(monkeypatch, errno.EMFILE)
+
+    async def main():
+        handler = test_graceful_close.Handler()
+        server = http_server.HttpServer(handler, HOST, PORT)
+        async with anyio.create_task_group() as group:
+            await test_graceful_close.start(group, server)
+            client = await anyio.connect_tcp(HOST, PORT)
+            await client.send(test_graceful_close.get("/a"))
+            await anyio.sleep(0.05)
+            group.start_soon(server.close_connections)
+            await anyio.sleep(0.3)
+            sockets[0].failing = 0
+            with anyio.fail_after(5):
+                assert (await client.receive()).startswith(b"HTTP/1.1 200")
+            await client.aclose()
+            with anyio.fail_after(5):
+                while sockets[0].fileno() >= 0:
+                    await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 # Rules out that a stall of the event loop lets a time limit pass before the socket is read.
 def test_a_request_that_arrived_during_a_stall_is_read_before_time_limits_apply():
     async def main():
