--- a/sassafraslock/path/hedge.py
+++ b/sassafraslock/path/hedge.py
@@ -43,7 +43,8 @@
         :param error: that error.
         :param traceback: where it was raised.
         """
-        self.end_all(clock.monotonic_ms())
+        for pending in self._pending:
+            pending.cancel()
 
     @property
     def is_empty(self) -> bool:
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -49,18 +49,23 @@
         health.in_flight += 1
         health.probing = health.connect_failures > 0
 
+    def cancel(self) -> None:
+        """End the attempt without a result."""
+        self.health.in_flight -= 1
+        self.health.probing = False
+        self.exchange.cancel()
+
     def end(self, now_ms: int, abandoned: bool = False) -> Attempt:
         """Return the ended attempt; without a result, it is cancelled.
 
         :param now_ms: the current monotonic time.
-        :param abandoned: whether it is ended since another server answered.
+        :param abandoned: whether it is cancelled since another server answered.
         """
-        self.health.in_flight -= 1
-        self.health.probing = False
-        self.exchange.cancel()
+        self.cancel()
         is_done = self.exchange.done() and not self.exchange.cancelled()
         result = self.exchange.result() if is_done else None
         took_ms = now_ms - self.sent_ms
+        abandoned = abandoned and not is_done
         return Attempt(self.choice, result, self.sent_ms, took_ms, abandoned, self.health)
 
 
