Soak of planned work: changes of time limits and targets, servers that leave

Kinds of planned work that the soak lacked; played only if named, so that earlier seeds keep their schedules.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -46,6 +46,15 @@
     GONE = "gone"
 
 
+@dataclasses.dataclass(slots=True)
+class Change:
+    """What versions of the intents may change: time limits of connections, and target latencies."""
+
+    idle_s: float = 15.0
+    header_s: float = 3.0
+    target_s: float = 0.3
+
+
 @dataclasses.dataclass(slots=True)
 class Signalled:
     """A signal that an entry got, and when."""
@@ -257,12 +266,41 @@
             "platform": {"address": self.store.address},
         }
 
-    def put_intents(self, extra_routes: int = 0) -> None:
+    def put_server(self, server: platform_server.PlatformServer, state: str = "ready") -> None:
+        """Write the row of a server.
+
+        :param server: the server.
+        :param state: ``ready`` or ``draining``.
+        """
+        row = platform_standin.server_row(
+            service=server.service,
+            address=server.address,
+            zone=server.zone,
+            slots=SLOTS,
+            state=state,
+        )
+        self.store.put("servers", server.server_id, row)
+
+    def replace_server(self, server: platform_server.PlatformServer) -> None:
+        """End a server and start another one at its address.
+
+        :param server: the server.
+        """
+        self.store.drop("servers", server.server_id)
+        del self.servers[server.server_id]
+        server.break_connections()
+        server.server_id += "n"
+        self.servers[server.server_id] = server
+        self.put_server(server)
+
+    def put_intents(self, extra_routes: int = 0, change: Change | None = None) -> None:
         """Write a new version of the intents: two routes of each service, and unused routes.
 
         :param extra_routes: the number of unused routes.
+        :param change: what differs from the usual intents.
         """
-        used = {"host": platform_server.HOST_NAME, "targetLatencyS": 0.3}
+        change = change or Change()
+        used = {"host": platform_server.HOST_NAME, "targetLatencyS": change.target_s}
         used["timeoutS"] = self.timeout_s
         used["maxAttempts"] = MAX_ATTEMPTS
         routes: list[dict[str, object]] = [
@@ -273,7 +311,8 @@
         for number in range(extra_routes):
             routes.append({"host": f"h{number}.example", "prefix": "/x/", "service": "desk"})
         self.version += 1
-        row = platform_standin.intents_row(self.version, routes, services=list(SERVICES))
+        limits = {"headerTimeoutS": change.header_s, "idleTimeoutS": change.idle_s}
+        row = platform_standin.intents_row(self.version, routes, list(SERVICES), limits)
         self.store.put("op", "config", row)
 
     async def run_store_and_servers(self, group: anyio.abc.TaskGroup) -> None:
@@ -284,10 +323,7 @@
         await group.start(_started, self.store)
         for server in self.servers.values():
             await group.start(_started, server.listener)
-            row = platform_standin.server_row(
-                service=server.service, address=server.address, zone=server.zone, slots=SLOTS
-            )
-            self.store.put("servers", server.server_id, row)
+            self.put_server(server)
         self.put_intents()
 
     async def run_entry(self, entry: EntryProcess) -> None:
--- a/soak/planned.py
+++ b/soak/planned.py
@@ -36,7 +36,9 @@
     deadline_s: float = platform_client.DEADLINE_S
     unsafe_work_s: float = 0.0
     kinds: list[planned_steps.Kind] = dataclasses.field(
-        default_factory=lambda: list(planned_steps.Kind)
+        default_factory=lambda: [
+            kind for kind in planned_steps.Kind if kind not in planned_steps.NAMED_KINDS
+        ]
     )
     code: pathlib.Path = fleet.ROOT
 
--- a/soak/planned_steps.py
+++ b/soak/planned_steps.py
@@ -22,6 +22,10 @@
 SLOW_WORK_S = (0.5, 3.0)
 BIG_ROUTES = (200, 4_000)
 BIG_GAP_S = 1.0
+CHANGE_GAP_S = 0.5
+TIME_LIMITS_S = (0.5, 1.0, 4.0, 15.0)  # of idle connections and of the heads of requests
+TARGETS_S = (0.05, 0.3, 1.0)
+LEAVE_S = 3.5  # from the word that a server leaves to its end
 BURST_RATIO = 0.1  # of the usual pause of a client
 REGISTRATIONS = "sassafraslock"  # the store's table of entries
 
@@ -46,8 +50,13 @@
     STORE_PART = "store withholds entries' registrations"
     APART = "restart without knowing each other"
     BURST = "burst"
+    CHANGES = "changes of time limits and target latencies"
+    LEAVE = "servers that leave"
 
 
+# Played only if named, so that earlier seeds keep their schedules.
+NAMED_KINDS = (Kind.CHANGES, Kind.LEAVE)
+
 # The signals that are repeated, and the time between them.
 SIGNALS = {
     Kind.STOP_AGAIN: ((signal.SIGTERM, signal.SIGINT), 0.5),
@@ -112,7 +121,7 @@
             return
         action = getattr(self, f"_{step.kind.name.lower()}", self._hold)
         with anyio.CancelScope() as scope:
-            if action in (self._settings, self._big, self._server_break):
+            if action in (self._settings, self._big, self._server_break, self._changes):
                 scope.deadline = anyio.current_time() + step.for_s
             await action(step)
 
@@ -187,6 +196,29 @@
             self._fleet.put_intents(self._rng.randint(*BIG_ROUTES))
             await anyio.sleep(BIG_GAP_S)
 
+    async def _changes(self, step: Step) -> None:
+        try:
+            while True:
+                change = fleet.Change(
+                    self._rng.choice(TIME_LIMITS_S),
+                    self._rng.choice(TIME_LIMITS_S),
+                    self._rng.choice(TARGETS_S),
+                )
+                self._fleet.put_intents(change=change)
+                await anyio.sleep(CHANGE_GAP_S)
+        finally:
+            self._fleet.put_intents()
+
+    async def _leave(self, step: Step) -> None:
+        """Let servers drain, end, and start again under a new id."""
+        servers = list(self._fleet.servers.values())
+        leaving = self._rng.sample(servers, min(step.count, len(servers) // 2))
+        for server in leaving:
+            self._fleet.put_server(server, "draining")
+        await anyio.sleep(LEAVE_S)
+        for server in leaving:
+            self._fleet.replace_server(server)
+
     async def _kill(self, step: Step) -> None:
         for entry in self._entries(step):
             entry.harm(signal.SIGKILL, fleet.START_DELAY_S)
--- a/soak/platform_server.py
+++ b/soak/platform_server.py
@@ -11,6 +11,7 @@
 from sassafraslock.services import http_server
 
 HOST_NAME = "desk.example"
+HEALTH_PATH = "/health"
 MAX_WAITING_PER_SLOT = 2
 WORK_S = (0.02, 0.25)
 LARGE_ANSWER_RATIO = 0.05
@@ -97,10 +98,12 @@
             connection.abort()
 
     async def __call__(self, request: http_messages.Request) -> http_messages.Response:
-        """Answer a request.
+        """Answer a request, or a health check, which is no arrival.
 
         :param request: a request of an entry.
         """
+        if request.path == HEALTH_PATH:
+            return http_messages.Response(200, [(b"x-instance-id", self.server_id.encode())])
         request_id = request.header(b"x-request-id")
         arrival = Arrival(clock.monotonic_ms(), request_id, self.service)
         self._open.add(arrival)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -143,7 +143,7 @@
             "state": state, "coldRemainingS": 0, "sequence": 1, **more}  # fmt: skip
 
 
-def intents_row(version=3, routes=None, services=("logbook",)):
+def intents_row(version=3, routes=None, services=("logbook",), changed_limits=None):
     route = {"host": "h.example", "prefix": "/log/", "routeType": "safe", "timeoutS": 2,
              "targetLatencyS": 0.4, "priority": 2, "service": "logbook", "maxAttempts": 2,
              "sessionAffinity": True, "allowedRegions": []}  # fmt: skip
@@ -159,6 +159,7 @@
         "maxBodyBytes": 1024,
         "headerTimeoutS": 3,
         "idleTimeoutS": 15,
+        **(changed_limits or {}),
     }
     resources.append({"resourceKind": "limits", "metadata": {}, "spec": limits})
     return {"version": f"r{version}", "resources": resources}
