The answered attempt is the last one recorded; the report takes attempts at their own times

Since attempts are in flight together, the report took the last one of a line, an abandoned one, for the server that had answered, and added up times that overlap.

--- a/sassafraslock/path/forwarder.py
+++ b/sassafraslock/path/forwarder.py
@@ -211,27 +211,31 @@
                 return None
 
     def _take(self, attempt: send.Attempt) -> http_messages.Response | errors.Refusal | None:
-        """Record an ended attempt, and return its answer if it has one."""
-        if self._record(attempt) is not judge.Verdict.ANSWERED:
+        """Record an ended attempt, and return its answer if it has one.
+
+        The attempt that is answered is the last one recorded.
+        """
+        verdict = judge.judge(attempt, self._forwarder.names)
+        if verdict is not judge.Verdict.ANSWERED:
+            self._record(attempt, verdict)
             return None
         self._end_attempts(abandoned=True)
+        self._record(attempt, verdict)
         assert attempt.exchange is not None and attempt.exchange.response is not None
         return refusals.checked_response(self._routed, attempt.exchange.response)
 
-    def _record(self, attempt: send.Attempt) -> judge.Verdict:
+    def _record(self, attempt: send.Attempt, verdict: judge.Verdict) -> None:
         forwarder, request = self._forwarder, self._placement
-        verdict = judge.judge(attempt, forwarder.names)
         forwarder.recorder.record(self._routed, request, attempt, verdict, attempt.health)
         self._context.attempts.append((attempt, verdict))
         if verdict is judge.Verdict.NOT_SENT:
             request.attempts -= 1
         request.shed = verdict is judge.Verdict.NOT_RUN
-        return verdict
 
     def _end_attempts(self, abandoned: bool) -> None:
         """End and record what is in flight, at the deadline or since another server answered."""
         for attempt in self._attempts.end_all(clock.monotonic_ms(), abandoned):
-            self._record(attempt)
+            self._record(attempt, judge.judge(attempt, self._forwarder.names))
 
     def _may_retry(self) -> bool:
         """Return whether the request may go to another server after the latest failure."""
--- a/sassafraslock/report/log_lines.py
+++ b/sassafraslock/report/log_lines.py
@@ -26,8 +26,12 @@
 
 
 class Attempt(Candidate, frozen=True):
-    """One attempt at a server; ``verdict`` is empty in lines that lack it."""
+    """One attempt at a server; ``verdict`` is empty in lines that lack it.
 
+    ``after_ms`` is the time from the request's arrival, none in lines of former versions.
+    """
+
+    after_ms: float | None = None
     took_ms: float = 0.0
     verdict: str = ""
     selection: str = ""
--- a/sassafraslock/report/summary.py
+++ b/sassafraslock/report/summary.py
@@ -172,6 +172,8 @@
     def _add_attempts(self, line: log_lines.LogLine) -> None:
         sent_s = line.arrived_s
         for attempt in line.attempts:
+            if attempt.after_ms is not None:
+                sent_s = line.arrived_s + attempt.after_ms / 1000
             self._windows.add_busy(sent_s, line.service, attempt.region, attempt.took_ms)
             sent_s += attempt.took_ms / 1000
             servers = self._slots.setdefault((line.service, attempt.region), {})
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -10,7 +10,7 @@
 
 from sassafraslock import errors, header_names, http_messages, routing_table
 from sassafraslock.decisions import candidates, quarantine, registry, route_latency, server_health
-from sassafraslock.path import forwarder, read, request_context, route, send
+from sassafraslock.path import forwarder, judge, read, request_context, route, send
 from sassafraslock.services import server_connection
 from tests import fact_source, virtual_time
 
@@ -158,6 +158,13 @@
     assert [attempt.abandoned for attempt, _ in ended.context.attempts] == [False, False]
 
 
+def test_the_answered_attempt_is_recorded_last(monkeypatch):
+    servers = [Server("answer", 1_500), Server("answer", 10)]
+    ended = forward(monkeypatch, Servers(servers, 4))
+    verdicts = [verdict for _, verdict in ended.context.attempts]
+    assert verdicts == [judge.Verdict.SILENT, judge.Verdict.ANSWERED]
+
+
 def test_an_error_of_one_attempt_ends_the_others(monkeypatch):
     servers = [Server("answer", 1_500), Server("no such kind", 10)]
     world = Servers(servers, 4)
