--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -196,6 +196,15 @@
     assert window.regions[0].busy_ratio == pytest.approx(6 * 1.0 / (2.0 * 6))
 
 
+def test_attempts_in_flight_together_are_busy_at_their_own_times():
+    summed = summary.Summary(2.0)
+    attempts = [attempt(took_ms=1_500, server=f"s{n}", after_ms=500 * n) for n in range(2)]
+    line = request(11.0, took_ms=2_000, attempts=attempts)
+    summed.add(msgspec.convert(line, log_files.log_lines.LogLine))
+    windows = summed.report(log_files.ReadCounts()).windows
+    assert windows[0].regions[0].busy_ratio == pytest.approx(2 * 1.5 / (2.0 * 6))
+
+
 def test_the_page_has_its_plots_and_tables(log, tmp_path):
     page_path = tmp_path / "report.html"
     assert run(str(log), "--html", str(page_path)).exit_code == 0
