--- a/sassafraslock/path/forwarder.py
+++ b/sassafraslock/path/forwarder.py
@@ -26,8 +26,8 @@
 class Forwarder:
     """What the attempts of all requests share: servers, limits and statistics.
 
-    While ``may_hedge`` is false, no request is sent to a second server beside the first one, so that
-    a stop interrupts no more than one.
+    While ``may_hedge`` is false, no request is sent to a second server beside the first one, so
+    that a stop interrupts no more than one.
     """
 
     __slots__ = (
