Workspaces: keys identify requests, regions and names of workspaces bind

Cause: with workspaces in the intents nobody asked whose a request was.

Change: the adapter decodes workspaces and replaces their keys by digests; a new stage of the path identifies the workspace, refuses unknown keys, and hides the key from servers. The regions of route and workspace bind candidates and plans.

The test of the adapter's feed now also compares the store's clock, which batches hold.

--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from sassafraslock import errors, routing_table
+from sassafraslock import errors, routing_table, workspaces
 from sassafraslock.decisions import backpressure, object_memory, registry, route_latency
 
 # Another server must be expected to answer within this share of the home's time, less the margin.
@@ -73,6 +73,7 @@
     :param left_out: the servers that the latest placement left out for what they ask.
     :param replacement: the server for the next attempt, chosen when the last attempt was abandoned
         because its server did not answer.
+    :param workspace: the workspace of the request, none if it needs no key.
     """
 
     route: routing_table.Route
@@ -88,6 +89,22 @@
     entry_count: int = 1
     left_out: LeftOut = dataclasses.field(default_factory=LeftOut)
     replacement: Choice | None = None
+    workspace: workspaces.Workspace | None = None
+
+    @property
+    def regions(self) -> frozenset[str]:
+        """The regions in which the request may run, empty for any."""
+        allowed = workspaces.allowed_regions(self.route.regions, self.workspace)
+        assert allowed is not None, "requests without a common region are refused before"
+        return allowed
+
+    def allows(self, server: registry.Server) -> bool:
+        """Return whether the request may run in a server's region.
+
+        :param server: the server.
+        """
+        regions = self.regions
+        return not regions or server.region in regions
 
     @property
     def is_sticky(self) -> bool:
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -172,7 +172,7 @@
         It is one of the planned region, since many servers join at once when a system starts.
         """
         for server in self._join_probes.due(request.service.name, now_ms):
-            if server.region != planned or not _is_allowed(request.route, server):
+            if server.region != planned or not request.allows(server):
                 continue
             if self.backpressure.hold(server, now_ms) is None:
                 probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
@@ -217,7 +217,7 @@
             health = self.health_of(server)
             if server.is_expired(now_ms) or not health.is_available(now_ms) or server.is_down:
                 continue
-            if not _is_allowed(request.route, server):
+            if not request.allows(server):
                 continue
             full = health.in_flight >= self._connection_limit(request)
             if full or server.server_id in request.tried:
@@ -342,7 +342,7 @@
         """Return the warm servers of the own region, or of all regions if it has none."""
         choices: list[candidates.Choice] = []
         for server in self.registry.usable_servers(request.service.name):
-            if not _is_allowed(request.route, server):
+            if not request.allows(server):
                 continue
             if server.is_expired(now_ms) or self.cold.is_cold(server, now_ms):
                 continue
@@ -389,8 +389,4 @@
 
     def _allowed_servers(self, request: candidates.PlacementRequest) -> list[registry.Server]:
         usable = self.registry.usable_servers(request.service.name)
-        return [server for server in usable if _is_allowed(request.route, server)]
-
-
-def _is_allowed(route: routing_table.Route, server: registry.Server) -> bool:
-    return not route.regions or server.region in route.regions
+        return [server for server in usable if request.allows(server)]
--- a/sassafraslock/decisions/region_choice.py
+++ b/sassafraslock/decisions/region_choice.py
@@ -27,9 +27,9 @@
         """
         if request.own_region_only:
             return self._region
-        plan = self.plans.get((request.service.name, request.route.regions))
+        allowed = request.regions
+        plan = self.plans.get((request.service.name, allowed))
         if plan is None or not plan.weights:
-            allowed = request.route.regions
             return self._region if not allowed or self._region in allowed else min(allowed)
         if not request.route.sticky:
             return self._next_region(request.service.name, plan.weights)
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -17,7 +17,11 @@
     within ``grace_ms``. Within ``retry_window_ms``, all entries together send at most
     ``retry_ratio`` retries per request and ``retry_slack`` more. A cold server gets at most
     ``cold_overage`` times the rate that its service allows and ``cold_slack`` requests a second
-    more. Callers may keep addresses of entries for ``max_validity_ms``.
+    more. Callers may keep addresses of entries for ``max_validity_ms``. Where ``revoke_ms`` is set,
+    no request runs that was sent with a key later than this after the key was taken away. Within
+    any ``allowance_window_ms``, a workspace gets no more requests than its rate and burst allow,
+    times 1 and ``allowance_overage``, and ``allowance_slack`` more; 0 means that no allowance is
+    enforced.
     """
 
     drain_ms: int = 2_500
@@ -28,6 +32,10 @@
     cold_overage: float = 1.5
     cold_slack: float = 5.0
     max_validity_ms: int = 5_000
+    revoke_ms: int | None = None
+    allowance_window_ms: int = 0
+    allowance_overage: float = 0.1
+    allowance_slack: float = 20.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sassafraslock/errors.py
+++ b/sassafraslock/errors.py
@@ -34,6 +34,11 @@
     INVALID_SETTINGS = "invalid-settings"
     NOT_FOUND = "not-found"
     HISTORY_LOST = "history-lost"
+    KEY_UNKNOWN = "key-unknown"
+    KEY_UNPROVEN = "key-unproven"
+    REGION_FORBIDDEN = "region-forbidden"
+    ALLOWANCE_USED_UP = "allowance-used-up"
+    ALLOWANCE_UNKNOWN = "allowance-unknown"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -78,6 +83,11 @@
     ErrorKind.INVALID_SETTINGS: ErrorProperties(422, True, 2),
     ErrorKind.NOT_FOUND: ErrorProperties(404, True, 3),
     ErrorKind.HISTORY_LOST: ErrorProperties(503, True, 7, 500),
+    ErrorKind.KEY_UNKNOWN: ErrorProperties(401, True, 9),
+    ErrorKind.KEY_UNPROVEN: ErrorProperties(503, True, 7, 500),
+    ErrorKind.REGION_FORBIDDEN: ErrorProperties(403, True, 9),
+    ErrorKind.ALLOWANCE_USED_UP: ErrorProperties(429, True, 6, 500),
+    ErrorKind.ALLOWANCE_UNKNOWN: ErrorProperties(503, True, 6, 500),
 }
 
 
--- a/sassafraslock/facts.py
+++ b/sassafraslock/facts.py
@@ -110,10 +110,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Batch:
-    """Changes in the order of their versions; ``version`` is where the next read goes on."""
+    """Changes in the order of their versions; ``version`` is where the next read goes on.
+
+    ``store_now_ms`` is the store's steady clock at the moment of which the batch tells, none if the
+    store does not tell it.
+    """
 
     changes: tuple[Change, ...]
     version: int
+    store_now_ms: int | None = None
 
 
 BatchResult = Batch | errors.Refusal
--- a/sassafraslock/field_types.py
+++ b/sassafraslock/field_types.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import collections.abc
 import re
 import typing
 
 import msgspec
 
+DecodedT = typing.TypeVar("DecodedT")
+
 MAX_NAME_CHARS = 255
 MAX_TEXT_CHARS = 4_096
 MAX_DURATION_S = 86_400
@@ -55,6 +58,8 @@
 Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 Bytes = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
 DurationMs = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_S * 1_000)]
+# The reading of a steady clock that started at an unknown time.
+ClockS = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_WALL_MS // 1_000)]
 DurationS = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
 # How much longer something lasts; it may have ended by the time that the value is written.
 RemainingMs = typing.Annotated[
@@ -67,6 +72,7 @@
 Beat = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_BEATS)]
 Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_PER_S)]
+Digest = typing.Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
 Hash32 = typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)]
 ServerIds = typing.Annotated[list[ServerId], msgspec.Meta(max_length=MAX_SERVER_IDS)]
 CallerIds = typing.Annotated[list[Name], msgspec.Meta(max_length=MAX_CALLER_IDS)]
@@ -131,3 +137,22 @@
     except (msgspec.MsgspecError, OverflowError, RecursionError) as error:
         return describe(error)
     return ""
+
+
+def decode_each(
+    items: collections.abc.Iterable[msgspec.Raw],
+    decode: collections.abc.Callable[[msgspec.Raw], DecodedT],
+) -> tuple[tuple[DecodedT, ...], tuple[str, ...]]:
+    """Return the items that can be decoded, and what is wrong with each of the others.
+
+    :param items: the encoded items.
+    :param decode: decodes one of them; what it raises costs that item alone.
+    """
+    decoded: list[DecodedT] = []
+    faults: list[str] = []
+    for number, item in enumerate(items):
+        try:
+            decoded.append(decode(item))
+        except (msgspec.MsgspecError, RecursionError) as error:
+            faults.append(f"item {number}: {describe(error)}")
+    return tuple(decoded), tuple(faults)
--- a/sassafraslock/header_names.py
+++ b/sassafraslock/header_names.py
@@ -24,6 +24,8 @@
     ``cold_ms``: in a server's response, the remaining time of its cold start.
     ``error``: in a refusal by the proxy, the kind of the error.
     ``refused_not_run``: in a refusal by the proxy, whether the request was certainly not run.
+    ``credential``: in a request by a client, the key of its workspace; servers never get it.
+    ``workspace``: in a request to a server, the name of the workspace.
     ``request_id_echoed``: whether servers repeat ``request_id`` in their responses.
     """
 
@@ -43,3 +45,5 @@
     leaving: bytes = b"sassafraslock-leaving"
     cold_ms: bytes = b"sassafraslock-cold-ms"
     server_id: bytes = b"sassafraslock-server-id"
+    credential: bytes = b"sassafraslock-credential"
+    workspace: bytes = b"sassafraslock-workspace"
--- a/sassafraslock/http_messages.py
+++ b/sassafraslock/http_messages.py
@@ -15,6 +15,8 @@
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
+    403: b"Forbidden",
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -82,6 +82,8 @@
             fields["service"] = context.routed.service.name
             fields["revision"] = context.routed.revision
             fields["target_ms"] = context.routed.route.target_latency_ms
+            if context.routed.workspace is not None:
+                fields["workspace"] = context.routed.workspace.name
         if context.response is not None:
             fields["status"] = context.response.status
         fields |= _left_out_fields(context.left_out)
--- a/sassafraslock/path/forwarder.py
+++ b/sassafraslock/path/forwarder.py
@@ -9,6 +9,7 @@
 from sassafraslock.path import (
     attempt_recorder,
     hedge,
+    identify,
     judge,
     refusals,
     request_context,
@@ -27,11 +28,12 @@
     """What the attempts of all requests share: servers, limits and statistics.
 
     While ``may_hedge`` is false, no request is sent to a second server beside the first one, so
-    that a stop interrupts no more than one.
+    that a stop interrupts no more than one. ``key_proof`` tells whether requests with keys may run.
     """
 
     __slots__ = (
         "may_hedge",
+        "key_proof",
         "placer",
         "retries",
         "recorder",
@@ -53,6 +55,7 @@
         region_entry_count: typing.Callable[[], int],
     ) -> None:
         self.may_hedge = True
+        self.key_proof: identify.KeyProof = identify.Unbounded()
         self.placer = placer
         self.retries = retries
         self.recorder = recorder
@@ -153,6 +156,8 @@
         request.remaining_ms = self._routed.remaining_ms(now_ms)
         if request.remaining_ms < MIN_REMAINING_MS:
             return refusals.deadline_refusal(context)
+        if request.workspace is not None and not forwarder.key_proof.may_accept(now_ms):
+            return refusals.final_refusal(context, identify.UNPROVEN)
         if request.tried and forwarder.is_poison(self._routed, now_ms):
             return refusals.final_refusal(context, refusals.QUARANTINED)
         choice = self._choose_server(now_ms)
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -7,7 +7,17 @@
 
 from sassafraslock import clock, errors, header_names, http_messages
 from sassafraslock.decisions import candidates, placement, route_latency, split, stop_schedule
-from sassafraslock.path import answer, forwarder, read, refusals, request_context, retry_gate, route
+from sassafraslock.path import (
+    allowance_gate,
+    answer,
+    forwarder,
+    identify,
+    read,
+    refusals,
+    request_context,
+    retry_gate,
+    route,
+)
 from sassafraslock.services import claims, routing_state
 
 
@@ -18,7 +28,7 @@
     ``record_demand`` is called for each request before its first attempt, with the service, the
     milliseconds for which the request is expected to keep a server busy, and the monotonic time.
     While ``closed``, all new requests are refused; in a stop, also those that its ``schedule`` does
-    not accept.
+    not accept. ``allowances`` limits the requests of workspaces.
     """
 
     __slots__ = (
@@ -30,6 +40,7 @@
         "_is_stopped",
         "forwarder",
         "splitter",
+        "allowances",
         "_routing_state",
         "_names",
         "_observer",
@@ -56,6 +67,7 @@
         self._is_stopped = False
         self.forwarder = request_forwarder
         self.splitter = split.Splitter()
+        self.allowances: allowance_gate.AllowanceGate = allowance_gate.NoAllowances()
         self._routing_state = state
         self._names = names
         self._observer = observer
@@ -142,7 +154,7 @@
     ) -> http_messages.Response | errors.Refusal:
         if self.closed:
             return refusals.ENTRY_LEAVING
-        routed = route.route(context.incoming, self._routing_state.table, self.splitter)
+        routed = self._route(context.incoming, clock.monotonic_ms())
         if isinstance(routed, errors.Refusal):
             return routed
         context.routed = routed
@@ -157,6 +169,19 @@
         self._claims.settle(held, outcome)
         return outcome
 
+    def _route(
+        self, incoming: read.IncomingRequest, now_ms: int
+    ) -> route.RoutedRequest | errors.Refusal:
+        table = self._routing_state.table
+        matched = route.match(incoming, table)
+        if isinstance(matched, errors.Refusal):
+            return matched
+        assert table is not None
+        workspace = identify.identify(incoming, matched, table, self.forwarder.key_proof, now_ms)
+        if isinstance(workspace, errors.Refusal):
+            return workspace
+        return route.route(incoming, matched, workspace, table, self.splitter)
+
     def _may_accept(self, routed: route.RoutedRequest, now_ms: int) -> bool:
         """Return whether a request may be accepted, which a stop limits."""
         if self.schedule is None:
@@ -169,6 +194,20 @@
         now_ms = clock.monotonic_ms()
         if self.forwarder.is_poison(routed, now_ms):
             return refusals.QUARANTINED
+        if routed.workspace is None:
+            return await self._place(context, routed)
+        refusal = await self.allowances.acquire(routed.workspace, now_ms)
+        if refusal is not None:
+            return refusal
+        outcome = await self._place(context, routed)
+        if isinstance(outcome, errors.Refusal) and outcome.properties.not_run:
+            self.allowances.give_back(routed.workspace, clock.monotonic_ms())
+        return outcome
+
+    async def _place(
+        self, context: request_context.RequestContext, routed: route.RoutedRequest
+    ) -> http_messages.Response | errors.Refusal:
+        now_ms = clock.monotonic_ms()
         self.retries.budget.record_request(routed.service.name, now_ms)
         busy_ms = self.placer.latency_of(routed.route).expected_ms(
             route_latency.ObjectAffinity.KNOWN
@@ -179,5 +218,6 @@
         placement_request = candidates.PlacementRequest(
             routed.route, routed.service, key, left_ms, routed.idempotent
         )
+        placement_request.workspace = routed.workspace
         placement_request.entry_count = self._entry_count()
         return await self.forwarder.forward(context, routed, placement_request)
--- a/sassafraslock/path/read.py
+++ b/sassafraslock/path/read.py
@@ -15,7 +15,8 @@
     """A client's request with the values of its headers.
 
     ``request_id`` is generated if the header is missing. ``object_key`` and ``host`` are empty,
-    and ``timeout_ms`` is 0, if their header is missing; ``host`` has no port.
+    and ``timeout_ms`` is 0, if their header is missing; ``host`` has no port. ``credential`` is the
+    key of a workspace, which must not be logged.
     """
 
     request: http_messages.Request
@@ -23,6 +24,7 @@
     object_key: str
     host: str
     timeout_ms: int
+    credential: bytes = dataclasses.field(default=b"", repr=False)
 
 
 def read(request: http_messages.Request, names: header_names.HeaderNames) -> IncomingRequest:
@@ -38,6 +40,7 @@
         object_key=headers.get(names.object_key, b"").decode("latin-1"),
         host=headers.get(b"host", b"").decode("latin-1").partition(":")[0],
         timeout_ms=_parse_timeout(headers.get(names.deadline_ms, b"")),
+        credential=headers.get(names.credential, b""),
     )
 
 
--- a/sassafraslock/path/route.py
+++ b/sassafraslock/path/route.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from sassafraslock import errors, routing_table
+from sassafraslock import errors, routing_table, workspaces
 from sassafraslock.decisions import split
 from sassafraslock.path import read
 
@@ -20,7 +20,9 @@
     """A request with its route and service, and the revision of the intents that chose them.
 
     ``idempotent`` is whether the request may run more than once, and ``target`` is the request
-    target that is sent to the server.
+    target that is sent to the server. ``workspace`` is none if the request needs no key, and
+    ``has_workspaces`` is whether the intents hold any, so that servers rely on the header that
+    names them.
     """
 
     incoming: read.IncomingRequest
@@ -29,6 +31,8 @@
     revision: int
     idempotent: bool
     target: str
+    workspace: workspaces.Workspace | None = None
+    has_workspaces: bool = False
 
     def remaining_ms(self, now_ms: int) -> int:
         """Return the time until the request's deadline, negative after it.
@@ -43,27 +47,42 @@
         return self.incoming.request.received_ms + min(timeout_ms, route.timeout_ms) - now_ms
 
 
-def route(
-    incoming: read.IncomingRequest,
-    table: routing_table.RoutingTable | None,
-    splitter: split.Splitter,
-) -> RoutedRequest | errors.Refusal:
-    """Return a request with its route and service, or the refusal if there is none.
+def match(
+    incoming: read.IncomingRequest, table: routing_table.RoutingTable | None
+) -> routing_table.Route | errors.Refusal:
+    """Return the route of a request, or the refusal if there is none.
 
     :param incoming: the parsed request.
     :param table: the intents in force, none before the first ones are read.
-    :param splitter: selects the service of a route whose traffic is split.
     """
     if table is None:
         return _NO_INTENTS
-    request = incoming.request
-    matched = table.match(incoming.host, request.path)
+    matched = table.match(incoming.host, incoming.request.path)
     if matched is None:
         reason = (
-            f"no route matches host {incoming.host!r} and path {request.path!r}; add one to the"
-            " intents or correct the request"
+            f"no route matches host {incoming.host!r} and path {incoming.request.path!r}; add one"
+            " to the intents or correct the request"
         )
         return errors.Refusal(errors.ErrorKind.UNKNOWN_SERVICE, reason)
+    return matched
+
+
+def route(
+    incoming: read.IncomingRequest,
+    matched: routing_table.Route,
+    workspace: workspaces.Workspace | None,
+    table: routing_table.RoutingTable,
+    splitter: split.Splitter,
+) -> RoutedRequest | errors.Refusal:
+    """Return a request with its service, or the refusal if the service does not accept it.
+
+    :param incoming: the parsed request.
+    :param matched: the request's route.
+    :param workspace: the request's workspace, none if it needs no key.
+    :param table: the intents in force.
+    :param splitter: selects the service of a route whose traffic is split.
+    """
+    request = incoming.request
     name = splitter.choose(matched, incoming.object_key or incoming.request_id.decode("latin-1"))
     service = table.services.get(name)
     if service is None:
@@ -76,4 +95,13 @@
         return errors.Refusal(errors.ErrorKind.BODY_TOO_LARGE, reason)
     target = matched.upstream_target(request.target)
     idempotent = matched.is_idempotent(request.method, target.partition("?")[0])
-    return RoutedRequest(incoming, matched, service, table.version, idempotent, target)
+    return RoutedRequest(
+        incoming,
+        matched,
+        service,
+        table.version,
+        idempotent,
+        target,
+        workspace,
+        table.workspaces is not None,
+    )
--- a/sassafraslock/path/send.py
+++ b/sassafraslock/path/send.py
@@ -142,7 +142,9 @@
     def _encode(self, routed: route.RoutedRequest, server: registry.Server) -> bytes:
         remaining_ms = routed.remaining_ms(clock.monotonic_ms())
         names, request = self._names, routed.incoming.request
-        replaced = (names.deadline_ms, names.target_server, names.request_id, names.entry)
+        replaced = {names.deadline_ms, names.target_server, names.request_id, names.entry}
+        if routed.has_workspaces:
+            replaced |= {names.credential, names.workspace}
         headers = [
             (n, v)
             for n, v in http_messages.end_to_end_headers(request.headers)
@@ -153,4 +155,6 @@
         headers.append((names.target_server, server.server_id.encode("latin-1")))
         if names.entry:
             headers.append((names.entry, self._entry_id))
+        if routed.workspace is not None:
+            headers.append((names.workspace, routed.workspace.name.encode("latin-1")))
         return http_messages.encode_request(request.method, routed.target, headers, request.body)
--- a/sassafraslock/routing_table.py
+++ b/sassafraslock/routing_table.py
@@ -4,7 +4,9 @@
 
 import dataclasses
 
-from sassafraslock import field_types
+import msgspec
+
+from sassafraslock import field_types, workspaces
 
 DEFAULT_HEADER_BYTES = 16 << 10
 DEFAULT_BODY_BYTES = 64 << 20
@@ -28,7 +30,8 @@
     means in any. ``sticky`` means that a server answers faster for an object that it has handled
     before. With ``strip_prefix``, servers get the path without the prefix but with its last
     slash. A request may take until its own deadline, but no longer than ``timeout_ms``; without
-    a deadline it may take ``default_timeout_ms``, where 0 means ``timeout_ms``.
+    a deadline it may take ``default_timeout_ms``, where 0 means ``timeout_ms``. Requests of a
+    ``public`` route need no key; it is unset in intents without workspaces.
     """
 
     name: field_types.Name
@@ -45,6 +48,7 @@
     idempotent_requests: tuple[str, ...] = ()
     strip_prefix: bool = False
     default_timeout_ms: field_types.DurationMs = 0
+    public: bool | msgspec.UnsetType = msgspec.UNSET
 
     def is_idempotent(self, method: str, path: str) -> bool:
         """Return whether a request may safely run more than once, so that it may be retried.
@@ -124,19 +128,26 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Intents:
-    """One version of the operator's routing configuration; a newer one has a higher number."""
+    """One version of the operator's routing configuration; a newer one has a higher number.
+
+    If ``workspaces`` is set, requests need a key of one of them, except on public routes.
+    ``faults`` tells of the parts of the configuration that could not be used. Both are left out of
+    messages between entries where they are unset.
+    """
 
     version: field_types.Version
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = dataclasses.field(default_factory=Limits)
     links: tuple[Link, ...] = ()
+    workspaces: tuple[workspaces.Workspace, ...] | msgspec.UnsetType = msgspec.UNSET
+    faults: tuple[field_types.Text, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class RoutingTable:
     """One version of the routing configuration, indexed by host and path prefix."""
 
-    __slots__ = ("version", "services", "limits", "links", "routes", "_prefixes")
+    __slots__ = ("version", "services", "limits", "links", "routes", "workspaces", "_prefixes")
 
     def __init__(self, intents: Intents) -> None:
         self.version = intents.version
@@ -144,10 +155,29 @@
         self.services = {service.name: service for service in intents.services}
         self.limits = intents.limits
         self.links = intents.links
+        self.workspaces: workspaces.WorkspaceIndex | None = None
+        if intents.workspaces is not msgspec.UNSET:
+            self.workspaces = workspaces.WorkspaceIndex(intents.workspaces)
         self._prefixes: dict[str, dict[str, Route]] = {}
         for route in intents.routes:
             self._prefixes.setdefault(route.host, {})[route.prefix] = route
 
+    def requires_key(self, route: Route) -> bool:
+        """Return whether the requests of a route need the key of a workspace.
+
+        :param route: the route.
+        """
+        return self.workspaces is not None and route.public is not True
+
+    def allowed_regions(self, route: Route) -> set[frozenset[str]]:
+        """Return the sets of regions in which requests of a route may run, by their workspaces.
+
+        :param route: the route.
+        """
+        known = self.workspaces.workspaces if self.workspaces is not None else ()
+        sets = {workspaces.allowed_regions(route.regions, workspace) for workspace in known}
+        return {route.regions, *(regions for regions in sets if regions is not None)}
+
     def link_bytes_per_s(self, region: str) -> dict[str, int]:
         """Return the capacity of each link of a region, in bytes per second.
 
--- a/sassafraslock/services/export_decoder.py
+++ b/sassafraslock/services/export_decoder.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sassafraslock import facts, field_types
+from sassafraslock.decisions import intents_proof
 from sassafraslock.services import store_export
 
 UNNAMED_ROW = "a row without a valid topic, key and version"
@@ -19,6 +20,7 @@
     changes: list[msgspec.Raw]
     age_ms: field_types.AgeMs = 0
     complete_topics: list[facts.Topic] = []
+    proofs: list[intents_proof.ProofReport] = []
 
 
 class _RowName(msgspec.Struct):
@@ -35,12 +37,12 @@
     __slots__ = ("_whole", "_raw", "_change", "_name")
 
     def __init__(self) -> None:
-        self._whole = msgspec.msgpack.Decoder(store_export.Export)
+        self._whole = msgspec.msgpack.Decoder(store_export.ProvenExport)
         self._raw = msgspec.msgpack.Decoder(_RawExport)
         self._change = msgspec.msgpack.Decoder(facts.Change)
         self._name = msgspec.msgpack.Decoder(_RowName)
 
-    def decode(self, data: bytes) -> tuple[store_export.Export, list[str]]:
+    def decode(self, data: bytes) -> tuple[store_export.ProvenExport, list[str]]:
         """Return an export, and why rows were left out that cannot even be named.
 
         :param data: the encoded export.
@@ -51,7 +53,7 @@
         except RecursionError as error:
             raise msgspec.DecodeError(field_types.describe(error)) from error
 
-    def _decode(self, data: bytes) -> tuple[store_export.Export, list[str]]:
+    def _decode(self, data: bytes) -> tuple[store_export.ProvenExport, list[str]]:
         try:
             export = self._whole.decode(data)
         except msgspec.ValidationError:
@@ -60,11 +62,13 @@
             return export, []
         return self._decode_rows(data)
 
-    def _decode_rows(self, data: bytes) -> tuple[store_export.Export, list[str]]:
+    def _decode_rows(self, data: bytes) -> tuple[store_export.ProvenExport, list[str]]:
         raw = self._raw.decode(data)
         decoded = [self._decode_row(raw_row) for raw_row in raw.changes]
         changes = [row for row in decoded if isinstance(row, facts.Change)]
-        export = store_export.Export(raw.positions, changes, raw.age_ms, raw.complete_topics)
+        export = store_export.ProvenExport(
+            raw.positions, changes, raw.age_ms, raw.complete_topics, raw.proofs
+        )
         return export, [row for row in decoded if isinstance(row, str)]
 
     def _decode_row(self, raw: msgspec.Raw) -> facts.Change | str:
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -19,6 +19,7 @@
 from sassafraslock.decisions import (
     departing_servers,
     gossip_targets,
+    intents_proof,
     load_reports,
     message_auth,
     object_memory,
@@ -36,6 +37,8 @@
 HEARTBEATS_PER_MESSAGE = 300
 COMPRESSION_LEVEL = 3
 MAX_MESSAGE_BYTES = 256 << 10
+# The first byte of datagrams of other services; the compressed gossip messages begin with 0x78.
+DATAGRAM_MARK = b"\x01"
 
 ReportT = typing.TypeVar("ReportT")
 
@@ -60,6 +63,15 @@
     restarts: list[server_restarts.RestartReport] = []
 
 
+class ExtendedMessage(Message, frozen=True, array_like=True):
+    """A datagram with what only some deployments have to tell; the others send :class:`Message`.
+
+    ``proofs`` goes to all entries.
+    """
+
+    proofs: list[intents_proof.ProofReport] = []
+
+
 class ReportExchange(typing.Protocol[ReportT]):
     """Reports that entries nearby send to each other, by answers to this entry or to others."""
 
@@ -87,6 +99,17 @@
         """
 
 
+class DatagramHandler(typing.Protocol):
+    """Receives the datagrams of another service that shares the socket."""
+
+    def __call__(self, payload: bytes, now_ms: int) -> None:
+        """Handle a datagram whose signature was right.
+
+        :param payload: the datagram, without its mark.
+        :param now_ms: the monotonic time at which it was read.
+        """
+
+
 class GossipService:
     """Sends and receives gossip datagrams; owns the UDP socket and the roster."""
 
@@ -107,6 +130,8 @@
         "departures",
         "restarts",
         "token",
+        "on_datagram",
+        "_bound",
         "_is_urgent",
         "rejections",
     )
@@ -134,10 +159,12 @@
         self.rejections = rejections.Rejections()
         self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
         self.restarts: ReportExchange[server_restarts.RestartReport] | None = None
+        self.on_datagram: DatagramHandler | None = None
+        self._bound: anyio.abc.UDPSocket | None = None
         self._is_urgent = anyio.Event()
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = list_decoder.ListDecoder(Message)
+        self._decoder = list_decoder.ListDecoder(ExtendedMessage)
         self._last_live: set[str] = set()
 
     async def run(self, ready: anyio.Event) -> None:
@@ -147,6 +174,7 @@
         """
         host, _, port = self._address.rpartition(":")
         async with await anyio.create_udp_socket(local_host=host, local_port=int(port)) as bound:
+            self._bound = bound
             ready.set()
             async with anyio.create_task_group() as group:
                 group.start_soon(self._receive, bound)
@@ -177,6 +205,20 @@
             except (OSError, ValueError, OverflowError):
                 continue
 
+    async def send_datagram(self, address: str, payload: bytes) -> None:
+        """Send a datagram of another service; an address that cannot be reached is skipped.
+
+        :param address: the peer's gossip address.
+        :param payload: what the peer's :attr:`on_datagram` gets.
+        """
+        if self._bound is None:
+            return
+        signed = message_auth.sign(self.token, DATAGRAM_MARK + payload)
+        try:
+            await self._bound.sendto(signed, *field_types.split_address(address))
+        except (OSError, ValueError, OverflowError):
+            return
+
     def datagrams(self, now_ms: int) -> list[tuple[str, bytes]]:
         """Return one round's pairs of address and datagram.
 
@@ -291,6 +333,10 @@
             reason = "gossip datagram not signed with this entry's peer_token; compare the settings"
             self._reject_message(reason, now_ms)
             return
+        if verified[:1] == DATAGRAM_MARK:
+            if self.on_datagram is not None:
+                self.on_datagram(verified[1:], now_ms)
+            return
         try:
             plain = zlib.decompressobj().decompress(verified, MAX_MESSAGE_BYTES)
             message, invalid = self._decoder.decode(plain)
--- a/sassafraslock/services/planner.py
+++ b/sassafraslock/services/planner.py
@@ -117,9 +117,10 @@
         if table is None:
             return
         plan_keys = {
-            (destination.service, route.regions)
+            (destination.service, regions)
             for route in table.routes
             for destination in route.destinations
+            for regions in table.allowed_regions(route)
         }
         for key in plan_keys:
             service = table.services.get(key[0])
--- a/sassafraslock/services/routing_state.py
+++ b/sassafraslock/services/routing_state.py
@@ -5,6 +5,8 @@
 import logging
 import typing
 
+import msgspec
+
 from sassafraslock import events, facts, routing_table
 from sassafraslock.decisions import registry, roster
 from sassafraslock.services import rejections
@@ -95,6 +97,7 @@
         if self.table is not None and intents.version <= self.table.version:
             return
         self.table = routing_table.RoutingTable(intents)
+        self._log_faults(intents, self.table, version)
         events.log(
             events.Event.SETTINGS_IN_FORCE,
             "routing intents applied",
@@ -105,6 +108,18 @@
         for listener in self.listeners:
             listener(self.table)
 
+    def _log_faults(
+        self, intents: routing_table.Intents, table: routing_table.RoutingTable, version: int
+    ) -> None:
+        """Log the workspaces that cannot be used."""
+        faults = [] if intents.faults is msgspec.UNSET else list(intents.faults)
+        for name in table.workspaces.shared_by if table.workspaces is not None else ():
+            faults.append(f"workspace {name}: holds a key that another workspace holds too")
+        for fault in faults:
+            events.log(
+                events.Event.WORKSPACE_INVALID, fault, logging.WARNING, store_version=version
+            )
+
     def _set_evacuation(self, zone: str, evacuated: bool, version: int, now_ms: int) -> None:
         self.registry.apply_evacuation(zone, evacuated, now_ms)
         events.log(
--- a/sassafraslock/services/store_export.py
+++ b/sassafraslock/services/store_export.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sassafraslock import facts, field_types
+from sassafraslock.decisions import intents_proof
 
 
 class Export(msgspec.Struct, frozen=True, array_like=True):
@@ -18,3 +19,9 @@
     changes: list[facts.Change]
     age_ms: field_types.AgeMs = 0
     complete_topics: list[facts.Topic] = []
+
+
+class ProvenExport(Export, frozen=True, array_like=True):
+    """Rows with proofs of how recent the intents among them are."""
+
+    proofs: list[intents_proof.ProofReport] = []
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,7 +18,7 @@
 
 from sassafraslock import errors, facts
 from sassafraslock.decisions import registry
-from sassafraslock.services import metrics, replica
+from sassafraslock.services import metrics, replica, store_calls
 from tests import platform_standin
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -59,7 +59,7 @@
     async def scenario(standin, source):
         standin.put("servers", "i-1", platform_standin.server_row())
         changes = await source.read_changes(SERVERS, 1, 50)
-        assert changes == facts.Batch((), 1)
+        assert changes == facts.Batch((), 1, store_now_ms=1_500)
 
     with_store(scenario)
 
@@ -76,7 +76,7 @@
 
 
 def test_a_call_to_a_silent_store_times_out(monkeypatch):
-    monkeypatch.setattr(store, "ANSWER_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(store_calls, "ANSWER_TIMEOUT_S", 0.1)
 
     async def scenario(standin, source):
         standin.faults.silent = True
@@ -90,7 +90,7 @@
 
 def test_after_a_failed_call_no_idle_connection_is_used_again(monkeypatch):
     """A call on an idle connection that died in a network partition would wait for its timeout."""
-    monkeypatch.setattr(store, "ANSWER_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(store_calls, "ANSWER_TIMEOUT_S", 0.1)
 
     async def scenario(standin, source):
         for _ in range(2):
@@ -106,7 +106,7 @@
 
 
 def test_a_write_whose_answer_is_lost_takes_effect(monkeypatch):
-    monkeypatch.setattr(store, "ANSWER_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(store_calls, "ANSWER_TIMEOUT_S", 0.2)
 
     async def scenario(standin, source):
         standin.faults.lost_ratio = 1.0
@@ -125,7 +125,7 @@
     reconnected, which takes a connect and a retry pause, and must have dropped rows that the
     store may have removed during the partition.
     """
-    reconnected_s = store.CONNECT_TIMEOUT_S + 1.5 * replica.RETRY_PAUSE_S
+    reconnected_s = store_calls.CONNECT_TIMEOUT_S + 1.5 * replica.RETRY_PAUSE_S
     assert reconnected_s + replica.REMOVAL_HOLD_MS / 1_000 <= 3.0
 
 
