Join probes: no probes at a system's start, and by requests that lose no time first

All servers of a system that starts count as joined, so each got a probe of two entries, run slowly at a server that is not the object's home.

Change: a server that joins while this entry has no traffic gets no probe; it becomes a home by the first requests. For 2 s after a join only requests whose object the chosen server has not in memory become probes. Tests that probed without traffic before now place a request first.

--- a/sassafraslock/decisions/join_probes.py
+++ b/sassafraslock/decisions/join_probes.py
@@ -7,6 +7,8 @@
 from sassafraslock.decisions import registry, server_health
 
 MAX_WAIT_MS = 15_000  # how long after it joined a server may get a first probe
+# Until then, only requests that lose no time by it become probes.
+PATIENT_MS = 2_000
 
 
 class JoinProbes:
@@ -34,13 +36,14 @@
         """
         self._joined_ms[server_id] = now_ms
 
-    def due(self, service: str, now_ms: int) -> list[registry.Server]:
+    def due(self, service: str, is_slowed: bool, now_ms: int) -> list[registry.Server]:
         """Return the servers of a service that may get a probe, in the order in which they joined.
 
         Servers that answered or joined more than :data:`MAX_WAIT_MS` ago are forgotten. Cold and
         draining servers, and those with a request in flight, are left out for now.
 
         :param service: the service.
+        :param is_slowed: whether the request would be faster elsewhere.
         :param now_ms: the current monotonic time.
         """
         due: list[registry.Server] = []
@@ -49,6 +52,8 @@
             is_late = now_ms - joined_ms > MAX_WAIT_MS
             if server is None or self._health_of(server).answers or is_late:
                 del self._joined_ms[server_id]
+            elif is_slowed and now_ms - joined_ms < PATIENT_MS:
+                continue
             elif server.report.service == service and self._may_get_requests(server, now_ms):
                 due.append(server)
         return due
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -152,7 +152,7 @@
         if chosen is not None:
             chosen.selection = candidates.selection_of(chosen, choices[0])
         if chosen is not None and request.idempotent and not request.attempts:
-            chosen = self._join_probe(request, planned, now_ms) or chosen
+            chosen = self._join_probe(request, planned, chosen, now_ms) or chosen
         self._placed_count.add(now_ms)
         if chosen is None or candidates.is_too_late(chosen, request):
             chosen = self._spill_over(request, planned, chosen, now_ms) or chosen
@@ -165,13 +165,20 @@
         return self._cold_fallback(request, choices, now_ms)
 
     def _join_probe(
-        self, request: candidates.PlacementRequest, planned: str, now_ms: int
+        self,
+        request: candidates.PlacementRequest,
+        planned: str,
+        chosen: candidates.Choice,
+        now_ms: int,
     ) -> candidates.Choice | None:
         """Return a recently joined server that has not answered this entry yet, if there is one.
 
-        It is one of the planned region, since many servers join at once when a system starts.
+        It is one of the planned region. A request whose object the chosen server has in memory
+        would take several times as long as a probe, so it becomes one only if others are rare.
         """
-        for server in self._join_probes.due(request.service.name, now_ms):
+        is_known = chosen.affinity is route_latency.ObjectAffinity.KNOWN
+        is_slowed = request.is_sticky and is_known
+        for server in self._join_probes.due(request.service.name, is_slowed, now_ms):
             if server.region != planned or not request.allows(server):
                 continue
             if self.backpressure.hold(server, now_ms) is None:
@@ -183,13 +190,14 @@
     def record_join(self, server_id: str, now_ms: int) -> None:
         """Record that a server joined, so that it gets a probe request soon.
 
-        Only the entries assigned to the server send it one.
+        Only the entries assigned to the server send it one. Without traffic it gets none: all
+        servers join when a system starts, and become homes by its first requests.
 
         :param server_id: the server; ignored if it is not registered.
         :param now_ms: the current monotonic time.
         """
         server = self.registry.servers.get(server_id)
-        if server is None:
+        if server is None or not self._placed_count.total(now_ms):
             return
         if self.cold.may_probe_joined(server):
             self._join_probes.record(server_id, now_ms)
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -180,6 +180,7 @@
 @pytest.mark.parametrize("hold", HOLDS)
 def test_a_join_probe_does_not_go_to_a_server_that_wants_nothing(hold):
     placer = test_placement.build({"i-2": "a-1"})
+    placer.place(test_placement.request_for(), 0)
     placer.registry.apply_report(report("i-1", 5), 100, True, 0)
     placer.record_join("i-1", 100)
     ask(placer, "i-1", hold, 100)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,14 @@
 
 from benchmarks import placement as bench
 from sassafraslock import errors, routing_table
-from sassafraslock.decisions import candidates, cold_start, placement, region_plan, registry
+from sassafraslock.decisions import (
+    candidates,
+    cold_start,
+    join_probes,
+    placement,
+    region_plan,
+    registry,
+)
 
 SERVICE = routing_table.Service("s", 330, 3000, 4.9)
 
@@ -222,6 +229,7 @@
 
 def test_a_server_that_joined_gets_a_request_once_it_is_warm():
     placer = build(SERVERS)
+    placer.place(request_for(), 0)
     ready = registry.ServerState.READY
     report = registry.ServerReport("new", "s", "h:2", "a", "a-1", 3, ready, 0, 5)
     placer.registry.apply_report(report, 100, True, 3000)
@@ -232,9 +240,36 @@
     assert placer.place(request_for(), 3400).server.server_id != "new"
 
 
+# Guards against first requests that run slowly at servers which are not their objects' homes: all
+# servers of a system that starts join at once.
+def test_servers_that_joined_before_the_first_request_get_no_probe():
+    placer = build(SERVERS)
+    for server_id in SERVERS:
+        placer.record_join(server_id, 100)
+    for number in range(40):
+        chosen = placer.place(request_for(str(number)), 200)
+        assert chosen.selection is not candidates.Selection.JOIN_PROBE
+
+
+# Guards against probes that take a request away from a server which has its object in memory.
+def test_a_probe_takes_a_request_from_a_server_that_knows_its_object_only_after_a_while():
+    placer = build(SERVERS)
+    home = placer.place(request_for(), 0)
+    start_hash = registry.start_hash(home.server)
+    placer.objects.record(request_for().object_hash, start_hash, 50, 50)
+    ready = registry.ServerState.READY
+    report = registry.ServerReport("new", "s", "h:2", "a", "a-1", 3, ready)
+    placer.registry.apply_report(report, 100, False, 0)
+    placer.record_join("new", 100)
+    assert placer.place(request_for(), 200).server is home.server
+    patient_until_ms = 100 + join_probes.PATIENT_MS
+    assert placer.place(request_for(), patient_until_ms).server.server_id == "new"
+
+
 # Guards against many servers that join at once and draw requests out of their planned regions.
 def test_a_server_that_joined_draws_no_request_from_another_region():
     placer = build(SERVERS)
+    placer.place(request_for(), 0)
     ready = registry.ServerState.READY
     report = registry.ServerReport("new", "s", "h:2", "b", "b-1", 3, ready, 0, 5)
     placer.registry.apply_report(report, 100, True, 0)
--- a/tests/test_rate_limited_placement.py
+++ b/tests/test_rate_limited_placement.py
@@ -123,6 +123,7 @@
 
 def test_a_join_probe_keeps_to_the_limit():
     placer = build({"i-2": "a-1"})
+    place_many(placer, 1, 0)
     placer.registry.apply_report(
         registry.ServerReport("i-1", "s", "h:2", "a", "a-1", 3, registry.ServerState.READY, 0, 5),
         100,
