Allowances: quotas of workspaces hold summed over all entries

Cause: nothing limited what workspaces send, and parts per entry would leave most of a quota unused. Change: entries lend their shares to a collector of their region, which grants one token per request; collectors ask each other for what their regions do not need. Built where a window is set, idle while no workspace has a rate.

--- /dev/null
+++ b/sassafraslock/allowances/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on requests that hold summed over all entries, without a central counter."""
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -27,6 +27,8 @@
     signal_watch,
     signals,
 )
+from sassafraslock.allowances import limits
+from sassafraslock.allowances import service as allowance_service
 from sassafraslock.decisions import (
     backpressure,
     message_quota,
@@ -110,9 +112,9 @@
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
         self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
-        handler = handlers.client_handler(self)
-        policy = self.pipeline.may_run_concurrently
+        handler, policy = handlers.client_handler(self), self.pipeline.may_run_concurrently
         self.client_server = self._http_server(handler, settings.client_address, policy)
+        self.allowances = self._build_allowances()
         self._register_services(handlers)
         self._register_request_services(keys, platform_services or {})
         self._subscribe(placer)
@@ -128,6 +130,9 @@
         self.gossip.restarts = self.restart_watch
         placer.cold.restarts.on_observed = self.gossip.send_soon
         self.routing_state.listeners.append(self._apply_table)
+        if self.allowances is not None:
+            self.pipeline.allowances = self.allowances
+            self.routing_state.listeners.append(self.allowances.apply_table)
         self.routing_state.on_server_joined = placer.record_join
         self.routing_state.on_server_restarted = placer.cold.restarts.record_start
         placer.cold.limiter.on_asked = cold_limit_watch.ColdLimitWatch().record
@@ -158,6 +163,11 @@
             self.routing_state, request_forwarder, names, log, entry_count, keys
         )
 
+    def _build_allowances(self) -> allowance_service.AllowanceService | None:
+        now_ms = clock.monotonic_ms()
+        record = self.member_record
+        return edge_decisions.build_allowances(self.settings, self.gossip, record, now_ms)
+
     def _register_services(self, handlers: entry_interfaces.HandlerFactory) -> None:
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
@@ -167,6 +177,8 @@
         self.kernel.register("messages", kernel.PassiveService(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
+        if self.allowances is not None:
+            self.kernel.register("allowances", self.allowances)
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
         self.kernel.register("poison", self.poison)
@@ -335,6 +347,8 @@
             clock.monotonic_ms(),
         )
         self.pipeline.placer.cold.limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
+        if self.allowances is not None and bounds.allowance_window_ms > 0:
+            self.allowances.set_terms(limits.terms_of(bounds))
         self.gossip.seeds = list(settings.seeds)
         self.kernel.stop_bound_ms = self._stop_bound_ms()
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import collections.abc
+
 from sassafraslock import edge_settings
+from sassafraslock.allowances import limits
+from sassafraslock.allowances import service as allowance_service
 from sassafraslock.decisions import (
     backpressure,
     cold_start,
@@ -14,6 +18,7 @@
     server_restarts,
 )
 from sassafraslock.path import retry_gate
+from sassafraslock.services import gossip
 
 
 def build_placer(
@@ -53,3 +58,22 @@
         bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms, now_ms
     )
     return retry_gate.RetryGate(budget, members.sharing_count)
+
+
+def build_allowances(
+    settings: edge_settings.EdgeSettings,
+    peers: gossip.GossipService,
+    own_record: collections.abc.Callable[[int], roster.MemberRecord],
+    now_ms: int,
+) -> allowance_service.AllowanceService | None:
+    """Return the service that limits workspaces, none where no window is set.
+
+    :param settings: the entry's settings.
+    :param peers: the gossip service, whose socket it shares.
+    :param own_record: returns this entry's record.
+    :param now_ms: the current monotonic time.
+    """
+    if settings.bounds.allowance_window_ms <= 0:
+        return None
+    terms = limits.terms_of(settings.bounds)
+    return allowance_service.AllowanceService(peers, own_record, terms, now_ms)
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -6,6 +6,7 @@
 import typing
 
 from sassafraslock import events
+from sassafraslock.allowances import refusal
 from sassafraslock.decisions import candidates
 from sassafraslock.path import judge, request_context, send
 from sassafraslock.services import metrics
@@ -92,6 +93,8 @@
         if isinstance(context.refusal, candidates.QueueRefusal) and context.refusal.choice:
             fields["limit_ms"] = round(context.refusal.limit_ms)
             fields["best"] = _choice_fields(context.refusal.choice)
+        if isinstance(context.refusal, refusal.AllowanceRefusal):
+            fields |= _allowance_fields(context.refusal, now_ms)
         received_ms = context.incoming.request.received_ms
         fields["attempts"] = [_attempt_fields(a, v, received_ms) for a, v in context.attempts]
         return fields
@@ -107,6 +110,17 @@
     return {name: count for name, count in counts.items() if count}
 
 
+def _allowance_fields(refused: refusal.AllowanceRefusal, now_ms: int) -> dict[str, object]:
+    """Return which collector refused a request, after what wait and how long ago."""
+    return {
+        "collector": refused.collector,
+        "collectors_asked": refused.asked,
+        "collector_wait_ms": refused.waited_ms,
+        "decision_age_ms": now_ms - refused.decided_ms,
+        "retry_after_ms": refused.retry_after_ms,
+    }
+
+
 def _choice_fields(choice: candidates.Choice) -> dict[str, object]:
     fields: dict[str, object] = {
         "server": choice.server.server_id,
