Proofs that the intents are recent decide on requests with keys

Cause: an entry that was frozen, cut off from the store or fed by a slow peer went on to accept keys that had been taken away, for as long as its copy of the intents lacked the change.

A proof names the version of the intents' row and the time of that clock at which it was the newest one (decisions/ intents_proof.py). Proofs come from the store's answers, from copies of peers, which tell the clock's range too, and from gossip. Without one that is younger than Bounds.revoke_ms, requests with keys get 503 key-unproven; an entry that has no public route is not ready.

Tests: the fixtures of test_replica, test_zone_feed and test_rows name the new module of the paces; calls of merge_reader_export and _merge_export have one more argument; the stand-in of KeyProof in test_workspaces tells a retry time.

--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -29,13 +29,14 @@
 )
 from sassafraslock.decisions import (
     backpressure,
+    intents_proof,
     message_quota,
     placement,
     registry,
     roster,
     stop_schedule,
 )
-from sassafraslock.path import access_log, attempt_recorder, forwarder, pipeline, send
+from sassafraslock.path import access_log, attempt_recorder, forwarder, identify, pipeline, send
 from sassafraslock.services import (
     backpressure_watch,
     claims,
@@ -50,8 +51,8 @@
     peer_copies,
     planner,
     poison_watch,
+    proof_watch,
     registrar,
-    replica,
     restart_watch,
     routing_state,
     server_connection,
@@ -96,7 +97,8 @@
             settings.peer_token,
         )
         self.routing_state = routing_state.RoutingState(servers, self.gossip.roster)
-        self.replica = replica.Replica(source, self.routing_state)
+        self.key_proof = intents_proof.IntentsProofs(settings.bounds.revoke_ms)
+        self.replica = edge_decisions.build_replica(source, self.routing_state, self.key_proof)
         self.metrics = metrics.Metrics()
         self.backpressure = backpressure.Backpressure(
             settings.entry_id, servers, self.gossip, clock.monotonic_ms()
@@ -110,8 +112,7 @@
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
         self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
-        handler = handlers.client_handler(self)
-        policy = self.pipeline.may_run_concurrently
+        handler, policy = handlers.client_handler(self), self.pipeline.may_run_concurrently
         self.client_server = self._http_server(handler, settings.client_address, policy)
         self._register_services(handlers)
         self._register_request_services(keys, platform_services or {})
@@ -126,6 +127,8 @@
         self.gossip.limits = self.watch.limits
         self.gossip.departures = self.watch.departing
         self.gossip.restarts = self.restart_watch
+        self.gossip.proofs = self.key_proof
+        self.pipeline.forwarder.key_proof = self.key_proof
         placer.cold.restarts.on_observed = self.gossip.send_soon
         self.routing_state.listeners.append(self._apply_table)
         self.routing_state.on_server_joined = placer.record_join
@@ -167,6 +170,7 @@
         self.kernel.register("messages", kernel.PassiveService(self.quota))
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
+        self.kernel.register("proofs", proof_watch.ProofWatch(self.key_proof, self.routing_state))
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
         self.kernel.register("poison", self.poison)
@@ -259,9 +263,12 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this entry knows routes and servers, has started and is not stopping."""
-        known = self.routing_state.table is not None and bool(self.routing_state.registry.servers)
-        return known and self.kernel.all_ready and not self.leaving
+        """Whether this entry can serve any route, has started and is not stopping."""
+        state = self.routing_state
+        serves = bool(state.registry.servers) and identify.serves_any(
+            state.table, self.key_proof, clock.monotonic_ms()
+        )
+        return serves and self.kernel.all_ready and not self.leaving
 
     def member_record(self, beat: int) -> roster.MemberRecord:
         """Return the record of this entry that gossip spreads.
@@ -327,6 +334,7 @@
         )
         bounds = settings.bounds
         self.directory.settings = self.settings
+        self.key_proof.revoke_ms = bounds.revoke_ms
         self.quota.resize(settings.memory_bytes)
         self.pipeline.retries.budget.set_bounds(
             bounds.retry_ratio,
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -1,12 +1,13 @@
-"""Builds what an entry decides with: the choice of servers, and retries."""
+"""Builds what an entry decides with: its copy of the store, the choice of servers, and retries."""
 
 from __future__ import annotations
 
-from sassafraslock import edge_settings
+from sassafraslock import edge_settings, facts
 from sassafraslock.decisions import (
     backpressure,
     cold_start,
     entry_view,
+    intents_proof,
     placement,
     registry,
     retry_budget,
@@ -14,6 +15,7 @@
     server_restarts,
 )
 from sassafraslock.path import retry_gate
+from sassafraslock.services import intents_recorder, replica, routing_state
 
 
 def build_placer(
@@ -53,3 +55,18 @@
         bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms, now_ms
     )
     return retry_gate.RetryGate(budget, members.sharing_count)
+
+
+def build_replica(
+    source: facts.FactSource,
+    state: routing_state.RoutingState,
+    proofs: intents_proof.IntentsProofs,
+) -> replica.Replica:
+    """Return the entry's copy of the store, which tells the proofs how recent it is.
+
+    :param source: the store.
+    :param state: what the rows are applied to.
+    :param proofs: the proofs that keys need.
+    """
+    recorder = intents_recorder.IntentsRecorder(proofs, lambda: state.table)
+    return replica.Replica(source, state, recorder)
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -27,3 +27,6 @@
     clients = entry.client_server
     gauges.set_connections(entry_id, clients.cuts.counts, clients.accept_failures)
     gauges.set_backpressure(entry_id, entry.watch.gauges(now_ms))
+    proofs = entry.key_proof
+    if proofs.revoke_ms is not None:
+        gauges.set_proof(entry_id, proofs.may_accept(now_ms), proofs.age_ms(now_ms))
--- a/sassafraslock/path/forwarder.py
+++ b/sassafraslock/path/forwarder.py
@@ -157,7 +157,8 @@
         if request.remaining_ms < MIN_REMAINING_MS:
             return refusals.deadline_refusal(context)
         if request.workspace is not None and not forwarder.key_proof.may_accept(now_ms):
-            return refusals.final_refusal(context, identify.UNPROVEN)
+            unproven = identify.unproven(forwarder.key_proof, now_ms)
+            return refusals.final_refusal(context, unproven)
         if request.tried and forwarder.is_poison(self._routed, now_ms):
             return refusals.final_refusal(context, refusals.QUARANTINED)
         choice = self._choose_server(now_ms)
--- a/sassafraslock/path/identify.py
+++ b/sassafraslock/path/identify.py
@@ -11,15 +11,13 @@
     errors.ErrorKind.KEY_UNKNOWN,
     "the request has no key of a workspace; send one that the operator has issued",
 )
-KEY_TOO_NEW = errors.Refusal(
-    errors.ErrorKind.KEY_UNPROVEN,
+KEY_TOO_NEW = (
     "the key is unknown here, but this entry's copy of the intents may be old; retry at another"
-    " entry",
+    " entry"
 )
-UNPROVEN = errors.Refusal(
-    errors.ErrorKind.KEY_UNPROVEN,
+UNPROVEN = (
     "this entry cannot prove that its copy of the intents is recent, and keys may have been taken"
-    " away since; retry at another entry",
+    " away since; retry at another entry"
 )
 REGION_FORBIDDEN = errors.Refusal(
     errors.ErrorKind.REGION_FORBIDDEN,
@@ -42,6 +40,12 @@
         :param now_ms: the current monotonic time.
         """
 
+    def retry_after_ms(self, now_ms: int) -> int:
+        """Return the time after which a newer proof is expected.
+
+        :param now_ms: the current monotonic time.
+        """
+
 
 class Unbounded:
     """The proof where no bound is set: the copy of the intents counts as recent."""
@@ -62,6 +66,36 @@
         """
         return True
 
+    def retry_after_ms(self, now_ms: int) -> int:
+        """Return 0, since nothing is refused for the want of a proof.
+
+        :param now_ms: the current monotonic time.
+        """
+        return 0
+
+
+def unproven(proof: KeyProof, now_ms: int, reason: str = UNPROVEN) -> errors.Refusal:
+    """Return the refusal of a request whose key cannot be judged now.
+
+    :param proof: the proof that is missing.
+    :param now_ms: the current monotonic time.
+    :param reason: what cannot be judged.
+    """
+    return errors.Refusal(errors.ErrorKind.KEY_UNPROVEN, reason, proof.retry_after_ms(now_ms))
+
+
+def serves_any(table: routing_table.RoutingTable | None, proof: KeyProof, now_ms: int) -> bool:
+    """Return whether the requests of any route may run, by the proof of the keys that they need.
+
+    :param table: the intents in force.
+    :param proof: whether these are recent enough.
+    :param now_ms: the current monotonic time.
+    """
+    if table is None:
+        return False
+    needs_keys = all(table.requires_key(route) for route in table.routes)
+    return not needs_keys or not table.routes or proof.may_accept(now_ms)
+
 
 def identify(
     incoming: read.IncomingRequest,
@@ -82,9 +116,11 @@
         return None
     workspace = table.workspaces.find(incoming.credential)
     if workspace is None:
-        return KEY_UNKNOWN if proof.may_deny(now_ms) else KEY_TOO_NEW
+        if proof.may_deny(now_ms):
+            return KEY_UNKNOWN
+        return unproven(proof, now_ms, KEY_TOO_NEW)
     if not proof.may_accept(now_ms):
-        return UNPROVEN
+        return unproven(proof, now_ms)
     if workspaces.allowed_regions(route.regions, workspace) is None:
         return REGION_FORBIDDEN
     return workspace
--- a/sassafraslock/services/export_decoder.py
+++ b/sassafraslock/services/export_decoder.py
@@ -21,6 +21,7 @@
     age_ms: field_types.AgeMs = 0
     complete_topics: list[facts.Topic] = []
     proofs: list[intents_proof.ProofReport] = []
+    clock: intents_proof.ClockRange | None = None
 
 
 class _RowName(msgspec.Struct):
@@ -67,7 +68,7 @@
         decoded = [self._decode_row(raw_row) for raw_row in raw.changes]
         changes = [row for row in decoded if isinstance(row, facts.Change)]
         export = store_export.ProvenExport(
-            raw.positions, changes, raw.age_ms, raw.complete_topics, raw.proofs
+            raw.positions, changes, raw.age_ms, raw.complete_topics, raw.proofs, raw.clock
         )
         return export, [row for row in decoded if isinstance(row, str)]
 
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -129,6 +129,7 @@
         "limits",
         "departures",
         "restarts",
+        "proofs",
         "token",
         "on_datagram",
         "_bound",
@@ -159,6 +160,7 @@
         self.rejections = rejections.Rejections()
         self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
         self.restarts: ReportExchange[server_restarts.RestartReport] | None = None
+        self.proofs: ReportExchange[intents_proof.ProofReport] | None = None
         self.on_datagram: DatagramHandler | None = None
         self._bound: anyio.abc.UDPSocket | None = None
         self._is_urgent = anyio.Event()
@@ -279,7 +281,7 @@
         limits = self.limits.recent_reports(now_ms) if self.limits is not None else []
         departures = self.departures.recent_reports(now_ms) if self.departures is not None else []
         restarts = self.restarts.recent_reports(now_ms) if self.restarts is not None else []
-        return Message(
+        message = Message(
             [own, *records],
             heartbeats,
             self._poison.recent_reports(now_ms),
@@ -287,6 +289,10 @@
             departures=departures,
             restarts=restarts,
         )
+        proofs = self.proofs.recent_reports(now_ms) if self.proofs is not None else []
+        if not proofs:
+            return message
+        return ExtendedMessage(**msgspec.structs.asdict(message), proofs=proofs)
 
     def pack(self, message: Message) -> bytes:
         """Encode and compress a message, and sign it with the peer token.
@@ -361,6 +367,8 @@
             self.departures.merge_reports(message.departures, now_ms)
         if self.restarts is not None:
             self.restarts.merge_reports(message.restarts, now_ms)
+        if self.proofs is not None:
+            self.proofs.merge_reports(message.proofs, now_ms)
 
     def _reject_message(self, reason: str, now_ms: int) -> None:
         event = events.Event.PEER_MESSAGE_REJECTED
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 import aioprometheus
@@ -53,6 +54,8 @@
     "rejected_entries": "Entries in rows and messages of others that could not be used.",
     "rejected_settings": "Readings of the settings file that were refused.",
     "connections_cut": "Connections of clients closed with requests or answers unfinished.",
+    "keys_accepted": "1 if requests with keys may run.",
+    "intents_proof_age_seconds": "Greatest age of the proof of the intents, +Inf without one.",
     "accept_failures": "Connections of clients that could not be accepted.",
 }
 _COUNTERS = {
@@ -146,6 +149,18 @@
         self._gauges["servers_paused"].set(labels, gauges.paused)
         self._gauges["invalid_server_pauses"].set(labels, gauges.invalid_pauses)
 
+    def set_proof(self, entry_id: str, accepted: bool, age_ms: int | None) -> None:
+        """Set the gauges of the proof that keys need.
+
+        :param entry_id: the entry.
+        :param accepted: whether requests with keys may run.
+        :param age_ms: the proof's greatest age, none if there is none.
+        """
+        labels = {"entry": entry_id}
+        self._gauges["keys_accepted"].set(labels, int(accepted))
+        age_s = math.inf if age_ms is None else age_ms / 1000
+        self._gauges["intents_proof_age_seconds"].set(labels, age_s)
+
     def set_entries(self, entry_id: str, known: int, live: int) -> None:
         """Set the gauges of the entries that this one knows.
 
--- a/sassafraslock/services/replica.py
+++ b/sassafraslock/services/replica.py
@@ -11,41 +11,22 @@
 import anyio
 
 from sassafraslock import clock, errors, events, facts, store_version
-from sassafraslock.decisions import store_era
-from sassafraslock.services import store_export, store_rows
-
-LONG_POLL_MS = 2_500
-SERVERS_LONG_POLL_MS = 800  # rows change more often; finds a dead connection sooner
-SERVERS_PAUSE_S = 0.5
-INTENTS_PAUSE_S = 0.02
-ENTRIES_PAUSE_S = 1.0
+from sassafraslock.decisions import intents_proof, store_era
+from sassafraslock.services import intents_recorder, poll_pace, store_export, store_rows
+
+LONG_POLL_MS = poll_pace.LONG_POLL_MS
 RETRY_PAUSE_S = 0.25
 ANSWER_GAP_MS = 1_000
 UNAVAILABLE_AFTER_MS = ANSWER_GAP_MS + LONG_POLL_MS
 REMOVAL_HOLD_MS = 2_100
 FALLBACK_AFTER_MS = 700
 FALLBACK_INTERVAL_S = 0.4
-ENTRIES_AT_BASE_PAUSE = 24
-MAX_PAUSE_FACTOR = 2.0
-READER_LONG_POLL_MS = 1_000  # with longer calls, followers would treat the reader as cut off
 FOLLOWER_TIMEOUT_MS = 2_000
 STABLE_AFTER_MS = 4_000
 SETTLE_SPREAD_MS = 2_000
 PEERS_ASKED_AT_START = 1
 PEERS_ASKED_AFTER_RESTORE = 2  # in case that one knows no more than this entry
 
-_PAUSES_S = {
-    facts.Topic.INTENTS: INTENTS_PAUSE_S,
-    facts.Topic.SERVERS: SERVERS_PAUSE_S,
-    facts.Topic.ENTRIES: ENTRIES_PAUSE_S,
-}
-
-_LONG_POLLS_MS = {
-    facts.Topic.INTENTS: LONG_POLL_MS,
-    facts.Topic.SERVERS: SERVERS_LONG_POLL_MS,
-    facts.Topic.ENTRIES: LONG_POLL_MS,
-}
-
 
 class FallbackSource(typing.Protocol):
     """Reads other entries' copies while the store is unavailable."""
@@ -67,7 +48,8 @@
         "_due",
         "_source",
         "_fallback",
-        "_entry_count",
+        "_pace",
+        "_intents",
         "_store_down",
         "_fully_read",
         "_pending_calls",
@@ -79,7 +61,16 @@
         "on_restored",
     )
 
-    def __init__(self, source: facts.FactSource, sink: store_rows.ChangeSink) -> None:
+    def __init__(
+        self,
+        source: facts.FactSource,
+        sink: store_rows.ChangeSink,
+        intents: intents_recorder.IntentsRecorder | None = None,
+    ) -> None:
+        self._intents = intents or intents_recorder.IntentsRecorder(
+            intents_proof.IntentsProofs(), lambda: None
+        )
+        self._pace = poll_pace.PollPace(lambda: self._intents.needs_proofs)
         self._era = store_era.StoreEra()
         self._rows = store_rows.StoreRows(sink, self._era, source.operator_topics)
         self.store_recovered_ms = -REMOVAL_HOLD_MS
@@ -87,7 +78,6 @@
         self._due = anyio.Event()
         self._source = source
         self._fallback: FallbackSource | None = None
-        self._entry_count: typing.Callable[[], int] = lambda: 1
         self._store_down = False
         self._fully_read: set[facts.Topic] = set()
         self._pending_calls: dict[facts.Topic, anyio.CancelScope] = {}
@@ -111,18 +101,9 @@
     def set_entry_count(self, entries: typing.Callable[[], int]) -> None:
         """Set how the number of entries is found; pauses between reads grow with it.
 
-        Above :data:`ENTRIES_AT_BASE_PAUSE` entries the pauses are stretched in proportion, by at
-        most :data:`MAX_PAUSE_FACTOR`. Reads of intents, and reads for followers, keep their pace.
-
         :param entries: returns the number of entries.
         """
-        self._entry_count = entries
-
-    def _pause_s(self, topic: facts.Topic) -> float:
-        if self._has_followers:
-            return _PAUSES_S[topic]
-        factor = min(MAX_PAUSE_FACTOR, max(1.0, self._entry_count() / ENTRIES_AT_BASE_PAUSE))
-        return _PAUSES_S[topic] * (1.0 if topic is facts.Topic.INTENTS else factor)
+        self._pace.entry_count = entries
 
     def set_fallback(self, peers: FallbackSource) -> None:
         """Set the source that is read while the store does not answer.
@@ -167,8 +148,10 @@
         :param positions: the version that the receiver has reached, by topic.
         """
         changes, complete_topics = self._rows.changes_after(positions)
-        age_ms = self._age_ms(clock.monotonic_ms())
-        return store_export.Export(dict(self.positions), changes, age_ms, complete_topics)
+        now_ms = clock.monotonic_ms()
+        age_ms = self._age_ms(now_ms)
+        export = store_export.Export(dict(self.positions), changes, age_ms, complete_topics)
+        return self._intents.extend(export, now_ms)
 
     def _age_ms(self, now_ms: int) -> int:
         """Return the time since the last answer for intents or for servers, whichever is older."""
@@ -208,15 +191,16 @@
         is_settled = not self._era.unsettled
         return stable and is_settled and self._fully_read.issuperset(facts.Topic)
 
-    def merge_reader_export(self, export: store_export.Export, now_ms: int) -> None:
+    def merge_reader_export(self, export: store_export.Export, sent_ms: int, now_ms: int) -> None:
         """Merge the zone reader's rows and stop reading the store.
 
         :param export: the rows that changed in the reader's copy.
+        :param sent_ms: the monotonic time before they were asked for.
         :param now_ms: the current monotonic time.
         """
         if self._reads_store.is_set():
             self._reads_store = anyio.Event()
-        self._merge_export(export, False, now_ms)
+        self._merge_export(export, False, sent_ms, now_ms)
         answered_ms = now_ms - export.age_ms
         self.last_answer_ms = max(self.last_answer_ms, answered_ms)
 
@@ -235,7 +219,7 @@
 
     async def _pause(self, topic: facts.Topic) -> None:
         """Wait until the next read of a topic, or until :meth:`refresh_servers` is called."""
-        with anyio.move_on_after(self._pause_s(topic)):
+        with anyio.move_on_after(self._pace.pause_s(topic, self._has_followers)):
             await self._due.wait()
 
     async def _watch(self, topic: facts.Topic) -> None:
@@ -244,6 +228,7 @@
             if self._era.settle(topic, clock.monotonic_ms()):
                 self._fully_read.discard(topic)
             reads_all = topic not in self._fully_read
+            sent_ms = clock.monotonic_ms()
             result = await self._read(topic)
             now_ms = clock.monotonic_ms()
             if result is None:
@@ -256,6 +241,9 @@
                 await anyio.sleep(RETRY_PAUSE_S * random.random())
             elif reads_all or topic in self._fully_read:
                 self._apply_batch(topic, result, now_ms)
+                self._intents.record_answer(
+                    topic, result.store_now_ms, self.rows, self._era, sent_ms, now_ms
+                )
                 await self._pause(topic)
 
     def _is_of_present_era(self, version: int, now_ms: int) -> bool:
@@ -291,17 +279,14 @@
             if topic not in self._fully_read:
                 return await self._source.read_all(topic)
             after = self.positions[topic]
-            wait_ms = (
-                min(_LONG_POLLS_MS[topic], READER_LONG_POLL_MS)
-                if self._has_followers
-                else _LONG_POLLS_MS[topic]
-            )
+            wait_ms = self._pace.wait_ms(topic, self._has_followers)
             return await self._source.read_changes(topic, after, wait_ms)
         return None
 
     async def _record_refusal(
         self, topic: facts.Topic, refusal: errors.Refusal, now_ms: int
     ) -> None:
+        self._pace.record_result(topic, True)
         if refusal.kind is errors.ErrorKind.HISTORY_LOST:
             self._record_answer(topic, now_ms)
             self._fully_read.discard(topic)
@@ -326,6 +311,7 @@
         silent_ms = now_ms - self.last_answer_ms
         self.last_answer_ms = now_ms
         self._answered_ms[topic] = now_ms
+        self._pace.record_result(topic, False)
         if self._store_down or silent_ms > UNAVAILABLE_AFTER_MS:
             self._store_down = False
             self.store_recovered_ms = now_ms
@@ -353,11 +339,12 @@
             positions = self._peer_positions(clock.monotonic_ms())
             if self._fallback is None or positions is None:
                 continue
+            sent_ms = clock.monotonic_ms()
             export = await self._fallback.fetch(positions)
             if export is None:
                 continue
             self._peers_to_ask = max(0, self._peers_to_ask - 1)
-            self._merge_export(export, not self.positions, clock.monotonic_ms())
+            self._merge_export(export, not self.positions, sent_ms, clock.monotonic_ms())
 
     def _peer_positions(self, now_ms: int) -> dict[str, int] | None:
         """Return after which versions to ask a peer for changes, none if peers aren't needed.
@@ -370,9 +357,12 @@
         is_silent = silent_ms >= FALLBACK_AFTER_MS + LONG_POLL_MS
         return self.positions if self._store_down or not self.positions or is_silent else None
 
-    def _merge_export(self, export: store_export.Export, first_read: bool, now_ms: int) -> None:
+    def _merge_export(
+        self, export: store_export.Export, first_read: bool, sent_ms: int, now_ms: int
+    ) -> None:
         self._enter_era(max(export.positions.values(), default=0), now_ms)
         self._rows.merge(export, first_read, now_ms)
+        self._intents.merge_export(export, self.rows, self._era, sent_ms, now_ms)
 
     def dump(self) -> dict[str, object]:
         """Return the era, the version reached by topic, and whether the store is down."""
--- a/sassafraslock/services/store_export.py
+++ b/sassafraslock/services/store_export.py
@@ -22,6 +22,11 @@
 
 
 class ProvenExport(Export, frozen=True, array_like=True):
-    """Rows with proofs of how recent the intents among them are."""
+    """Rows with proofs of how recent the intents among them are.
+
+    ``clock`` tells the store's clock at the time of the answer, so that also a receiver that does
+    not call the store itself knows how old the proofs are.
+    """
 
     proofs: list[intents_proof.ProofReport] = []
+    clock: intents_proof.ClockRange | None = None
--- a/sassafraslock/services/zone_feed.py
+++ b/sassafraslock/services/zone_feed.py
@@ -59,13 +59,14 @@
         positions = dict(self._replica.positions)
         copy_request = peer_copies.CopyRequest(positions, CHANGES_WAIT_MS, True)
         timeout_s = CHANGES_WAIT_MS / 1000 + peer_copies.ANSWER_MARGIN_S
+        sent_ms = clock.monotonic_ms()
         export = await self._client.fetch(reader.gossip_address, copy_request, timeout_s)
         now_ms = clock.monotonic_ms()
         if export is None or export.age_ms > zone_reader.MAX_AGE_MS:
             self._selector.record_failure(reader.entry_id, now_ms)
             self._set_reader("")
             return False
-        self._replica.merge_reader_export(export, now_ms)
+        self._replica.merge_reader_export(export, sent_ms, now_ms)
         self._set_reader(reader.entry_id)
         return True
 
--- a/tests/test_export_decoder.py
+++ b/tests/test_export_decoder.py
@@ -80,7 +80,7 @@
         ODD_ROWS["port"],
         change(SERVERS, "odd", 8, report=report("odd")),
     ):
-        copy._merge_export(decoder.decode(encode([row]))[0], False, 0)
+        copy._merge_export(decoder.decode(encode([row]))[0], False, 0, 0)
         assert ("odd" in state.registry.servers) is (row["version"] != 7)
     assert state.rejections.counts == {"servers": 1}
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -6,7 +6,7 @@
 
 from sassafraslock import facts
 from sassafraslock.decisions import registry, roster
-from sassafraslock.services import replica, routing_state, store_export, store_rows
+from sassafraslock.services import poll_pace, replica, routing_state, store_export, store_rows
 from tests import fact_source
 
 SERVERS = facts.Topic.SERVERS
@@ -14,12 +14,12 @@
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
-    monkeypatch.setattr(replica, "_PAUSES_S", dict.fromkeys(facts.Topic, 0.005))
+    monkeypatch.setattr(poll_pace, "PAUSES_S", dict.fromkeys(facts.Topic, 0.005))
     monkeypatch.setattr(replica, "RETRY_PAUSE_S", 0.01)
     monkeypatch.setattr(replica, "FALLBACK_AFTER_MS", 30)
     monkeypatch.setattr(replica, "FALLBACK_INTERVAL_S", 0.01)
     monkeypatch.setattr(replica, "LONG_POLL_MS", 50)
-    monkeypatch.setattr(replica, "_LONG_POLLS_MS", dict.fromkeys(facts.Topic, 50))
+    monkeypatch.setattr(poll_pace, "LONG_POLLS_MS", dict.fromkeys(facts.Topic, 50))
 
 
 class Peers:
@@ -280,7 +280,7 @@
         early, state = copy_of([server_row("x", 1), server_row("gone", 2)], 2)
         late, _ = copy_of([server_row("x", 1), server_row("new", 3)], 4)
         raw = msgspec.msgpack.encode(late.export(early.positions))
-        early.merge_reader_export(msgspec.msgpack.decode(raw, type=store_export.Export), 0)
+        early.merge_reader_export(msgspec.msgpack.decode(raw, type=store_export.Export), 0, 0)
         assert server_ids(state) == {"x", "new"}
         assert early.positions == {SERVERS: 4}
         assert early.export({SERVERS: 3}).complete_topics == [SERVERS]
@@ -296,7 +296,7 @@
         other, _ = copy_of([server_row("x", 1), server_row("gone", 2)], 2)
         other._apply_batch(SERVERS, facts.Batch((facts.Change(SERVERS, "gone", 3),), 3), 0)
         other._apply_batch(SERVERS, facts.Batch((server_row("x", 9),), 9), 0)
-        early.merge_reader_export(other.export(early.positions), 0)
+        early.merge_reader_export(other.export(early.positions), 0, 0)
         assert server_ids(state) == {"x"}
 
     anyio.run(scenario)
@@ -306,8 +306,8 @@
     async def scenario():
         ahead, state = copy_of([server_row("x", 1), server_row("y", 5)], 6)
         behind, _ = copy_of([server_row("x", 1)], 3)
-        ahead.merge_reader_export(behind.export(ahead.positions), 0)
-        ahead.merge_reader_export(behind.export({}), 0)
+        ahead.merge_reader_export(behind.export(ahead.positions), 0, 0)
+        ahead.merge_reader_export(behind.export({}), 0, 0)
         assert server_ids(state) == {"x", "y"}
 
     anyio.run(scenario)
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -12,7 +12,7 @@
 
 from sassafraslock import errors, events, facts, kernel
 from sassafraslock.decisions import registry, roster
-from sassafraslock.services import replica, routing_state
+from sassafraslock.services import poll_pace, replica, routing_state
 from tests import fact_source, platform_standin
 
 PORT = 24_316
@@ -23,8 +23,8 @@
 def quick(monkeypatch):
     monkeypatch.setattr(kernel, "RESTART_DELAY_S", 0.01)
     monkeypatch.setattr(replica, "RETRY_PAUSE_S", 0.01)
-    monkeypatch.setattr(replica, "_PAUSES_S", dict.fromkeys(facts.Topic, 0.005))
-    monkeypatch.setattr(replica, "_LONG_POLLS_MS", dict.fromkeys(facts.Topic, 50))
+    monkeypatch.setattr(poll_pace, "PAUSES_S", dict.fromkeys(facts.Topic, 0.005))
+    monkeypatch.setattr(poll_pace, "LONG_POLLS_MS", dict.fromkeys(facts.Topic, 50))
 
 
 class Reader:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -210,10 +210,10 @@
             report=fact_source.report("x", state="draining"),
         )
         ahead, state = test_replica.copy_of([draining], store_version.join(1, 7))
-        ahead.merge_reader_export(behind.export({}), 0)
+        ahead.merge_reader_export(behind.export({}), 0, 0)
         assert state.registry.servers["x"].draining
         assert ahead.positions == {SERVERS: store_version.join(1, 7)}
-        behind.merge_reader_export(ahead.export(behind.positions), 0)
+        behind.merge_reader_export(ahead.export(behind.positions), 0, 0)
         assert behind.rows[SERVERS, "x"].report.state == "draining"
 
     anyio.run(main)
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -33,6 +33,9 @@
     def may_deny(self, now_ms):
         return self._denies
 
+    def retry_after_ms(self, now_ms):
+        return 700
+
 
 def identified(in_force, key=KEY, proof=None):
     headers = [(b"host", b"h"), (edge_world.NAMES.credential, key)]
@@ -59,7 +62,7 @@
 def test_a_known_key_is_refused_without_a_proof():
     refusal = identified(table(workspace()), proof=Proof(accepts=False))
     assert refusal.kind is errors.ErrorKind.KEY_UNPROVEN
-    assert refusal.effective_retry_after_ms > 0
+    assert refusal.effective_retry_after_ms == 700
 
 
 def test_public_routes_and_intents_without_workspaces_need_no_key():
--- a/tests/test_zone_feed.py
+++ b/tests/test_zone_feed.py
@@ -6,15 +6,22 @@
 
 from sassafraslock import facts, http_messages
 from sassafraslock.decisions import registry, roster, zone_reader
-from sassafraslock.services import peer_copies, replica, routing_state, store_export, zone_feed
+from sassafraslock.services import (
+    peer_copies,
+    poll_pace,
+    replica,
+    routing_state,
+    store_export,
+    zone_feed,
+)
 from tests import fact_source
 
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
-    monkeypatch.setattr(replica, "_PAUSES_S", dict.fromkeys(facts.Topic, 0.005))
+    monkeypatch.setattr(poll_pace, "PAUSES_S", dict.fromkeys(facts.Topic, 0.005))
     monkeypatch.setattr(replica, "RETRY_PAUSE_S", 0.01)
-    monkeypatch.setattr(replica, "_LONG_POLLS_MS", dict.fromkeys(facts.Topic, 50))
+    monkeypatch.setattr(poll_pace, "LONG_POLLS_MS", dict.fromkeys(facts.Topic, 50))
     monkeypatch.setattr(replica, "STABLE_AFTER_MS", -replica.REMOVAL_HOLD_MS)
     monkeypatch.setattr(zone_feed, "CHANGES_WAIT_MS", 40)
     monkeypatch.setattr(zone_feed, "RETRY_S", 0.01)
