--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -31,13 +31,14 @@
 from sassafraslock.allowances import service as allowance_service
 from sassafraslock.decisions import (
     backpressure,
+    intents_proof,
     message_quota,
     placement,
     registry,
     roster,
     stop_schedule,
 )
-from sassafraslock.path import access_log, attempt_recorder, forwarder, pipeline, send
+from sassafraslock.path import access_log, attempt_recorder, forwarder, identify, pipeline, send
 from sassafraslock.services import (
     backpressure_watch,
     claims,
@@ -52,8 +53,8 @@
     peer_copies,
     planner,
     poison_watch,
+    proof_watch,
     registrar,
-    replica,
     restart_watch,
     routing_state,
     server_connection,
@@ -98,7 +99,8 @@
             settings.peer_token,
         )
         self.routing_state = routing_state.RoutingState(servers, self.gossip.roster)
-        self.replica = replica.Replica(source, self.routing_state)
+        self.key_proof = intents_proof.IntentsProofs(settings.bounds.revoke_ms)
+        self.replica = edge_decisions.build_replica(source, self.routing_state, self.key_proof)
         self.metrics = metrics.Metrics()
         self.backpressure = backpressure.Backpressure(
             settings.entry_id, servers, self.gossip, clock.monotonic_ms()
@@ -128,6 +130,8 @@
         self.gossip.limits = self.watch.limits
         self.gossip.departures = self.watch.departing
         self.gossip.restarts = self.restart_watch
+        self.gossip.proofs = self.key_proof
+        self.pipeline.forwarder.key_proof = self.key_proof
         placer.cold.restarts.on_observed = self.gossip.send_soon
         self.routing_state.listeners.append(self._apply_table)
         if self.allowances is not None:
@@ -179,6 +183,7 @@
         self.kernel.register("gossip", self.gossip)
         if self.allowances is not None:
             self.kernel.register("allowances", self.allowances)
+        self.kernel.register("proofs", proof_watch.ProofWatch(self.key_proof, self.routing_state))
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
         self.kernel.register("poison", self.poison)
@@ -271,9 +276,12 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this entry knows routes and servers, has started and is not stopping."""
-        known = self.routing_state.table is not None and bool(self.routing_state.registry.servers)
-        return known and self.kernel.all_ready and not self.leaving
+        """Whether this entry can serve any route, has started and is not stopping."""
+        state = self.routing_state
+        serves = bool(state.registry.servers) and identify.serves_any(
+            state.table, self.key_proof, clock.monotonic_ms()
+        )
+        return serves and self.kernel.all_ready and not self.leaving
 
     def member_record(self, beat: int) -> roster.MemberRecord:
         """Return the record of this entry that gossip spreads.
@@ -339,6 +347,7 @@
         )
         bounds = settings.bounds
         self.directory.settings = self.settings
+        self.key_proof.revoke_ms = bounds.revoke_ms
         self.quota.resize(settings.memory_bytes)
         self.pipeline.retries.budget.set_bounds(
             bounds.retry_ratio,
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -1,16 +1,17 @@
-"""Builds what an entry decides with: the choice of servers, and retries."""
+"""Builds what an entry decides with: its copy of the store, the choice of servers, and retries."""
 
 from __future__ import annotations
 
 import collections.abc
 
-from sassafraslock import edge_settings
+from sassafraslock import edge_settings, facts
 from sassafraslock.allowances import limits
 from sassafraslock.allowances import service as allowance_service
 from sassafraslock.decisions import (
     backpressure,
     cold_start,
     entry_view,
+    intents_proof,
     placement,
     registry,
     retry_budget,
@@ -18,7 +19,7 @@
     server_restarts,
 )
 from sassafraslock.path import retry_gate
-from sassafraslock.services import gossip
+from sassafraslock.services import gossip, intents_recorder, replica, routing_state
 
 
 def build_placer(
@@ -77,3 +78,18 @@
         return None
     terms = limits.terms_of(settings.bounds)
     return allowance_service.AllowanceService(peers, own_record, terms, now_ms)
+
+
+def build_replica(
+    source: facts.FactSource,
+    state: routing_state.RoutingState,
+    proofs: intents_proof.IntentsProofs,
+) -> replica.Replica:
+    """Return the entry's copy of the store, which tells the proofs how recent it is.
+
+    :param source: the store.
+    :param state: what the rows are applied to.
+    :param proofs: the proofs that keys need.
+    """
+    recorder = intents_recorder.IntentsRecorder(proofs, lambda: state.table)
+    return replica.Replica(source, state, recorder)
