Tests and a model of keys that are taken away amid trouble

Cause: the bound has to hold whatever entries, links and the store do at the same time, which unit tests of single faults do not show.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -18,6 +18,7 @@
     placement,
     poison,
     regions,
+    revocation,
     server_limits,
     slopes,
 )
@@ -39,6 +40,10 @@
         "Three regions under a wave of demand and an evacuation, virtual time",
         regions.measure,
     ),
+    "revocation": (
+        "Keys that are taken away amid trouble, bound 5 s, virtual time",
+        revocation.measure,
+    ),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -22,6 +22,7 @@
 STORE_CALL_S = 0.01
 WRITE_DELAY_S = 0.2
 CLIENT_LIMIT_S = 2.5
+CLOCK_OFFSET_MS = 500_000  # the store's steady clock started before those of the entries
 UNREAD_LIMIT_S = 1.0  # after which clients abandon a connection that nobody reads
 GOSSIP_PORT = 7_000
 # These need real sockets or threads; whatever else an entry registers is run.
@@ -65,6 +66,8 @@
     done_s: float
     status: int
     retry_after: bytes = b""
+    entry: str = ""
+    credential: bytes = b""
 
 
 class Store(fact_source.FakeSource):
@@ -112,10 +115,15 @@
             return True
         seen = self._seen(poll, self.network.now_s - reader.delay_s)
         if seen:
-            batch = facts.Batch(tuple(seen), seen[-1].version)
+            told_ms = self.clock_ms(reader.delay_s)
+            batch = facts.Batch(tuple(seen), seen[-1].version, told_ms)
             self.network.after(STORE_CALL_S, _settle, poll.answer, batch)
         return bool(seen)
 
+    def clock_ms(self, ago_s):
+        """Return what the store's steady clock showed a while ago."""
+        return int(1_000 * (self.network.now_s - ago_s)) + CLOCK_OFFSET_MS
+
     def _seen(self, poll, until_s):
         written = self._written[poll.topic]
         first = bisect.bisect_right(written, store_version.number(poll.after), key=_version_of)
@@ -139,22 +147,35 @@
 
 
 class StoreReader:
-    """The store as one entry reads it, after a delay of its own."""
+    """The store as one entry reads it, after a delay of its own.
+
+    An entry that is turned away gets no answers, while others do.
+    """
 
     operator_topics = fact_source.FakeSource.operator_topics
 
     def __init__(self, store, delay_s):
         self._store, self.delay_s = store, delay_s
+        self.is_turned_away = False
         store.add_reader(self)
 
     async def read_all(self, topic):
         await anyio.sleep(STORE_CALL_S)
-        return await self._store.read_all(topic)
+        batch = await self._store.read_all(topic)
+        if self.is_turned_away or not isinstance(batch, facts.Batch):
+            return fact_source.UNAVAILABLE
+        return dataclasses.replace(batch, store_now_ms=self._store.clock_ms(0))
 
     async def read_changes(self, topic, after, wait_ms):
-        with anyio.move_on_after(wait_ms / 1000):
+        if self.is_turned_away:
+            await anyio.sleep(STORE_CALL_S)
+            return fact_source.UNAVAILABLE
+        with anyio.move_on_after(max(2 * STORE_CALL_S, wait_ms / 1000)):
             return await self._store.poll(self, topic, after)
-        return facts.Batch((), after)
+        if self._store.is_unavailable:
+            return fact_source.UNAVAILABLE
+        # A change of the last moment may be under way.
+        return facts.Batch((), after, self._store.clock_ms(STORE_CALL_S + self.delay_s))
 
     async def register(self, registration):
         return await self._store.register(registration)
@@ -183,7 +204,7 @@
         self.loop.create_task(self._run())
 
     async def _run(self):
-        reader = StoreReader(self.world.store, self._feed_delay_s)
+        self.reader = reader = StoreReader(self.world.store, self._feed_delay_s)
         built = edge.Edge(
             self.settings,
             reader,
@@ -191,7 +212,8 @@
             NAMES,
             log_writer.BufferedLogHandler(),
         )
-        built.replica.set_fallback(None)
+        peers = self.world.peers_type
+        built.replica.set_fallback(peers(self.world, self) if peers else None)
         built.gossip._rng = random.Random(self._seed)
         for name in LEFT_OUT:
             if name in built.kernel._services:
@@ -220,26 +242,27 @@
         """Let the process go on, with all that has come meanwhile."""
         self.loop.release()
         unread, self.unread = self.unread, []
-        for sent_s, key in unread:
+        for sent_s, key, credential in unread:
             if self.world.network.now_s < sent_s + UNREAD_LIMIT_S:
-                self.request(sent_s, key)
+                self.request(sent_s, key, credential)
             else:
                 self.world.answers.append(Answer(sent_s, sent_s + UNREAD_LIMIT_S, 0))
 
-    def request(self, sent_s, key):
+    def request(self, sent_s, key, credential=b""):
         """Take a client's request, which waits while the process is held."""
         if self.loop.is_held:
-            self.unread.append((sent_s, key))
+            self.unread.append((sent_s, key, credential))
         else:
-            self.loop.create_task(self._serve(sent_s, key))
+            self.loop.create_task(self._serve(sent_s, key, credential))
 
-    async def _serve(self, sent_s, key):
+    async def _serve(self, sent_s, key, credential):
         world = self.world
         now_s = world.network.now_s
         left_s = CLIENT_LIMIT_S - (now_s - sent_s)
         headers = [(b"host", b"h"), (NAMES.request_id, world.next_id())]
         headers.append((NAMES.object_key, key.encode()))
         headers.append((NAMES.deadline_ms, b"%d" % int(1_000 * left_s)))
+        headers += [(NAMES.credential, credential)] if credential else []
         request = http_messages.Request(
             "GET", f"/x/{key}", headers, b"", "10.9.0.1", world.network.now_ms()
         )
@@ -247,11 +270,18 @@
         with anyio.move_on_after(left_s):
             response = await self.edge.pipeline(request)
             status, retry_after = response.status, response.header(b"retry-after")
-        world.answers.append(Answer(sent_s, world.network.now_s, status, retry_after))
+        entry_id = self.settings.entry_id
+        answer = Answer(sent_s, world.network.now_s, status, retry_after, entry_id, credential)
+        world.answers.append(answer)
 
 
 class World:
-    """Entries, servers, the store and clients, driven by one seed."""
+    """Entries, servers, the store and clients, driven by one seed.
+
+    ``peers_type`` builds an entry's source of other entries' copies; by default it has none.
+    """
+
+    peers_type = None
 
     def __init__(self, shape, seed, feed_delay_s):
         self.shape = shape
@@ -278,6 +308,10 @@
         """The requests per second that fill all servers while they are warm."""
         return self.shape.servers * fleet_servers.SLOTS / fleet_servers.WARM_WORK_S
 
+    def draw_credential(self):
+        """Return the key that the next request has, empty for none."""
+        return b""
+
     def next_id(self):
         self._request_count += 1
         return b"q%d" % self._request_count
@@ -362,7 +396,7 @@
         drawn = self.random.sample(self.entries, len(self.entries))
         entry = next((entry for entry in drawn if entry.is_open), None)
         if entry is not None:
-            entry.request(self.network.now_s, key)
+            entry.request(self.network.now_s, key, self.draw_credential())
         self.network.after(self.random.expovariate(self.rate_per_s), self._send_next)
 
     def close(self):
