Responses with an invalid status end the exchange at once

Only 100 to 199 without 101 are interim, and 200 to 599 final. Any other status, no status line or another version of HTTP is malformed: the connection is closed, a repeatable request goes elsewhere, others get 502. 101 is invalid since an entry asks for no other protocol. Calls to peers and the store fail on the same, and the stand-in callers and the soak count it.

--- a/sassafraslock/bounded_call.py
+++ b/sassafraslock/bounded_call.py
@@ -29,11 +29,17 @@
     :param headers: the request's headers.
     :param content: the request's body.
     :param extensions: httpcore's extensions, such as time-outs.
-    :raises httpcore.RemoteProtocolError: if the body is larger; the connection is then closed.
+    :raises httpcore.RemoteProtocolError: if the body is larger, or the status is no status of a
+        final response; the connection is then closed.
     """
     body = bytearray()
     stream = pool.stream(method, url, headers=headers, content=content, extensions=extensions)
     async with stream as response:
+        version = response.extensions["http_version"].decode("latin-1").removeprefix("HTTP/")
+        fault = http_messages.status_line_fault(response.status, version)
+        if fault or not http_messages.is_final(response.status):
+            reason = fault or f"interim response {response.status} ends the exchange"
+            raise httpcore.RemoteProtocolError(f"{url}: {reason}")
         async for part in response.aiter_stream():
             body += part
             if len(body) > max_bytes:
--- a/sassafraslock/http_messages.py
+++ b/sassafraslock/http_messages.py
@@ -33,6 +33,8 @@
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 MISDIRECTED = 421  # another server than the named one has the address
+SWITCHING_PROTOCOLS = 101
+_VERSIONS = ("1.0", "1.1")  # parsers accept 0.9 and 2.0 too
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -89,6 +91,35 @@
         return next((v for n, v in self.headers if n == name), b"")
 
 
+def is_interim(status: int) -> bool:
+    """Return whether a response with a status precedes the final one.
+
+    101 does not: it would end HTTP on the connection, for which an entry never asks.
+
+    :param status: the status as received.
+    """
+    return 100 <= status <= 199 and status != SWITCHING_PROTOCOLS
+
+
+def is_final(status: int) -> bool:
+    """Return whether a status is one of a final response.
+
+    :param status: the status as received.
+    """
+    return 200 <= status <= 599
+
+
+def status_line_fault(status: int, version: str) -> str:
+    """Return what is wrong with a response's status line, or an empty string.
+
+    :param status: the status as received.
+    :param version: the version of HTTP, such as ``1.1``.
+    """
+    if version in _VERSIONS and (is_interim(status) or is_final(status)):
+        return ""
+    return f"response has the invalid status {status} of HTTP/{version}"
+
+
 class Handler(typing.Protocol):
     """Processes the requests that arrive at one listening address."""
 
--- a/sassafraslock/services/server_connection.py
+++ b/sassafraslock/services/server_connection.py
@@ -289,11 +289,18 @@
         self._new_message()
 
     def on_status(self, reason: bytes) -> None:
-        """Add a part of the reason phrase.
+        """Add a part of the reason phrase; the status is complete by then.
 
         :param reason: the part.
         """
         self._reason_phrase += reason
+        self._check_status_line()
+
+    def _check_status_line(self) -> None:
+        """Abort a response with an invalid status; as an interim one it would be waited behind."""
+        status, version = self._parser.get_status_code(), self._parser.get_http_version()
+        if not self.closed and (fault := http_messages.status_line_fault(status, version)):
+            self.abort_message(fault)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers after the body are ignored.
@@ -303,6 +310,8 @@
         """
         if self._head_done:
             return
+        if not self._headers:
+            self._check_status_line()  # on_status is not called without a reason phrase
         self._headers_bytes += len(name) + len(value) + message_quota.HEADER_OVERHEAD_BYTES
         if self._headers_bytes <= self._limits.max_head_bytes:
             self._headers.append((name.lower(), value))
@@ -313,6 +322,9 @@
         Two heads that run into each other are aborted: they may have the id of one response and
         the status of the other.
         """
+        self._check_status_line()
+        if self.closed:  # the parser goes on to the end of its chunk
+            return
         self._head_done = True
         self._unread_bytes = 0
         texts = [self._reason_phrase, *(value for _, value in self._headers)]
@@ -320,7 +332,7 @@
             self.abort_message("a response begins inside the head of another one")
             return
         status = self._parser.get_status_code()
-        if self.observe_head is not None and status >= 200:
+        if self.observe_head is not None and http_messages.is_final(status):
             self.observe_head(status, self._headers)
         if self._head_only:
             self.on_message_complete()  # the parser would wait for the body
@@ -342,7 +354,7 @@
         if self._headers_bytes > self._limits.max_head_bytes:
             return  # _check_bounds runs after the parser returns and aborts the response
         status = self._parser.get_status_code()
-        if status < 200:
+        if http_messages.is_interim(status):
             return
         response = http_messages.Response(status, self._headers)
         if self._id_header and response.header(self._id_header) != self._request_id:
--- a/sassafraslock/standin/caller.py
+++ b/sassafraslock/standin/caller.py
@@ -12,7 +12,7 @@
 import msgspec
 import uuid6
 
-from sassafraslock import clock
+from sassafraslock import clock, http_messages
 from sassafraslock.path import answer
 from sassafraslock.services import caller_api
 
@@ -41,7 +41,8 @@
     """Counts and outcomes of all callers.
 
     ``cut_off`` counts exchanges that broke or timed out after the connection was made, at entries
-    that were not killed; ``mixed_up`` counts responses that belong to another request.
+    that were not killed; ``mixed_up`` counts responses that belong to another request, or have an
+    invalid status.
     """
 
     requests: int = 0
@@ -212,8 +213,9 @@
             self.stats.error_kinds[refusal.error] += 1
             return refusal
         is_replay = bool(request.key) and response_headers.get("x-echo") != nonce
-        is_wrong_body = not response.content.startswith(request.body)
-        if is_wrong_body or (response_headers.get("x-echo") != nonce and not is_replay):
+        is_wrong = not response.content.startswith(request.body)
+        is_wrong = is_wrong or not http_messages.is_final(response.status)
+        if is_wrong or (response_headers.get("x-echo") != nonce and not is_replay):
             self.stats.mixed_up += 1
         return Outcome(
             clock.monotonic_ms(),
--- a/soak/platform_client.py
+++ b/soak/platform_client.py
@@ -172,6 +172,8 @@
             own = body == request_id * (len(body) // len(request_id))
             whole = own and headers.get(b"x-response-signature") == b"s"
             attempt.end, attempt.reason = (End.ANSWERED, "") if whole else (End.FAILED, MIXED)
+        elif not http_messages.is_final(attempt.status):
+            attempt.end, attempt.reason = End.FAILED, MIXED  # no status that an entry may pass on
         elif attempt.status in NOT_RUN_STATUSES:
             attempt.end, attempt.reason = End.REFUSED, body.decode()
         else:
