Full servers: workspaces are served by priority, and by fair share among equals

Cause: who was refused under overload depended on route and queue alone, so that a workspace at 7.5 times its usual demand took what the others needed, and a less urgent workspace was served as often as an urgent one.

Change: FairShare counts by service and workspace what is asked and served here, and finds weighted max-min levels of each priority. FairAdmission turns them into terms of a request: a factor of its latency limit, and the mean queue of a region up to which it may queue. Both use loads that entries tell each other already. Refused requests of workspaces get return times that are spread, and one that returns when told may queue longer. The log tells which limit a refused request exceeded, and a metric counts refusals by workspace. Without workspaces choices, limits and waits are as before.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
 from benchmarks import (
     cold_restart,
     endless,
+    fair_share,
     gossip,
     latency,
     limits,
@@ -39,6 +40,10 @@
         "Three regions under a wave of demand and an evacuation, virtual time",
         regions.measure,
     ),
+    "fair-share": (
+        "Workspaces at full servers: requests served without and with fair shares, virtual time",
+        fair_share.measure,
+    ),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -6,7 +6,13 @@
 import enum
 
 from sassafraslock import errors, routing_table, workspaces
-from sassafraslock.decisions import backpressure, object_memory, registry, route_latency
+from sassafraslock.decisions import (
+    backpressure,
+    fair_share,
+    object_memory,
+    registry,
+    route_latency,
+)
 
 # Another server must be expected to answer within this share of the home's time, less the margin.
 LEAVE_HOME_RATIO = 0.75
@@ -15,6 +21,7 @@
 QUEUE_LIMIT_BY_PRIORITY = (2.5, 2.0, 1.4)  # times the target latency, most urgent first
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 1_000
+MAX_SPREAD_RETRY_AFTER_MS = 3_000  # of requests with terms, whose returns are spread
 NO_SERVER_RETRY_AFTER_MS = 300
 
 
@@ -29,6 +36,15 @@
     COLD_LIMIT = "cold limit of the home"
 
 
+class Cause(enum.Enum):
+    """Which limit a request exceeded that was refused for the queue, as the access log shows it."""
+
+    TIME_LEFT = "time left"
+    ROUTE_PRIORITY = "route priority"
+    WORKSPACE_PRIORITY = "workspace priority"
+    FAIR_SHARE = "fair share"
+
+
 @dataclasses.dataclass(slots=True)
 class LeftOut:
     """How many servers a placement left out for what they ask of this entry.
@@ -74,6 +90,8 @@
     :param replacement: the server for the next attempt, chosen when the last attempt was abandoned
         because its server did not answer.
     :param workspace: the workspace of the request, none if it needs no key.
+    :param terms: for how long a request of a workspace may queue, none until it is placed.
+    :param is_served: whether a server was chosen for the first attempt.
     """
 
     route: routing_table.Route
@@ -90,6 +108,8 @@
     left_out: LeftOut = dataclasses.field(default_factory=LeftOut)
     replacement: Choice | None = None
     workspace: workspaces.Workspace | None = None
+    terms: fair_share.QueueTerms | None = None
+    is_served: bool = False
 
     @property
     def regions(self) -> frozenset[str]:
@@ -151,10 +171,14 @@
 
     :param choice: the best server.
     :param limit_ms: the expected time up to which the request would have been sent there.
+    :param cause: which limit it exceeded.
+    :param terms: the terms of a request of a workspace.
     """
 
     choice: Choice | None = None
     limit_ms: float = 0.0
+    cause: Cause = Cause.ROUTE_PRIORITY
+    terms: fair_share.QueueTerms | None = None
 
 
 def best_choice(choices: list[Choice], shed: bool) -> Choice | None:
@@ -215,20 +239,44 @@
 
     The limit is the time left, or the route's target latency times a factor that is lower for
     less urgent requests. A request that finds a free slot is never too late: it is sent whatever
-    the estimate says, so that its latency corrects a wrong estimate.
+    the estimate says, so that its latency corrects a wrong estimate. The terms of a request of a
+    workspace put the workspace's priority and its fair share before the route's limit.
 
     :param choice: the candidate server.
     :param request: the request.
     """
+    if _is_held_back(choice, request):
+        return True
     if choice.load < choice.server.report.slots:
         return False
     return choice.expected_ms > _latency_limit_ms(request)
 
 
 def _latency_limit_ms(request: PlacementRequest) -> float:
+    factor = request.terms.factor if request.terms is not None else 1.0
+    return min(factor * _route_limit_ms(request), request.remaining_ms)
+
+
+def _route_limit_ms(request: PlacementRequest) -> float:
     index = min(request.route.priority, len(QUEUE_LIMIT_BY_PRIORITY) - 1)
-    limit_ms = QUEUE_LIMIT_BY_PRIORITY[index] * request.route.target_latency_ms
-    return min(limit_ms, request.remaining_ms)
+    return QUEUE_LIMIT_BY_PRIORITY[index] * request.route.target_latency_ms
+
+
+def _refusal_cause(choice: Choice, request: PlacementRequest) -> Cause:
+    if choice.expected_ms > request.remaining_ms:
+        return Cause.TIME_LEFT
+    if choice.expected_ms > _route_limit_ms(request):
+        return Cause.ROUTE_PRIORITY
+    is_held_back = _is_held_back(choice, request)
+    if is_held_back and request.terms is not None and request.terms.is_outranked:
+        return Cause.WORKSPACE_PRIORITY
+    return Cause.FAIR_SHARE
+
+
+def _is_held_back(choice: Choice, request: PlacementRequest) -> bool:
+    """Return whether the queues of a server's region are too long for the workspace's terms."""
+    terms = request.terms
+    return terms is not None and not terms.allows_region(choice.server.region, choice.slots)
 
 
 def held_refusal(request: PlacementRequest, waits_ms: list[int]) -> errors.Refusal:
@@ -268,15 +316,22 @@
     """Return the refusal of a request that even the best server would answer too late.
 
     Its retry-after time, within bounds, is the time that the current queue takes. A client that
-    comes back sooner is only refused again, and many clients retry only once.
+    comes back sooner is only refused again, and many clients retry only once. Requests of
+    workspaces return spread over as much time again, since those that are refused at one moment
+    would otherwise meet in the next queue.
 
     :param chosen: the best candidate server.
     :param request: the request.
     """
-    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, int(chosen.queue_ms)))
+    terms, max_ms = request.terms, MAX_RETRY_AFTER_MS
+    queue_ms = chosen.queue_ms
+    if terms is not None:
+        queue_ms, max_ms = (1.0 + terms.spread) * queue_ms, MAX_SPREAD_RETRY_AFTER_MS
+    wait_ms = min(max_ms, max(MIN_RETRY_AFTER_MS, int(queue_ms)))
     reason = (
         f"the best server is expected to answer in {chosen.expected_ms:.0f} ms;"
         f" the request has {request.remaining_ms} ms left"
     )
-    limit_ms = _latency_limit_ms(request)
-    return QueueRefusal(errors.ErrorKind.NO_CAPACITY, reason, wait_ms, chosen, limit_ms)
+    limit_ms, cause = _latency_limit_ms(request), _refusal_cause(chosen, request)
+    kind = errors.ErrorKind.NO_CAPACITY
+    return QueueRefusal(kind, reason, wait_ms, chosen, limit_ms, cause, terms)
--- a/sassafraslock/decisions/load_view.py
+++ b/sassafraslock/decisions/load_view.py
@@ -42,6 +42,15 @@
         """
         return health.load(now_ms, self._typical_load(server).mean(now_ms))
 
+    def typical_loads(self, service: str, now_ms: int) -> dict[str, float]:
+        """Return the mean loads of a service's servers, by region.
+
+        :param service: the service.
+        :param now_ms: the current monotonic time.
+        """
+        found = ((region, t) for (name, region), t in self._typical.items() if name == service)
+        return {region: typical.mean(now_ms) for region, typical in found}
+
     def record(self, server: registry.Server, load: int, now_ms: int) -> None:
         """Record the load that a server reported with an answer to this entry.
 
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -9,6 +9,7 @@
     cold_admission,
     cold_start,
     entry_view,
+    fair_admission,
     join_probes,
     load_view,
     object_memory,
@@ -40,6 +41,7 @@
         "objects",
         "region",
         "cold",
+        "fairness",
         "_latencies",
         "loads",
         "backpressure",
@@ -71,6 +73,7 @@
         )
         self._latencies: dict[str, route_latency.RouteLatency] = {}
         self.loads = load_view.LoadView(servers, self.health_of)
+        self.fairness = fair_admission.FairAdmission(self.loads)
         self._ranking = server_ranking.ServerRanking(servers)
         self._join_probes = join_probes.JoinProbes(servers, self.health_of)
         self._placed_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
@@ -138,7 +141,10 @@
         """
         leaving = self.registry.departing_count(request.service.name)
         request.left_out = candidates.LeftOut(leaving=leaving)
+        busy_ms = self.latency_of(request.route).expected_ms(route_latency.ObjectAffinity.KNOWN)
+        self.fairness.begin(request, busy_ms, now_ms)
         choice = self._select(request, now_ms)
+        self.fairness.end(request, choice, busy_ms, now_ms)
         if isinstance(choice, candidates.Choice):
             self.backpressure.acquire(choice.server, now_ms)
         return choice
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -291,6 +291,8 @@
         self.pipeline.forwarder.links.limits = table.link_bytes_per_s(self.settings.region)
         self.planner.update(clock.monotonic_ms())
         self.pipeline.splitter.reset()
+        known = table.workspaces.workspaces if table.workspaces is not None else ()
+        self.pipeline.placer.fairness.apply_workspaces(known, table.services)
 
     @property
     def stop_requested_ms(self) -> int:
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging
+import math
 import typing
 
 from sassafraslock import events
-from sassafraslock.decisions import candidates
+from sassafraslock.decisions import candidates, fair_share
 from sassafraslock.path import judge, request_context, send
 from sassafraslock.services import metrics
 
@@ -41,6 +42,9 @@
         service = context.routed.service.name if context.routed else ""
         result = _result_label(context)
         self._metrics.record_request(service, result, took_ms / 1000)
+        workspace = context.routed.workspace if context.routed else None
+        if context.refusal is not None and workspace is not None:
+            self._metrics.record_refused(workspace.name, result)
         cold_attempts = sum(_may_have_reached_cold(attempt) for attempt, _ in context.attempts)
         if cold_attempts:
             self._metrics.record_cold_attempts(service, cold_attempts)
@@ -92,6 +96,8 @@
         if isinstance(context.refusal, candidates.QueueRefusal) and context.refusal.choice:
             fields["limit_ms"] = round(context.refusal.limit_ms)
             fields["best"] = _choice_fields(context.refusal.choice)
+            fields["limited_by"] = context.refusal.cause.value
+            fields |= _terms_fields(context.refusal.terms)
         received_ms = context.incoming.request.received_ms
         fields["attempts"] = [_attempt_fields(a, v, received_ms) for a, v in context.attempts]
         return fields
@@ -107,6 +113,21 @@
     return {name: count for name, count in counts.items() if count}
 
 
+def _terms_fields(terms: fair_share.QueueTerms | None) -> dict[str, object]:
+    """Return what the workspace of a refused request may queue for, none without a workspace."""
+    if terms is None:
+        return {}
+    fields: dict[str, object] = {
+        "share_factor": round(terms.factor, 2),
+        "share_used": round(terms.excess, 2),
+    }
+    if math.isfinite(terms.max_queue_ratio):
+        fields["max_queue_ratio"] = round(terms.max_queue_ratio, 2)
+    if terms.returns:
+        fields["returns"] = True
+    return fields
+
+
 def _choice_fields(choice: candidates.Choice) -> dict[str, object]:
     fields: dict[str, object] = {
         "server": choice.server.server_id,
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -15,6 +15,9 @@
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
+MAX_WORKSPACE_LABELS = 200
+OTHER_WORKSPACES = "(others)"
+
 LATENCY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0]
 
 
@@ -64,16 +67,18 @@
     "cold_attempts_total": "Attempts that may have reached a server that counted as cold.",
     "abandoned_attempts_total": "Attempts ended since another server answered first.",
     "server_restarts_total": "New starts of known servers that were taken up.",
+    "workspace_refusals_total": "Refused requests by workspace and kind of the refusal.",
 }
 
 
 class Metrics:
     """The process's counters, gauges and histograms."""
 
-    __slots__ = ("registry", "_gauges", "_counters", "_latency")
+    __slots__ = ("registry", "_gauges", "_counters", "_latency", "_workspaces")
 
     def __init__(self) -> None:
         self.registry = aioprometheus.Registry()
+        self._workspaces: set[str] = set()
         self._counters = {
             name: aioprometheus.Counter(f"sassafraslock_{name}", text, registry=self.registry)
             for name, text in _COUNTERS.items()
@@ -99,6 +104,19 @@
         self._counters["requests_total"].inc({"service": service, "result": result})
         self._latency.observe({"service": service}, seconds)
 
+    def record_refused(self, workspace: str, kind: str) -> None:
+        """Count a refused request of a workspace.
+
+        The first :data:`MAX_WORKSPACE_LABELS` workspaces get labels of their own.
+
+        :param workspace: the name of the workspace.
+        :param kind: the kind of the refusal.
+        """
+        if len(self._workspaces) < MAX_WORKSPACE_LABELS:
+            self._workspaces.add(workspace)
+        label = workspace if workspace in self._workspaces else OTHER_WORKSPACES
+        self._counters["workspace_refusals_total"].inc({"workspace": label, "kind": kind})
+
     def record_cold_attempts(self, service: str, count: int) -> None:
         """Count attempts at servers that counted as cold.
 
