Own platform: workspaces, keys and public services in the settings

Cause: the product's own interface could not set up workspaces, so that keys, allowances and priorities worked on the firm's platform alone.

Change: the system team's settings hold workspaces with digests of their keys, checked whole with path and fix, and services may be public. `sassafraslock key create|remove|digest` lets operators handle keys without storing them; a key in place of a digest is refused without being shown. Process settings hold the bounds on revoked keys and allowances, since an entry has to know them before it has read the store. The table service tells its steady clock, which batches pass on, so that proofs of recent intents can work on this platform too.

--- a/sassafraslock/cli.py
+++ b/sassafraslock/cli.py
@@ -12,6 +12,7 @@
 import sassafraslock
 from sassafraslock import (
     cli_changes,
+    cli_keys,
     cli_options,
     cli_report,
     client,
@@ -345,5 +346,6 @@
     cli_changes.undrain,
     cli_changes.shift,
     cli_report.report_command,
+    cli_keys.key_group,
 ):
     main.add_command(_command)
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -119,7 +119,12 @@
     :param process: the process settings.
     """
     bounds = edge_settings.Bounds(
-        grace_ms=process.stop_bound_ms, max_validity_ms=process.validity_ms
+        grace_ms=process.stop_bound_ms,
+        max_validity_ms=process.validity_ms,
+        revoke_ms=process.keys.revoke_ms,
+        allowance_window_ms=process.allowances.window_ms,
+        allowance_overage=process.allowances.overage,
+        allowance_slack=process.allowances.slack,
     )
     return edge_settings.EdgeSettings(
         entry_id=process.entry_id,
--- a/sassafraslock/platform.py
+++ b/sassafraslock/platform.py
@@ -65,12 +65,14 @@
     """Whether a transaction committed, the rows that it read, and the table's era.
 
     The era rises by one when the table was restored from an older copy: then it has lost what was
-    written since, and gives versions out again.
+    written since, and gives versions out again. ``now_ms`` is the table's steady clock when the
+    transaction ran, none if the table does not tell it.
     """
 
     committed: bool
     rows: list[Row] = dataclasses.field(default_factory=list)
     era: int = 0
+    now_ms: int | None = None
 
     def row(self, key: str) -> Row | None:
         """Return the row with this key, or none if it does not exist or was not read.
--- a/sassafraslock/services/settings_source.py
+++ b/sassafraslock/services/settings_source.py
@@ -18,6 +18,8 @@
     settings,
     shared_settings,
     store_version,
+    workspace_settings,
+    workspaces,
 )
 from sassafraslock.decisions import registry, revisions
 
@@ -35,10 +37,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _TopicState:
-    """The newest change of each key of a topic, and the version reached."""
+    """The newest change of each key of a topic, the version reached, and the table's clock then."""
 
     changes: dict[str, facts.Change] = dataclasses.field(default_factory=dict)
     version: int = 0
+    store_now_ms: int | None = None
 
 
 class SettingsSource:
@@ -71,7 +74,7 @@
             return refused
         state = self._states[topic]
         present = tuple(c for c in state.changes.values() if not c.is_removed)
-        return facts.Batch(present, state.version)
+        return facts.Batch(present, state.version, state.store_now_ms)
 
     async def read_changes(self, topic: facts.Topic, after: int, wait_ms: int) -> facts.BatchResult:
         """Return the changes after a version; a long poll that ends at the first change.
@@ -87,9 +90,10 @@
             refused = await self._read(topic)
             if refused is not None:
                 return refused
-            newer = tuple(c for c in self._states[topic].changes.values() if c.version > after)
+            state = self._states[topic]
+            newer = tuple(c for c in state.changes.values() if c.version > after)
             if newer or clock.monotonic_ms() >= until_ms:
-                return facts.Batch(newer, max(after, self._states[topic].version))
+                return facts.Batch(newer, max(after, state.version), state.store_now_ms)
             await anyio.sleep(self._poll_ms / 1000)
 
     async def register(self, registration: facts.Registration) -> int | errors.Refusal:
@@ -112,6 +116,7 @@
         rows = [_dated(row, result.era) for row in result.rows]
         newest = max((row.version for row in rows), default=store_version.join(result.era, 0))
         state = self._states[topic]
+        state.store_now_ms = result.now_ms
         if topic is facts.Topic.ENTRIES:
             self._update(state, [_entry_change(row) for row in rows], newest)
         elif newest > state.version or not state.changes:
@@ -205,7 +210,10 @@
     largest = max((rules.max_body_bytes for rules in shared.services.values()), default=0)
     limits = routing_table.Limits(max_body_bytes=largest or routing_table.DEFAULT_BODY_BYTES)
     links = tuple(routing_table.Link(_pair(link), link.bytes_per_s) for link in shared.links)
-    return routing_table.Intents(version, routes, services, limits, links)
+    known: tuple[workspaces.Workspace, ...] | msgspec.UnsetType = msgspec.UNSET
+    if shared.workspaces:
+        known = workspace_settings.build(shared.workspaces)
+    return routing_table.Intents(version, routes, services, limits, links, known)
 
 
 def _pair(link: shared_settings.Link) -> tuple[str, str]:
@@ -265,6 +273,7 @@
         idempotent_requests=(*by_method, *rules.idempotent_paths),
         strip_prefix=True,
         default_timeout_ms=rules.deadline_ms,
+        public=True if rules.public else msgspec.UNSET,
     )
 
 
--- a/sassafraslock/settings.py
+++ b/sassafraslock/settings.py
@@ -14,6 +14,9 @@
 Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
 MemoryMib = typing.Annotated[int, msgspec.Meta(ge=64, le=1_048_576)]
+WindowMs = typing.Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
+Ratio = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Slack = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1_000_000.0)]
 Level = typing.Literal["debug", "info", "warning", "error"]
 
 STOP_BOUND_MS = 30_000
@@ -21,6 +24,8 @@
 POLL_MS = 500
 MEMORY_MIB = edge_settings.DEFAULT_MEMORY_BYTES >> 20
 MIN_TOKEN_CHARS = 8
+# A proof that is as old as a poll must last until the next one has been answered.
+MIN_REVOKE_POLLS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,6 +66,30 @@
     level: Level = "info"
 
 
+@dataclasses.dataclass(slots=True)
+class Keys:
+    """The bound on keys of workspaces that were taken away.
+
+    No request runs that was sent with a key later than ``revoke_ms`` after the key was taken away;
+    an entry that cannot prove this refuses requests with keys. Without a bound none has to.
+    """
+
+    revoke_ms: Milliseconds | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Allowances:
+    """The bounds of the allowances of workspaces.
+
+    Within any ``window_ms``, a workspace gets no more requests than its rate and burst allow, times
+    1 and ``overage``, and ``slack`` more. 0 means that no allowance is enforced.
+    """
+
+    window_ms: WindowMs = 0
+    overage: Ratio = 0.1
+    slack: Slack = 20.0
+
+
 @dataclasses.dataclass(slots=True)
 class Settings:
     """All process settings of one entry.
@@ -68,7 +97,7 @@
     Callers connect to ``caller`` and other entries to ``peer``; ``peers`` are the addresses of
     other entries for gossip, authenticated by ``peer_token``. Callers may keep a list of entries
     for ``validity_ms``. The entry polls the table service every ``poll_ms`` and stops within
-    ``stop_bound_ms``.
+    ``stop_bound_ms``. All entries must have the same ``keys`` and ``allowances``.
     """
 
     entry_id: Name
@@ -85,6 +114,8 @@
     poll_ms: Milliseconds = POLL_MS
     stop_bound_ms: Milliseconds = STOP_BOUND_MS
     memory_mib: MemoryMib = MEMORY_MIB
+    keys: Keys = dataclasses.field(default_factory=Keys)
+    allowances: Allowances = dataclasses.field(default_factory=Allowances)
 
 
 SettingsResult = Settings | list[settings_check.Problem]
@@ -128,6 +159,16 @@
                     f"use {MIN_TOKEN_CHARS} characters or more",
                 )
             )
+    revoke_ms = settings.keys.revoke_ms
+    if revoke_ms is not None and revoke_ms < MIN_REVOKE_POLLS * settings.poll_ms:
+        least_ms = MIN_REVOKE_POLLS * settings.poll_ms
+        problems.append(
+            settings_check.Problem(
+                "keys.revoke_ms",
+                f"{revoke_ms} is less than {MIN_REVOKE_POLLS} times poll_ms {settings.poll_ms}",
+                f"give {least_ms} or more, or lower poll_ms",
+            )
+        )
     return problems
 
 
--- a/sassafraslock/shared_settings.py
+++ b/sassafraslock/shared_settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sassafraslock import field_types, settings, settings_check
+from sassafraslock import field_types, settings, settings_check, workspace_settings
 
 SYSTEM_TEAM = "system"
 SPLIT_TOLERANCE = 1e-6
@@ -55,7 +55,8 @@
     may be retried. ``deadline_ms`` applies to requests without a deadline, and
     ``max_deadline_ms`` caps all deadlines. ``split`` maps an entry's region to the share of each
     region. A shift in ``shifts`` replaces the split of its region, but moves at most
-    ``shift_cap_ratio`` of the requests within ``shift_window_ms``.
+    ``shift_cap_ratio`` of the requests within ``shift_window_ms``. Requests of a ``public``
+    service need no key of a workspace.
     """
 
     servers: dict[str, Server]
@@ -73,6 +74,7 @@
     shift_window_ms: settings.Milliseconds = 60_000
     split: dict[str, Split] = dataclasses.field(default_factory=dict)
     shifts: dict[str, Shift] = dataclasses.field(default_factory=dict)
+    public: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,12 +106,16 @@
 
 @dataclasses.dataclass(slots=True)
 class TeamSettings:
-    """One team's subtree; only the system team may set regions, links and claims."""
+    """One team's subtree; only the system team may set what is not a service.
+
+    Where there are workspaces, requests of all teams' services need a key of one of them.
+    """
 
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
     regions: dict[str, Region] = dataclasses.field(default_factory=dict)
     links: list[Link] = dataclasses.field(default_factory=list)
     claims: Claims | None = None
+    workspaces: dict[str, workspace_settings.Workspace] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,6 +126,7 @@
     regions: dict[str, Region]
     links: list[Link]
     claims: Claims
+    workspaces: dict[str, workspace_settings.Workspace]
 
     def split_for(self, service: Service, region: str) -> Split:
         """Return the split that applies to traffic entering a region, without shifts.
@@ -139,7 +146,7 @@
 
 
 def merge_teams(teams: dict[str, TeamSettings]) -> SharedSettings:
-    """Merge the subtrees of all teams; regions, links and claims come from the system team.
+    """Merge the subtrees of all teams; all but services comes from the system team.
 
     :param teams: the subtrees by team name.
     """
@@ -149,7 +156,8 @@
         for team, subtree in sorted(teams.items())
         for name, service in subtree.services.items()
     }
-    return SharedSettings(services, system.regions, system.links, system.claims or Claims())
+    claims = system.claims or Claims()
+    return SharedSettings(services, system.regions, system.links, claims, system.workspaces)
 
 
 def load_team(
@@ -168,10 +176,10 @@
         return problems
     if team == SYSTEM_TEAM:
         return _check_system(subtree) or subtree
-    if subtree.regions or subtree.links or subtree.claims:
+    if subtree.regions or subtree.links or subtree.claims or subtree.workspaces:
         return [
             settings_check.Problem(
-                "regions",
+                "workspaces" if subtree.workspaces else "regions",
                 "may be set by the system team only, like links and claims",
                 f"put them at /{SYSTEM_TEAM}",
             )
@@ -182,7 +190,7 @@
 
 
 def _check_system(subtree: TeamSettings) -> list[settings_check.Problem]:
-    problems = []
+    problems = workspace_settings.check(subtree.workspaces, subtree.regions)
     for index, link in enumerate(subtree.links):
         unknown = [r for r in link.regions if r not in subtree.regions]
         if len(link.regions) != 2 or unknown:
--- a/sassafraslock/standin/platform.py
+++ b/sassafraslock/standin/platform.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from sassafraslock import errors, platform
+from sassafraslock import clock, errors, platform
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +90,7 @@
         if transaction.reads or transaction.scan:
             self.usage.read_calls += 1
             self.usage.rows_read += len(rows)
-        return platform.TransactionResult(committed, rows, self._era)
+        return platform.TransactionResult(committed, rows, self._era, clock.monotonic_ms())
 
     def _is_met(self, condition: platform.Condition) -> bool:
         row = self.rows.get(condition.key)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -92,6 +92,24 @@
         )
         assert "conflict: /kocar is at revision" in stale
 
+    # Guards against a key that the settings or a command show again after its creation.
+    def test_a_key_is_created_once_and_taken_away(self, tmp_path):
+        system = tmp_path / "system.toml"
+        text = (ROOT / "examples/walk/shared/system.toml").read_text()
+        system.write_text(text + "\n[workspaces.office]\nrate_per_s = 5.0\n")
+        invoke("settings", "put", "/system", str(system), *OPERATORS)
+        shown = json.loads(invoke("key", "create", "office", *OPERATORS, "--format", "json"))
+        kept = invoke("settings", "get", "/system/workspaces", *OPERATORS, "--format", "json")
+        assert shown["digest"] in kept and shown["key"] not in kept
+        runner = click.testing.CliRunner()
+        digest = runner.invoke(cli.main, ["key", "digest"], input=shown["key"] + "\n").output
+        assert digest.strip() == shown["digest"]
+        removed = invoke("key", "remove", "office", *OPERATORS, "--format", "json")
+        assert json.loads(removed)["removed"] == [shown["digest"]]
+        invoke("key", "create", "nobody", *OPERATORS, code=3)
+        invoke("settings", "put", "/system", str(ROOT / "examples/walk/shared/system.toml"),
+               *OPERATORS)  # fmt: skip
+
     def test_a_server_is_drained_and_put_back(self):
         assert "draining" in invoke("drain", "/kocar/logbook/logbook-1", *OPERATORS)
         assert "active" in invoke("undrain", "/kocar/logbook/logbook-1", *OPERATORS)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,7 +5,17 @@
 
 import pytest
 
-from sassafraslock import commands, errors, events, settings, settings_check, shared_settings
+from sassafraslock import (
+    commands,
+    entry,
+    errors,
+    events,
+    settings,
+    settings_check,
+    shared_settings,
+    workspace_settings,
+    workspaces,
+)
 from sassafraslock.standin import platform as standin
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -110,7 +120,8 @@
         settings.Settings, settings.Address, settings.Operator, settings.Platform,
         settings.Logging, shared_settings.TeamSettings, shared_settings.Service,
         shared_settings.Server, shared_settings.Shift, shared_settings.Region,
-        shared_settings.Link, shared_settings.Claims,
+        shared_settings.Link, shared_settings.Claims, settings.Keys,
+        settings.Allowances, workspace_settings.Workspace,
     ]  # fmt: skip
     expected = {f"`{f.name}`" for cls in classes for f in dataclasses.fields(cls)}
     assert documented - {"name", "---"} == expected
@@ -129,3 +140,52 @@
     }
     for kind, error in errors.ERROR_PROPERTIES.items():
         assert documented[kind.value] == (str(error.status), "yes" if error.not_run else "no")
+
+
+DIGEST = workspaces.digest_key(b"a key").hex()
+
+
+# Guards against a key that is put where its digest belongs, and then shown by the refusal.
+@pytest.mark.parametrize(
+    ("changes", "path", "fix"),
+    [
+        ({"key_digests": ["secret-key"]}, "workspaces.w.key_digests[0]", "key digest"),
+        ({"key_digests": [DIGEST, DIGEST]}, "workspaces.w.key_digests[1]", "remove one"),
+        ({"regions": ["nowhere"]}, "workspaces.w.regions", "use a"),
+        ({"burst": 5.0}, "workspaces.w.burst", "rate_per_s"),
+        ({"priority": -1}, "workspaces.w.priority", "range"),
+        ({"prioritty": 1}, "workspaces.w.prioritty", "did you mean priority"),
+    ],
+)
+def test_a_problem_of_a_workspace_has_path_and_fix(changes, path, fix):
+    document = {"regions": {"a": {"max_in_flight": 9}}, "workspaces": {"w": changes}}
+    [problem] = shared_settings.load_team("system", document, shared_settings.TeamSettings())
+    assert problem.path == path and fix in problem.fix
+    assert "secret-key" not in str(problem)
+
+
+def test_two_workspaces_hold_no_common_key():
+    both = {"w": {"key_digests": [DIGEST]}, "x": {"key_digests": [DIGEST]}}
+    document = {"workspaces": both}
+    [problem] = shared_settings.load_team("system", document, shared_settings.TeamSettings())
+    assert problem.path == "workspaces.x.key_digests[0]" and "of w too" in problem.message
+
+
+def test_only_the_system_team_sets_workspaces():
+    system = shared_settings.TeamSettings()
+    [problem] = shared_settings.load_team("k", {"workspaces": {"w": {}}}, system)
+    assert problem.path == "workspaces" and "/system" in problem.fix
+
+
+def test_bounds_of_keys_and_allowances_reach_the_entry():
+    text = PROCESS_FILES[0].read_text()
+    loaded = settings.load(
+        text + "\n[keys]\nrevoke_ms = 5000\n[allowances]\nwindow_ms = 5000\nslack = 12.0\n"
+    )
+    bounds = entry.convert_settings(loaded).bounds
+    assert (bounds.revoke_ms, bounds.allowance_window_ms) == (5_000, 5_000)
+    assert (bounds.allowance_overage, bounds.allowance_slack) == (0.1, 12.0)
+    plain = entry.convert_settings(settings.load(text)).bounds
+    assert plain.revoke_ms is None and plain.allowance_window_ms == 0
+    [problem] = settings.load(text + "\n[keys]\nrevoke_ms = 1000\n")
+    assert problem.path == "keys.revoke_ms" and "2000" in problem.fix
--- a/tests/test_settings_source.py
+++ b/tests/test_settings_source.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from sassafraslock import errors, facts, platform, shared_settings
+from sassafraslock import errors, facts, platform, routing_table, shared_settings, workspaces
 from sassafraslock.decisions import revisions
 from sassafraslock.services import settings_source, settings_store
 from sassafraslock.standin import platform as standin
@@ -327,3 +327,40 @@
         assert not (await source.read_all(Topic.SERVERS)).changes
 
     with_table(scenario)
+
+
+# Guards against keys that the settings hold and entries do not know, and the other way round.
+def test_workspaces_and_public_services_are_part_of_the_intents():
+    digest = workspaces.digest_key(b"a key")
+
+    async def scenario(faulty, store, source):
+        batch = await source.read_all(Topic.INTENTS)
+        assert by_key(batch)["intents"].intents.workspaces is msgspec.UNSET
+        assert batch.store_now_ms is not None
+        open_service = {"servers": {"x": server()}, "public": True}
+        closed_service = {"servers": {"y": server()}}
+        await put(store, "k", {"services": {"open": open_service, "closed": closed_service}})
+        office = {
+            "key_digests": [digest.hex()],
+            "priority": 2,
+            "rate_per_s": 5.0,
+            "burst": 3.0,
+            "regions": ["a"],
+        }
+        await put(store, "system", {**SYSTEM, "workspaces": {"office": office}})
+        changed = await source.read_changes(Topic.INTENTS, batch.version, 1_000)
+        table = routing_table.RoutingTable(by_key(changed)["intents"].intents)
+        found = table.workspaces.find(b"a key")
+        assert (found.name, found.priority, found.regions) == ("office", 2, frozenset("a"))
+        assert (found.rate_per_s, found.burst) == (5.0, 3.0)
+        needs = {route.name: table.requires_key(route) for route in table.routes}
+        assert needs == {"k/open": False, "k/closed": True}
+        office["key_digests"] = []
+        await put(store, "system", {**SYSTEM, "workspaces": {"office": office}})
+        changed = await source.read_changes(Topic.INTENTS, changed.version, 1_000)
+        table = routing_table.RoutingTable(by_key(changed)["intents"].intents)
+        assert table.workspaces.find(b"a key") is None
+        assert table.requires_key(table.routes[0]) or table.requires_key(table.routes[1])
+        assert changed.store_now_ms >= batch.store_now_ms
+
+    with_table(scenario)
