Demo: two workspaces, one over its allowance, one whose key is taken away

Cause: no run of the product's own interface showed that keys bind and stay at the entry.

Change: callers of the demo send keys and a forged workspace name; servers count keys and wrong names that reach them. The summary shows refusals as 401 and 429, requests that ran later than the bound after the key was taken away, and the highest use of the allowance, once entries enforce it.

--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -17,6 +17,7 @@
 from sassafraslock import (
     asgi,
     clock,
+    demo_workspaces,
     entry,
     errors,
     judgement,
@@ -69,6 +70,7 @@
     teams: dict[str, shared_settings.TeamSettings]
     log_handler: log_writer.BufferedLogHandler
     drained_at_ms: int = 0
+    revoked_at_ms: int = 0
 
 
 def _build_cluster(ports: typing.Iterator[int]) -> Cluster:
@@ -86,6 +88,7 @@
         regions={r: shared_settings.Region(total) for r in REGIONS},
         links=[shared_settings.Link(list(REGIONS), LINK_BYTES_PER_S)],
         claims=shared_settings.Claims(),
+        workspaces=demo_workspaces.settings_of_workspaces(),
     )
     return cluster
 
@@ -126,6 +129,8 @@
             peers=peers,
             poll_ms=200,
             stop_bound_ms=STOP_BOUND_MS,
+            keys=settings.Keys(demo_workspaces.REVOKE_MS),
+            allowances=demo_workspaces.ALLOWANCES,
         )
         platform_table = platform_client.PlatformClient(process.platform)
         cluster.entries.append(entry.Entry(process, platform_table, cluster.log_handler))
@@ -142,7 +147,8 @@
     rng = random.Random(number)
     addresses = [str(e.settings.caller) for e in cluster.entries]
     seeds = addresses[number % len(addresses) :] + addresses
-    client = caller.Caller(f"block-{number}", seeds, cluster.stats, number)
+    credentials = demo_workspaces.credentials(number)
+    client = caller.Caller(f"block-{number}", seeds, cluster.stats, number, credentials)
     service = SHIFTED_SERVICE if number % 2 else list(SERVICES)[number // 2 % len(SERVICES)]
     try:
         while True:
@@ -169,7 +175,10 @@
 
 
 async def _inject_faults(cluster: Cluster, report: ReportProgress) -> None:
-    """Drain a server, shift traffic, kill an entry and take the store down, in this order."""
+    """Inject the faults in this order.
+
+    A server drains, traffic shifts, a key is taken away, an entry is killed, the store is down.
+    """
     await anyio.sleep(2.5)
     drained_server = f"{DRAINED_SERVICE.partition('/')[2]}-gorenjska-0"
     report(f"draining {drained_server}")
@@ -178,7 +187,11 @@
     await anyio.sleep(0.5)
     report(f"shifting half of {SHIFTED_SERVICE} from gorenjska to stajerska")
     await _change_settings(cluster, "pryce", _set_shift)
-    await anyio.sleep(3.5)
+    await anyio.sleep(1.0)
+    report(f"taking the key of {demo_workspaces.REVOKED} away")
+    await _change_settings(cluster, shared_settings.SYSTEM_TEAM, demo_workspaces.take_key_away)
+    cluster.revoked_at_ms = clock.monotonic_ms()
+    await anyio.sleep(2.5)
     report("killing entry gorenjska-b")
     killed_entry = cluster.entries[1]
     cluster.stats.killed_entries.add(killed_entry.settings.entry_id)
@@ -286,6 +299,8 @@
     limits = {frozenset(REGIONS): LINK_BYTES_PER_S}
     region_limit = cluster.teams[shared_settings.SYSTEM_TEAM].regions[REGIONS[0]].max_in_flight
     drained_server = cluster.servers[f"{DRAINED_SERVICE.partition('/')[2]}-gorenjska-0"]
+    gates = [instance.edge.pipeline.allowances for instance in cluster.entries]
+    seen = demo_workspaces.findings(stats, cluster.servers.values(), gates, cluster.revoked_at_ms)
     return judgement.Summary(
         requests=stats.requests,
         answered=stats.answered,
@@ -310,6 +325,7 @@
         drain_ms=max(0, drained_server.stats.last_start_ms - cluster.drained_at_ms),
         p50_ms=stats.latency.get_value_at_percentile(50) / 1000,
         p99_ms=stats.latency.get_value_at_percentile(99) / 1000,
+        **dataclasses.asdict(seen),
     )
 
 
--- a/sassafraslock/standin/backend.py
+++ b/sassafraslock/standin/backend.py
@@ -56,6 +56,32 @@
         self.max_running = max(self.max_running, self.running)
 
 
+@dataclasses.dataclass(slots=True)
+class SeenWorkspaces:
+    """What a server saw of workspaces.
+
+    ``keys`` counts requests with the key of a workspace, which entries must not pass on, and
+    ``wrong_names`` those under another name than the caller's. ``starts_ms`` holds by workspace
+    when requests started to run.
+    """
+
+    keys: int = 0
+    wrong_names: int = 0
+    starts_ms: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+
+    def record(self, request: asgi.Request, now_ms: int) -> None:
+        """Record a request that starts to run.
+
+        :param request: the request.
+        :param now_ms: the current monotonic time.
+        """
+        name = request.header(NAMES.workspace)
+        self.keys += bool(request.header(NAMES.credential))
+        self.wrong_names += name != request.header(b"x-expected-workspace")
+        if name:
+            self.starts_ms.setdefault(name, []).append(now_ms)
+
+
 @dataclasses.dataclass(slots=True)
 class ServerStats:
     """Statistics of one server, against which a run is checked.
@@ -70,6 +96,7 @@
     shed: int = 0
     crashes: int = 0
     last_start_ms: int = 0
+    workspaces: SeenWorkspaces = dataclasses.field(default_factory=SeenWorkspaces)
 
 
 class BackendServer:
@@ -211,6 +238,7 @@
         stats = self.stats
         stats.runs += 1
         stats.last_start_ms = clock.monotonic_ms()
+        stats.workspaces.record(request, stats.last_start_ms)
         key = request.header(NAMES.idempotency_key)
         if key:
             stats.runs_by_key[key] += 1
--- a/sassafraslock/standin/caller.py
+++ b/sassafraslock/standin/caller.py
@@ -12,7 +12,7 @@
 import msgspec
 import uuid6
 
-from sassafraslock import clock
+from sassafraslock import clock, header_names
 from sassafraslock.path import answer
 from sassafraslock.services import caller_api
 
@@ -22,6 +22,7 @@
 MAX_ATTEMPTS = 8
 REQUEST_TIMEOUT_S = 10.0
 RETRY_DELAY_MS = 100
+NAMES = header_names.HeaderNames()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -36,12 +37,34 @@
     size_bytes: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Credentials:
+    """The workspace of a caller and its key, both empty for none."""
+
+    workspace: str = ""
+    key: str = ""
+
+    def headers(self) -> dict[bytes | str, bytes | str]:
+        """Return the headers of a request: the key, and a workspace that entries must not trust.
+
+        Servers compare the name that the entry tells them with ``x-expected-workspace``.
+        """
+        if not self.key:
+            return {}
+        return {
+            NAMES.credential: self.key,
+            NAMES.workspace: "forged",
+            "x-expected-workspace": self.workspace,
+        }
+
+
 @dataclasses.dataclass(slots=True)
 class CallerStats:
     """Counts and outcomes of all callers.
 
     ``cut_off`` counts exchanges that broke or timed out after the connection was made, at entries
     that were not killed; ``mixed_up`` counts responses that belong to another request.
+    ``answered_starts_ms`` holds by workspace when requests were first sent that were answered.
     """
 
     requests: int = 0
@@ -54,6 +77,7 @@
     error_kinds: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
     refused_keys: set[str] = dataclasses.field(default_factory=set)
     killed_entries: set[str] = dataclasses.field(default_factory=set)
+    answered_starts_ms: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     latency: hdrh.histogram.HdrHistogram = dataclasses.field(
         default_factory=lambda: hdrh.histogram.HdrHistogram(
             LATENCY_MIN_US, LATENCY_MAX_US, LATENCY_DIGITS
@@ -75,10 +99,19 @@
 class Caller:
     """One caller with its own connection pool, client id and cached list of entries."""
 
-    __slots__ = ("client", "stats", "_seeds", "_entries", "_valid_until_ms", "_pool", "_random")
-
-    def __init__(self, client: str, seeds: list[str], stats: CallerStats, seed: int) -> None:
+    __slots__ = ("client", "stats", "credentials", "_seeds", "_entries", "_valid_until_ms",
+                 "_pool", "_random")  # fmt: skip
+
+    def __init__(
+        self,
+        client: str,
+        seeds: list[str],
+        stats: CallerStats,
+        seed: int,
+        credentials: Credentials | None = None,
+    ) -> None:
         self.client = client
+        self.credentials = credentials or Credentials()
         self.stats = stats
         self._seeds = seeds
         self._entries: list[caller_api.EntryEndpoint] = []
@@ -169,6 +202,8 @@
 
     def _record_answer(self, answer: Outcome, started_ms: int) -> None:
         self.stats.answered += 1
+        starts_ms = self.stats.answered_starts_ms.setdefault(self.credentials.workspace, [])
+        starts_ms.append(started_ms)
         self.stats.outcomes.append(answer)
         self.stats.latency.record_value(max(1, (answer.at_ms - started_ms) * 1000))
 
@@ -190,6 +225,7 @@
         headers: dict[bytes | str, bytes | str] = {
             "x-echo": nonce,
             "sassafraslock-client": self.client,
+            **self.credentials.headers(),
         }
         if request.key:
             headers["sassafraslock-key"] = request.key
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,4 +1,4 @@
-"""End-to-end run over loopback HTTP, with a drain, a shift, a kill and a store outage.
+"""End-to-end run over loopback HTTP, with a drain, a shift, a revoked key, a kill and an outage.
 
 Guarantees that depend on the speed of the machine (drain time, share moved within a window) are
 tested on virtual time in test_request_path and test_cells.
@@ -19,6 +19,11 @@
     assert summary.highest_region_use_ratio <= 1
     assert summary.highest_server_use_ratio <= 1
     assert summary.highest_link_use_ratio <= 1
+    assert summary.key_refusals > 0
+    assert (summary.keys_at_servers, summary.wrong_workspaces) == (0, 0)
+    assert summary.ran_after_revocation == 0
+    # Shows refusals as soon as entries enforce allowances; the callers ask for three times theirs.
+    assert (summary.allowance_refusals > 0) == summary.allowances_enforced
 
 
 def summary(**changes):
@@ -38,6 +43,10 @@
         {"highest_server_use_ratio": 1.01},
         {"highest_link_use_ratio": 1.01},
         {"drain_ms": 3001},
+        {"keys_at_servers": 1},
+        {"wrong_workspaces": 1},
+        {"ran_after_revocation": 1},
+        {"highest_allowance_use_ratio": 1.01},
         {"requests": 1},
     ):
         assert len(summary(**changes).violated_guarantees()) == 1, changes
