Fair shares: waits by the mean queue, admitted requests stay, report and claims know workspaces

Cause: a request held back for the mean queue was told to return at once if its server happened to be idle; one that had got a server could be held back at the next; a floor of 0.4 let a hot workspace at few entries push the queues that others wait in; the report took refusals for a share for lack of servers; a repeat by another workspace got the recorded response of the first one.

Change: waits follow the longer of both queues, requests that got a server are not held back again, the floor is 0.3, the report has causes for both limits, and the fingerprint of a request key holds the workspace.

--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -262,6 +262,18 @@
     return QUEUE_LIMIT_BY_PRIORITY[index] * request.route.target_latency_ms
 
 
+def _spread_wait_ms(chosen: Choice, terms: fair_share.QueueTerms) -> int:
+    """Return when a request of a workspace may return: after the queue, in a place of its own.
+
+    The queue is that of the chosen server or the mean of its region, for which the request may have
+    been refused although the chosen server is idle.
+    """
+    run_ms = max(0.0, chosen.expected_ms - chosen.queue_ms)
+    mean_queue_ms = terms.queue_ratio(chosen.server.region, chosen.slots) * run_ms
+    queue_ms = max(MIN_RETRY_AFTER_MS, chosen.queue_ms, mean_queue_ms)
+    return int(min(MAX_SPREAD_RETRY_AFTER_MS, (1.0 + terms.spread) * queue_ms))
+
+
 def _refusal_cause(choice: Choice, request: PlacementRequest) -> Cause:
     if choice.expected_ms > request.remaining_ms:
         return Cause.TIME_LEFT
@@ -323,15 +335,17 @@
     :param chosen: the best candidate server.
     :param request: the request.
     """
-    terms, max_ms = request.terms, MAX_RETRY_AFTER_MS
-    queue_ms = chosen.queue_ms
+    terms = request.terms
+    wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, int(chosen.queue_ms)))
     if terms is not None:
-        queue_ms, max_ms = (1.0 + terms.spread) * queue_ms, MAX_SPREAD_RETRY_AFTER_MS
-    wait_ms = min(max_ms, max(MIN_RETRY_AFTER_MS, int(queue_ms)))
+        wait_ms = _spread_wait_ms(chosen, terms)
     reason = (
         f"the best server is expected to answer in {chosen.expected_ms:.0f} ms;"
         f" the request has {request.remaining_ms} ms left"
     )
+    if terms is not None and _is_held_back(chosen, request):
+        first = "more urgent workspaces go" if terms.is_outranked else "others' fair shares go"
+        reason = f"servers are full, and {first} first; retry later"
     limit_ms, cause = _latency_limit_ms(request), _refusal_cause(chosen, request)
     kind = errors.ErrorKind.NO_CAPACITY
     return QueueRefusal(kind, reason, wait_ms, chosen, limit_ms, cause, terms)
--- a/sassafraslock/decisions/fair_admission.py
+++ b/sassafraslock/decisions/fair_admission.py
@@ -46,6 +46,9 @@
         workspace, service = request.workspace, request.service.name
         if workspace is None:
             return
+        if request.terms is not None and request.is_served:
+            request.terms = request.terms.admitted()
+            return
         if request.terms is None:
             returns = self.returning.take(workspace.name, request.route.name, request.key, now_ms)
             self.shares.record_request(service, workspace, busy_ms, now_ms)
@@ -85,8 +88,8 @@
             request.is_served = True
         elif isinstance(outcome, candidates.QueueRefusal) and outcome.choice is not None:
             if outcome.cause is candidates.Cause.ROUTE_PRIORITY and request.terms is not None:
-                load = request.terms.typical_loads.get(outcome.choice.server.region, 0.0)
-                ratio = fair_share.queue_ratio(load, outcome.choice.slots)
+                region, slots = outcome.choice.server.region, outcome.choice.slots
+                ratio = request.terms.queue_ratio(region, slots)
                 self.shares.record_refusal(service, workspace, ratio, now_ms)
             wait_ms = outcome.retry_after_ms
             self.returning.record_refusal(
--- a/sassafraslock/decisions/fair_share.py
+++ b/sassafraslock/decisions/fair_share.py
@@ -28,7 +28,7 @@
 EXCESS_QUEUE_RATIOS = (0.25, 0.6)
 # A workspace that is served this much less often than others of its priority is not held back. The
 # rule is a quarter; counts over a few seconds are rough.
-MIN_SERVED_RATIO = 0.4
+MIN_SERVED_RATIO = 0.3
 MIN_COUNTED_REQUESTS = 3
 ASKED_REQUESTS = 0.2  # decayed; a priority with fewer is not asked for
 # Mean waiting requests per slot up to which the second most urgent priority may queue; each further
@@ -68,7 +68,19 @@
         :param region: the region.
         :param slots: the slots of a server there.
         """
-        return queue_ratio(self.typical_loads.get(region, 0.0), slots) <= self.max_queue_ratio
+        return self.queue_ratio(region, slots) <= self.max_queue_ratio
+
+    def queue_ratio(self, region: str, slots: int) -> float:
+        """Return the mean waiting requests per slot of a region.
+
+        :param region: the region.
+        :param slots: the slots of a server there.
+        """
+        return queue_ratio(self.typical_loads.get(region, 0.0), slots)
+
+    def admitted(self) -> QueueTerms:
+        """Return the terms of a request that got a server before, and needs another one."""
+        return dataclasses.replace(self, factor=max(1.0, self.factor), max_queue_ratio=math.inf)
 
 
 def queue_ratio(load: float, slots: int) -> float:
--- a/sassafraslock/report/causes.py
+++ b/sassafraslock/report/causes.py
@@ -5,6 +5,7 @@
 import enum
 
 from sassafraslock import errors, events
+from sassafraslock.decisions import candidates
 from sassafraslock.report import log_lines
 
 
@@ -30,6 +31,8 @@
     OTHER_REGION = "a server in another region"
     SLOW_SERVER = "a server slower than expected"
     EXPECTED_QUEUE = "the best server's queue, as expected"
+    WORKSPACE_PRIORITY = "workspaces that are more urgent"
+    FAIR_SHARE = "more than the workspace's fair share"
     NO_SERVER = "no server available"
     RATE_LIMIT = "rate limits that servers name"
     PAUSED = "pauses that servers ask for"
@@ -45,6 +48,10 @@
     events.Event.REQUEST_FAILED: Outcome.FAILED,
     events.Event.REQUEST_ABANDONED: Outcome.ABANDONED,
 }
+_LIMITS: dict[str, Cause] = {
+    candidates.Cause.WORKSPACE_PRIORITY.value: Cause.WORKSPACE_PRIORITY,
+    candidates.Cause.FAIR_SHARE.value: Cause.FAIR_SHARE,
+}
 _REFUSALS: dict[str, Cause] = {
     errors.ErrorKind.NO_SERVER: Cause.NO_SERVER,
     errors.ErrorKind.SERVER_RATE_LIMIT: Cause.RATE_LIMIT,
@@ -92,6 +99,8 @@
 
     :param line: the line.
     """
+    if line.limited_by in _LIMITS:
+        return _LIMITS[line.limited_by]
     if line.best is not None:
         return Cause.EXPECTED_QUEUE
     if line.kind == errors.ErrorKind.SERVER_PAUSED:
--- a/sassafraslock/report/log_lines.py
+++ b/sassafraslock/report/log_lines.py
@@ -40,8 +40,8 @@
 class LogLine(msgspec.Struct, frozen=True):
     """One event of an entry.
 
-    The fields after ``event`` are those of requests. ``limit_ms`` and ``best`` are only in
-    refusals for a queue, ``target_ms`` is 0 in lines of former versions.
+    The fields after ``event`` are those of requests. ``limit_ms``, ``limited_by`` and ``best`` are
+    only in refusals for a queue, ``target_ms`` is 0 in lines of former versions.
     """
 
     time_s: float
@@ -54,6 +54,7 @@
     took_ms: float = 0.0
     kind: str = ""
     limit_ms: float = 0.0
+    limited_by: str = ""
     leaving_servers: int = 0
     best: Candidate | None = None
     attempts: list[Attempt] = []
--- a/sassafraslock/services/claims.py
+++ b/sassafraslock/services/claims.py
@@ -193,4 +193,6 @@
 def _fingerprint(routed: route.RoutedRequest) -> str:
     request = routed.incoming.request
     name = routed.service.name
+    if routed.workspace is not None:  # so that no workspace gets another one's recorded response
+        name = f"{name}|{routed.workspace.name}"
     return quarantine.fingerprint(name, request.method, routed.target, request.body)
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -1,9 +1,11 @@
 """What the access log tells of a request, and the plans that E4006 tells."""
 
+import dataclasses
+
 import pytest
 
-from sassafraslock import events, header_names, http_messages, routing_table
-from sassafraslock.decisions import candidates, registry, roster, route_latency
+from sassafraslock import events, header_names, http_messages, routing_table, workspaces
+from sassafraslock.decisions import candidates, fair_share, registry, roster, route_latency
 from sassafraslock.path import access_log, judge, read, refusals, request_context, route, send
 from sassafraslock.services import metrics, planner, server_connection
 from tests import fact_source, test_planner
@@ -120,6 +122,31 @@
     assert fields["limit_ms"] == 450
     assert fields["best"]["server"] == "i-1" and fields["best"]["expected_ms"] == 500
     assert fields["attempts"] == []
+    assert fields["limited_by"] == "time left" and "share_factor" not in fields
+
+
+# Guards against refusals of workspaces of which the log does not tell whose requests went first.
+def test_a_refusal_by_a_workspaces_terms_names_them_and_counts_for_the_workspace(logged):
+    ended, counters = context(), metrics.Metrics()
+    ended.routed = dataclasses.replace(ended.routed, workspace=workspaces.Workspace("w", ()))
+    routed = ended.routed
+    wanted = candidates.PlacementRequest(routed.route, routed.service, "k", 4_000, True)
+    wanted.terms = fair_share.QueueTerms(
+        0.8, 0.2, {choice().server.region: 9.0}, 1.43, is_outranked=True
+    )
+    ended.refusal = candidates.too_late_refusal(
+        dataclasses.replace(choice(), expected_ms=100.0), wanted
+    )
+    ended.response = http_messages.Response(503)
+    access_log.AccessLog("a", counters, lambda now_ms: 0).record(ended, 10)
+    [(_, fields)] = logged
+    assert "more urgent workspaces" in ended.refusal.reason
+    assert fields["limited_by"] == "workspace priority" and fields["workspace"] == "w"
+    assert (fields["share_factor"], fields["share_used"]) == (0.8, 1.43)
+    assert fields["max_queue_ratio"] == 0.2
+    assert b'sassafraslock_workspace_refusals_total{kind="no-capacity",workspace="w"} 1' in (
+        counters.render()
+    )
 
 
 def test_plans_are_logged_when_they_change_and_not_at_each_step(logged):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Requests with the same key run at most once, even if the store loses, delays or refuses calls."""
 
 import collections
+import dataclasses
 import random
 
 import anyio
@@ -8,7 +9,14 @@
 import pytest
 import uuid6
 
-from sassafraslock import errors, header_names, http_messages, platform, routing_table
+from sassafraslock import (
+    errors,
+    header_names,
+    http_messages,
+    platform,
+    routing_table,
+    workspaces,
+)
 from sassafraslock.decisions import claim
 from sassafraslock.path import read, route
 from sassafraslock.services import claims
@@ -64,6 +72,20 @@
     with_claims(scenario)
 
 
+# Guards against a workspace that gets what a server answered to another one, by its request key.
+def test_a_repeat_by_another_workspace_gets_no_recorded_answer():
+    async def scenario(services, faulty):
+        key, by_one, by_other = new_key(), *(workspaces.Workspace(name, ()) for name in "ab")
+        first = dataclasses.replace(routed(key), workspace=by_one)
+        services[0].settle(await services[0].acquire(first), DONE)
+        await anyio.sleep(0.05)
+        assert (await services[1].acquire(first)).status == 200
+        other = dataclasses.replace(routed(key), workspace=by_other)
+        assert (await services[1].acquire(other)).kind is Kind.KEY_REUSED
+
+    with_claims(scenario)
+
+
 def test_a_refused_request_frees_its_key_and_one_of_unknown_outcome_does_not():
     async def scenario(services, faulty):
         refused, unknown = new_key(), new_key()
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -177,3 +177,26 @@
     for now_ms in range(0, 5_000, 100):
         shares.record_request("s", own, 500.0, now_ms)
         assert shares.latency_limit_factor("s", own, now_ms) == 1.0
+
+
+# Guards against a request that is refused for the mean queue and told to return at once, since the
+# chosen server happens to be idle.
+def test_a_request_held_back_at_an_idle_server_waits_for_the_mean_queue():
+    placer, own = full_placer([workspace()]), workspace()
+    held = request_for("k", own)
+    refusal = placer.place(held, 0)
+    idle = dataclasses.replace(refusal.choice, load=0.0, queue_ms=0.0, expected_ms=500.0)
+    held.terms = dataclasses.replace(held.terms, max_queue_ratio=0.1)
+    assert candidates.is_too_late(idle, held)
+    assert candidates.too_late_refusal(idle, held).retry_after_ms >= 500
+
+
+# Guards against requests that got a server, lost it, and are then refused for their share.
+def test_a_request_that_got_a_server_is_not_held_back_at_the_next():
+    placer, own = full_placer([workspace()]), workspace()
+    request = request_for("k", own)
+    placer.place(request, 0)
+    request.terms = dataclasses.replace(request.terms, max_queue_ratio=0.0, factor=0.6)
+    request.is_served, request.attempts = True, 1
+    placer.place(request, 0)
+    assert request.terms.max_queue_ratio == math.inf and request.terms.factor == 1.0
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -122,6 +122,21 @@
     assert causes.of_refusal(msgspec.convert(line, log_files.log_lines.LogLine)) == cause
 
 
+# Guards against refusals for a workspace's share that the report takes for lack of servers.
+@pytest.mark.parametrize(
+    ("limited_by", "cause"),
+    [
+        ("fair share", causes.Cause.FAIR_SHARE),
+        ("workspace priority", causes.Cause.WORKSPACE_PRIORITY),
+        ("route priority", causes.Cause.EXPECTED_QUEUE),
+        ("time left", causes.Cause.EXPECTED_QUEUE),
+    ],
+)
+def test_causes_of_refusals_for_a_queue(limited_by, cause):
+    line = refusal(limited_by=limited_by)
+    assert causes.of_refusal(msgspec.convert(line, log_files.log_lines.LogLine)) == cause
+
+
 def test_bad_lines_are_counted_and_named_and_the_rest_is_read(tmp_path):
     path = tmp_path / "mixed.log"
     cut = lines_of([request()])[:60]
