--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import logging
+import math
 import typing
 
 from sassafraslock import events
 from sassafraslock.allowances import refusal
-from sassafraslock.decisions import candidates
+from sassafraslock.decisions import candidates, fair_share
 from sassafraslock.path import judge, request_context, send
 from sassafraslock.services import metrics
 
@@ -42,6 +43,9 @@
         service = context.routed.service.name if context.routed else ""
         result = _result_label(context)
         self._metrics.record_request(service, result, took_ms / 1000)
+        workspace = context.routed.workspace if context.routed else None
+        if context.refusal is not None and workspace is not None:
+            self._metrics.record_refused(workspace.name, result)
         cold_attempts = sum(_may_have_reached_cold(attempt) for attempt, _ in context.attempts)
         if cold_attempts:
             self._metrics.record_cold_attempts(service, cold_attempts)
@@ -93,6 +97,8 @@
         if isinstance(context.refusal, candidates.QueueRefusal) and context.refusal.choice:
             fields["limit_ms"] = round(context.refusal.limit_ms)
             fields["best"] = _choice_fields(context.refusal.choice)
+            fields["limited_by"] = context.refusal.cause.value
+            fields |= _terms_fields(context.refusal.terms)
         if isinstance(context.refusal, refusal.AllowanceRefusal):
             fields |= _allowance_fields(context.refusal, now_ms)
         received_ms = context.incoming.request.received_ms
@@ -121,6 +127,21 @@
     }
 
 
+def _terms_fields(terms: fair_share.QueueTerms | None) -> dict[str, object]:
+    """Return what the workspace of a refused request may queue for, none without a workspace."""
+    if terms is None:
+        return {}
+    fields: dict[str, object] = {
+        "share_factor": round(terms.factor, 2),
+        "share_used": round(terms.excess, 2),
+    }
+    if math.isfinite(terms.max_queue_ratio):
+        fields["max_queue_ratio"] = round(terms.max_queue_ratio, 2)
+    if terms.returns:
+        fields["returns"] = True
+    return fields
+
+
 def _choice_fields(choice: candidates.Choice) -> dict[str, object]:
     fields: dict[str, object] = {
         "server": choice.server.server_id,
