Placement: an object stays where it is in memory while it is served there in time

Cause: a request followed the plan of regions and the rendezvous order of the planned region, so each step of a plan, each evacuation and each server that came back made objects slow that servers of another region or of a lower rank had in memory.

Change: decisions/objects/holders.py selects among the servers that handled the object lately, in all allowed regions, the one that should answer first, distance included, if that is within the target. Plan and order decide on first runs and on what is left. EdgeSettings.object_homes_by_demand switches it off. Spill budget, refusals and the choice of join probes moved out of placement.py.

--- a/benchmarks/servers.py
+++ b/benchmarks/servers.py
@@ -35,18 +35,23 @@
         self._limit = limit
         self._objects: collections.OrderedDict[str, None] = collections.OrderedDict()
 
+    def __len__(self) -> int:
+        return len(self._objects)
+
     def __contains__(self, key: str) -> bool:
         return key in self._objects
 
-    def note(self, key: str) -> None:
+    def note(self, key: str) -> str | None:
         """Remember an object, and forget the one not handled for longest where it is too many.
 
         :param key: the object.
+        :returns: the object that is forgotten, if any.
         """
         self._objects[key] = None
         self._objects.move_to_end(key)
         if len(self._objects) > self._limit:
-            self._objects.popitem(last=False)
+            return self._objects.popitem(last=False)[0]
+        return None
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/decisions/candidates.py
+++ b/sassafraslock/decisions/candidates.py
@@ -27,6 +27,7 @@
     OTHER_REGION = "other region"
     JOIN_PROBE = "join probe"
     COLD_LIMIT = "cold limit of the home"
+    HOLDER = "has the object in memory"
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/decisions/join_probes.py
+++ b/sassafraslock/decisions/join_probes.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from sassafraslock.decisions import registry, server_health
+from sassafraslock.decisions import backpressure, candidates, registry, server_health
 
 MAX_WAIT_MS = 15_000  # how long after it joined a server may get a first probe
 
@@ -53,6 +53,32 @@
                 due.append(server)
         return due
 
+    def next_server(
+        self,
+        request: candidates.PlacementRequest,
+        planned: str,
+        asked: backpressure.Backpressure,
+        now_ms: int,
+    ) -> registry.Server | None:
+        """Return the server that a request probes, if any.
+
+        It is one of the planned region, since many servers join at once when a system starts. Only
+        the first attempts of idempotent requests are probes.
+
+        :param request: the request.
+        :param planned: the region that is planned for it.
+        :param asked: what servers ask of this entry.
+        :param now_ms: the current monotonic time.
+        """
+        if not request.idempotent or request.attempts:
+            return None
+        for server in self.due(request.service.name, now_ms):
+            if server.region != planned or not request.allows(server):
+                continue
+            if asked.hold(server, now_ms) is None:
+                return server
+        return None
+
     def _may_get_requests(self, server: registry.Server, now_ms: int) -> bool:
         evacuated = server.report.zone in self._registry.evacuated_zones
         if server.draining or server.is_cold(now_ms) or evacuated:
--- a/sassafraslock/decisions/object_memory.py
+++ b/sassafraslock/decisions/object_memory.py
@@ -107,6 +107,20 @@
             return False
         return now_ms - sighting.handled_ms < RETENTION_MS
 
+    def handlers(self, object_hash: int, now_ms: int) -> list[int]:
+        """Return the hashes of the starts that handled an object within :data:`RETENTION_MS`.
+
+        :param object_hash: the hash of the object's name.
+        :param now_ms: the current monotonic time.
+        """
+        oldest_ms = now_ms - RETENTION_MS
+        return [
+            start_hash
+            for start_hash, sighting in self._objects.get(object_hash, {}).items()
+            if sighting.handled_ms > oldest_ms
+            and not self._is_forgotten(start_hash, sighting.handled_ms)
+        ]
+
     def forget_start(self, start_hash: int, now_ms: int) -> None:
         """Forget all objects of a start, since another one may run by now, which has none.
 
--- /dev/null
+++ b/sassafraslock/decisions/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Which servers have which objects in memory, and which should."""
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -12,6 +12,7 @@
     join_probes,
     load_view,
     object_memory,
+    placement_refusals,
     region_choice,
     region_plan,
     registry,
@@ -19,12 +20,12 @@
     server_health,
     server_ranking,
     server_restarts,
-    windows,
+    spill_budget,
 )
+from sassafraslock.decisions.objects import distances, holders
 
 CANDIDATES = 4
 REMOTE_CANDIDATES = 2  # per region when a request spills over
-SPILL_RATIO = 0.06  # share of requests that may leave their planned region
 # Share of queued requests whose object is assumed to be in the server's memory.
 QUEUED_KNOWN_SHARE = 0.7
 CONNECTION_RATIO = 0.5  # share of a server's connections that all entries together may use
@@ -35,6 +36,7 @@
     """Selects servers by registry, region plans and own health records, which may be outdated."""
 
     __slots__ = (
+        "homes_by_demand",
         "registry",
         "health",
         "objects",
@@ -44,10 +46,12 @@
         "loads",
         "backpressure",
         "_ranking",
-        "_placed_count",
-        "_spilled_count",
+        "_spills",
         "_join_probes",
         "_regions",
+        "_refusals",
+        "_holders",
+        "_distances",
     )
 
     def __init__(
@@ -58,7 +62,9 @@
         cold_limiter: cold_start.ColdStartLimiter,
         asked: backpressure.Backpressure | None = None,
         restarts: server_restarts.ServerRestarts | None = None,
+        homes_by_demand: bool = True,
     ) -> None:
+        self.homes_by_demand = homes_by_demand
         self.registry = servers
         self.health: dict[str, server_health.ServerHealth] = {}
         self.objects = object_memory.ObjectMemory()
@@ -72,9 +78,13 @@
         self._latencies: dict[str, route_latency.RouteLatency] = {}
         self.loads = load_view.LoadView(servers, self.health_of)
         self._ranking = server_ranking.ServerRanking(servers)
+        self._refusals = placement_refusals.RefusalBuilder(servers, self.backpressure)
+        self._distances = distances.RegionDistances(region)
+        self._holders = holders.HolderChooser(
+            region, servers, self.objects, self._ranking, self._holder_choice
+        )
         self._join_probes = join_probes.JoinProbes(servers, self.health_of)
-        self._placed_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
-        self._spilled_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
+        self._spills = spill_budget.SpillBudget()
 
     @property
     def plans(self) -> dict[tuple[str, frozenset[str]], region_plan.RegionPlan]:
@@ -147,38 +157,36 @@
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> candidates.Choice | errors.Refusal:
         planned = self._regions.planned(request)
+        self._spills.record_placed(now_ms)
+        held = self._held_choice(request, planned, now_ms)
+        if held is not None:
+            return self._join_probe(request, planned, now_ms) or held
         choices = self._choices(request, planned, planned, CANDIDATES, now_ms)
         chosen = candidates.best_choice(choices, request.shed)
         if chosen is not None:
             chosen.selection = candidates.selection_of(chosen, choices[0])
-        if chosen is not None and request.idempotent and not request.attempts:
             chosen = self._join_probe(request, planned, now_ms) or chosen
-        self._placed_count.add(now_ms)
         if chosen is None or candidates.is_too_late(chosen, request):
             chosen = self._spill_over(request, planned, chosen, now_ms) or chosen
         if chosen is None:
-            return self._no_server_refusal(request, now_ms)
+            return self._refusals.no_server(request, now_ms)
         if candidates.is_too_late(chosen, request):
             return candidates.too_late_refusal(chosen, request)
-        if not chosen.is_cold or self._try_acquire_cold(chosen, request, now_ms):
+        per_s = request.service.cold_per_s
+        if not chosen.is_cold or self.cold.try_acquire(chosen.server, per_s, now_ms):
             return chosen
         return self._cold_fallback(request, choices, now_ms)
 
     def _join_probe(
         self, request: candidates.PlacementRequest, planned: str, now_ms: int
     ) -> candidates.Choice | None:
-        """Return a recently joined server that has not answered this entry yet, if there is one.
-
-        It is one of the planned region, since many servers join at once when a system starts.
-        """
-        for server in self._join_probes.due(request.service.name, now_ms):
-            if server.region != planned or not request.allows(server):
-                continue
-            if self.backpressure.hold(server, now_ms) is None:
-                probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
-                probe.selection = candidates.Selection.JOIN_PROBE
-                return probe
-        return None
+        """Return a recently joined server that has not answered this entry yet, if there is one."""
+        server = self._join_probes.next_server(request, planned, self.backpressure, now_ms)
+        if server is None:
+            return None
+        probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
+        probe.selection = candidates.Selection.JOIN_PROBE
+        return probe
 
     def record_join(self, server_id: str, now_ms: int) -> None:
         """Record that a server joined, so that it gets a probe request soon.
@@ -231,6 +239,26 @@
             is_home = is_home and choices[-1].is_cold
         return choices
 
+    def _held_choice(
+        self, request: candidates.PlacementRequest, planned: str, now_ms: int
+    ) -> candidates.Choice | None:
+        return self._holders.choose(request, planned, now_ms) if self.homes_by_demand else None
+
+    def _holder_choice(
+        self, request: candidates.PlacementRequest, server: registry.Server, now_ms: int
+    ) -> candidates.Choice | None:
+        """Return a server that has the object in memory, if it may get the request now."""
+        health = self.health_of(server)
+        if server.is_expired(now_ms) or not health.is_available(now_ms) or server.is_down:
+            return None
+        if self.cold.is_cold(server, now_ms) or self.backpressure.hold(server, now_ms) is not None:
+            return None
+        if health.in_flight >= self._connection_limit(request):
+            return None
+        choice = self._evaluate(request, server, health, False, now_ms)
+        choice.expected_ms += self._distances.missing_ms(server.region, health.rtt_ms)
+        return choice
+
     def _connection_limit(self, request: candidates.PlacementRequest) -> int:
         """Return how many requests this entry may have in flight at one server."""
         share = CONNECTION_RATIO * request.service.max_connections / request.entry_count
@@ -287,15 +315,14 @@
     ) -> candidates.Choice | None:
         """Return the best server of another region if it is better than the chosen one.
 
-        At most :data:`SPILL_RATIO` of the requests leave their planned region this way. The limit
-        does not apply if the planned region has no server for the request.
+        The limit on such requests does not apply if the planned region has no server for the
+        request.
         """
         if request.own_region_only:
             return None
-        allowed = SPILL_RATIO * self._placed_count.total(now_ms)
         serving = {s.region for s in self.registry.usable_servers(request.service.name)}
         is_served = planned in serving and (chosen is not None or request.left_out.is_held)
-        if is_served and self._spilled_count.total(now_ms) + 1 > allowed:
+        if is_served and not self._spills.may_spill(now_ms):
             return None
         regions = serving - {planned}
         choices: list[candidates.Choice] = []
@@ -307,15 +334,10 @@
         best = min(fitting, key=lambda c: c.expected_ms, default=None)
         if best is None or (chosen is not None and best.expected_ms >= chosen.expected_ms):
             return None
-        self._spilled_count.add(now_ms)
+        self._spills.record_spilled(now_ms)
         best.selection = candidates.Selection.OTHER_REGION
         return best
 
-    def _try_acquire_cold(
-        self, chosen: candidates.Choice, request: candidates.PlacementRequest, now_ms: int
-    ) -> bool:
-        return self.cold.try_acquire(chosen.server, request.service.cold_per_s, now_ms)
-
     def _cold_fallback(
         self, request: candidates.PlacementRequest, choices: list[candidates.Choice], now_ms: int
     ) -> candidates.Choice | errors.Refusal:
@@ -331,7 +353,7 @@
             fallback.selection = candidates.Selection.COLD_LIMIT
             return fallback
         for choice in choices:
-            if self._try_acquire_cold(choice, request, now_ms):
+            if self.cold.try_acquire(choice.server, request.service.cold_per_s, now_ms):
                 return choice
         reason = "all usable servers are cold and at their request rate limit"
         return errors.Refusal(errors.ErrorKind.NO_CAPACITY, reason, 300)
@@ -356,14 +378,6 @@
         local = [c for c in choices if c.server.region == self.region]
         return local or choices
 
-    def _no_server_refusal(
-        self, request: candidates.PlacementRequest, now_ms: int
-    ) -> errors.Refusal:
-        if request.left_out.is_held:
-            return self._held_refusal(request, now_ms)
-        usable = self.registry.usable_servers(request.service.name)
-        return candidates.no_server_refusal(request, len(usable))
-
     def paused_refusal(
         self, request: candidates.PlacementRequest, now_ms: int
     ) -> errors.Refusal | None:
@@ -372,21 +386,4 @@
         :param request: the request, of which all attempts were made.
         :param now_ms: the current monotonic time.
         """
-        allowed = self._allowed_servers(request)
-        holds = [self.backpressure.hold(server, now_ms) for server in allowed]
-        if not holds or any(hold is not backpressure.Hold.PAUSED for hold in holds):
-            return None
-        request.left_out.paused = len(holds)
-        return self._held_refusal(request, now_ms)
-
-    def _held_refusal(self, request: candidates.PlacementRequest, now_ms: int) -> errors.Refusal:
-        default_ms = candidates.MAX_RETRY_AFTER_MS
-        waits_ms = [
-            self.backpressure.wait_ms(server, now_ms, default_ms)
-            for server in self._allowed_servers(request)
-        ]
-        return candidates.held_refusal(request, waits_ms)
-
-    def _allowed_servers(self, request: candidates.PlacementRequest) -> list[registry.Server]:
-        usable = self.registry.usable_servers(request.service.name)
-        return [server for server in usable if request.allows(server)]
+        return self._refusals.paused(request, now_ms)
--- a/sassafraslock/decisions/registry.py
+++ b/sassafraslock/decisions/registry.py
@@ -139,6 +139,7 @@
         "servers",
         "evacuated_zones",
         "_by_service",
+        "_usable_by_start_hash",
         "_is_stale",
         "generation",
         "_by_start_hash",
@@ -154,6 +155,7 @@
         self.generation = 0
         self._is_stale = False
         self._by_service: dict[str, list[Server]] = {}
+        self._usable_by_start_hash: dict[int, Server] = {}
         self._by_start_hash: dict[int, Server] = {}
         self._by_address: dict[str, list[Server]] = {}
         self._indexed_generation = -1
@@ -261,6 +263,11 @@
         self._refresh()
         return self._by_service.get(service, [])
 
+    def usable_by_start_hash(self) -> dict[int, Server]:
+        """Return the servers that may get new requests by the hashes of the ids of their starts."""
+        self._refresh()
+        return self._usable_by_start_hash
+
     def by_start_hash(self) -> dict[int, Server]:
         """Return all servers by the hashes of the ids of their starts."""
         self._index()
@@ -311,6 +318,7 @@
 
     def _rebuild(self) -> None:
         self._by_service = {}
+        self._usable_by_start_hash = {}
         self._departing_counts.clear()
         latest_start_ms = self._latest_start_ms()
         for server in self.servers.values():
@@ -320,6 +328,7 @@
                 self._departing_counts[server.report.service] += 1
             else:
                 self._by_service.setdefault(server.report.service, []).append(server)
+                self._usable_by_start_hash[start_hash(server)] = server
 
     def _is_departing(self, server: Server) -> bool:
         """Return whether a server said that it leaves, whether or not its row does."""
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -36,7 +36,15 @@
         settings.entry_id, bounds.cold_overage, bounds.cold_slack, now_ms
     )
     restarts = server_restarts.ServerRestarts(settings.entry_id, servers)
-    return placement.Placer(settings.region, servers, entries, limiter, asked, restarts)
+    return placement.Placer(
+        settings.region,
+        servers,
+        entries,
+        limiter,
+        asked,
+        restarts,
+        settings.object_homes_by_demand,
+    )
 
 
 def build_retry_gate(
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -47,7 +47,8 @@
     first. ``metrics_address`` serves metrics only; without it they are at the operator address.
     ``peer_token`` authenticates gossip between entries; if it is empty, gossip from any
     sender is accepted. ``memory_bytes`` is the memory that this process may use, and ``link_mbps``
-    the bandwidth of its machine's link, 0 if it is not known.
+    the bandwidth of its machine's link, 0 if it is not known. Without ``object_homes_by_demand``,
+    objects of sticky routes are served by the plans of regions and by rendezvous order alone.
     """
 
     entry_id: str
@@ -63,4 +64,5 @@
     peer_token: str = ""
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     link_mbps: float = 0.0
+    object_homes_by_demand: bool = True
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
