--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -15,7 +15,10 @@
         "f6a1c3d09b7e4258",
         ["status 503", "2 asked for a pause", "for_ms=20222", "no attempt"],
     ),
-    "key unknown": ("q136", ["status 401", "settings_in_force: routing intents applied revision=2"]),
+    "key unknown": (
+        "q136",
+        ["status 401", "settings_in_force: routing intents applied revision=2"],
+    ),
     "key unproven": ("q329", ["status 503", "keys_unproven", "age_ms=4954", "store_down"]),
     "timed out": ("49db1ef59c80c3f2", ["status 504", "expected 543 ms", "silent after 2000 ms"]),
     "may have run": (
--- a/tests/test_revoked_keys_fleet.py
+++ b/tests/test_revoked_keys_fleet.py
@@ -2,11 +2,12 @@
 
 import collections
 import dataclasses
+import re
 
 import anyio
 import msgspec
 
-from sassafraslock import facts, routing_table, workspaces
+from sassafraslock import events, facts, routing_table, workspaces
 from sassafraslock.services import store_export
 from tests import fact_source, fleet_loop, fleet_world
 
@@ -117,7 +118,12 @@
 
 
 # Guards against entries that accept keys while no one knows what the store holds.
-def test_without_the_store_entries_stop_to_be_ready_and_start_again_with_it(monkeypatch):
+def test_without_the_store_entries_stop_to_be_ready_and_start_again_with_it(monkeypatch, caplog):
+    caplog.set_level("INFO", "sassafraslock")
+
+    def logged(event):
+        return sum(getattr(record, "event", None) is event for record in caplog.records)
+
     def scenario(world):
         assert all(world.ready())
         world.store.set_away(True)
@@ -128,9 +134,15 @@
         assert not any(world.ready())
         late = [a for a in world.answers if a.sent_s > gone_s + BOUND_S]
         assert not [a for a in late if a.status == 200]
+        metrics = world.entries[0].edge.render_metrics()
+        assert b'sassafraslock_keys_accepted{entry="e-0"} 0' in metrics
+        age = re.search(rb'intents_proof_age_seconds{entry="e-0"} (.*)', metrics)
+        assert float(age[1]) > BOUND_S
         world.store.set_away(False)
         world.run(1.0)
         assert all(world.ready())
+        assert logged(events.Event.KEYS_UNPROVEN) == SHAPE.entries
+        assert logged(events.Event.KEYS_PROVEN) == 2 * SHAPE.entries
 
     play(monkeypatch, scenario)
 
