The fleet's test of revoked keys has an entry that is cut off

Change: one entry loses the store and its peers, but not its clients. It accepts the key after the change and within the bound, and no longer.

--- a/tests/test_revoked_keys_fleet.py
+++ b/tests/test_revoked_keys_fleet.py
@@ -7,7 +7,7 @@
 import anyio
 import msgspec
 
-from sassafraslock import events, facts, routing_table, workspaces
+from sassafraslock import events, facts, field_types, routing_table, workspaces
 from sassafraslock.services import store_export
 from tests import fact_source, fleet_loop, fleet_world
 
@@ -23,6 +23,8 @@
         self._world, self._entry = world, entry
 
     async def fetch(self, positions):
+        if self._entry.is_cut_off:
+            return None
         others = [e for e in self._world.entries if e.is_running and e is not self._entry]
         peer = self._world.random.choice(others)
         await anyio.sleep(0.01)
@@ -32,6 +34,13 @@
 
 
 class KeyedEntry(fleet_world.Entry):
+    is_cut_off = False
+
+    def cut_off(self):
+        """Lose the store and the peers, but not the clients."""
+        self.is_cut_off = self.reader.is_turned_away = True
+        self.loop.network.sockets.pop(field_types.split_address(self.settings.gossip_address))
+
     @property
     def is_running(self):
         return self.edge is not None and not self.loop.is_held
@@ -89,12 +98,13 @@
 # Guards against a taken key that runs at an entry that is turned away, frozen or started again.
 def test_a_key_that_was_taken_away_ends_within_the_bound_at_all_entries(monkeypatch):
     def scenario(world):
-        away, frozen, killed = world.entries[:3], world.entries[3], world.entries[4]
+        away, (frozen, killed, lonely) = world.entries[:3], world.entries[3:6]
         for entry in away:
             entry.reader.is_turned_away = True
         start_s = world.network.now_s
         world.network.after(1.0, frozen.hold)
         world.network.after(8.0, frozen.release)
+        world.network.after(0.5, lonely.cut_off)
         world.network.after(2.5, killed.restart, 0.3)
         world.run(2.0)
         world.put_keys(BETA)
@@ -103,12 +113,16 @@
         alpha = [a for a in world.answers if a.credential == ALPHA and a.sent_s > taken_s + BOUND_S]
         assert alpha and not [a for a in alpha if a.status == 200]
         assert any(a.status == 401 for a in alpha)
+        cut_off = [a for a in world.answers if a.entry == lonely.settings.entry_id]
+        within = [a for a in cut_off if a.credential == ALPHA and a.sent_s > taken_s]
+        assert any(a.status == 200 for a in within)  # it knows of no change, but of the bound
         served = collections.Counter()
         total = collections.Counter()
         ids = {entry.settings.entry_id for entry in away}
+        others = {entry.settings.entry_id for entry in world.entries[6:]} | ids
         for answer in world.answers:
-            steady = answer.entry not in (frozen.settings.entry_id, killed.settings.entry_id)
-            if answer.credential == BETA and steady and start_s < answer.sent_s < start_s + 9:
+            in_time = start_s < answer.sent_s < start_s + 9.0
+            if answer.credential == BETA and answer.entry in others and in_time:
                 total[answer.entry in ids] += 1
                 served[answer.entry in ids] += answer.status == 200
         assert served[True] / total[True] >= served[False] / total[False] - 0.05
