--- a/tests/test_revoked_keys_fleet.py
+++ b/tests/test_revoked_keys_fleet.py
@@ -2,11 +2,12 @@
 
 import collections
 import dataclasses
+import re
 
 import anyio
 import msgspec
 
-from sassafraslock import facts, routing_table, workspaces
+from sassafraslock import events, facts, field_types, routing_table, workspaces
 from sassafraslock.services import store_export
 from tests import fact_source, fleet_loop, fleet_world
 
@@ -22,6 +23,8 @@
         self._world, self._entry = world, entry
 
     async def fetch(self, positions):
+        if self._entry.is_cut_off:
+            return None
         others = [e for e in self._world.entries if e.is_running and e is not self._entry]
         peer = self._world.random.choice(others)
         await anyio.sleep(0.01)
@@ -31,6 +34,13 @@
 
 
 class KeyedEntry(fleet_world.Entry):
+    is_cut_off = False
+
+    def cut_off(self):
+        """Lose the store and the peers, but not the clients."""
+        self.is_cut_off = self.reader.is_turned_away = True
+        self.loop.network.sockets.pop(field_types.split_address(self.settings.gossip_address))
+
     @property
     def is_running(self):
         return self.edge is not None and not self.loop.is_held
@@ -88,12 +98,13 @@
 # Guards against a taken key that runs at an entry that is turned away, frozen or started again.
 def test_a_key_that_was_taken_away_ends_within_the_bound_at_all_entries(monkeypatch):
     def scenario(world):
-        away, frozen, killed = world.entries[:3], world.entries[3], world.entries[4]
+        away, (frozen, killed, lonely) = world.entries[:3], world.entries[3:6]
         for entry in away:
             entry.reader.is_turned_away = True
         start_s = world.network.now_s
         world.network.after(1.0, frozen.hold)
         world.network.after(8.0, frozen.release)
+        world.network.after(0.5, lonely.cut_off)
         world.network.after(2.5, killed.restart, 0.3)
         world.run(2.0)
         world.put_keys(BETA)
@@ -102,12 +113,16 @@
         alpha = [a for a in world.answers if a.credential == ALPHA and a.sent_s > taken_s + BOUND_S]
         assert alpha and not [a for a in alpha if a.status == 200]
         assert any(a.status == 401 for a in alpha)
+        cut_off = [a for a in world.answers if a.entry == lonely.settings.entry_id]
+        within = [a for a in cut_off if a.credential == ALPHA and a.sent_s > taken_s]
+        assert any(a.status == 200 for a in within)  # it knows of no change, but of the bound
         served = collections.Counter()
         total = collections.Counter()
         ids = {entry.settings.entry_id for entry in away}
+        others = {entry.settings.entry_id for entry in world.entries[6:]} | ids
         for answer in world.answers:
-            steady = answer.entry not in (frozen.settings.entry_id, killed.settings.entry_id)
-            if answer.credential == BETA and steady and start_s < answer.sent_s < start_s + 9:
+            in_time = start_s < answer.sent_s < start_s + 9.0
+            if answer.credential == BETA and answer.entry in others and in_time:
                 total[answer.entry in ids] += 1
                 served[answer.entry in ids] += answer.status == 200
         assert served[True] / total[True] >= served[False] / total[False] - 0.05
@@ -117,7 +132,12 @@
 
 
 # Guards against entries that accept keys while no one knows what the store holds.
-def test_without_the_store_entries_stop_to_be_ready_and_start_again_with_it(monkeypatch):
+def test_without_the_store_entries_stop_to_be_ready_and_start_again_with_it(monkeypatch, caplog):
+    caplog.set_level("INFO", "sassafraslock")
+
+    def logged(event):
+        return sum(getattr(record, "event", None) is event for record in caplog.records)
+
     def scenario(world):
         assert all(world.ready())
         world.store.set_away(True)
@@ -128,9 +148,15 @@
         assert not any(world.ready())
         late = [a for a in world.answers if a.sent_s > gone_s + BOUND_S]
         assert not [a for a in late if a.status == 200]
+        metrics = world.entries[0].edge.render_metrics()
+        assert b'sassafraslock_keys_accepted{entry="e-0"} 0' in metrics
+        age = re.search(rb'intents_proof_age_seconds{entry="e-0"} (.*)', metrics)
+        assert float(age[1]) > BOUND_S
         world.store.set_away(False)
         world.run(1.0)
         assert all(world.ready())
+        assert logged(events.Event.KEYS_UNPROVEN) == SHAPE.entries
+        assert logged(events.Event.KEYS_PROVEN) == 2 * SHAPE.entries
 
     play(monkeypatch, scenario)
 
