Soak: callers send keys of two workspaces; levels of fair shares cost no more with many workspaces

Cause: the soak of the own platform ran without workspaces. A level costs 5 us a workspace: 5 ms at 1,000 workspaces, five times a second for each service and priority.

Change: callers of the soak send keys, and servers tell in answers which workspace and key they saw; a key or a wrong name at a server breaks the run. Levels live 2 ms a workspace where these are more than 100.

--- a/sassafraslock/decisions/fair_share.py
+++ b/sassafraslock/decisions/fair_share.py
@@ -13,7 +13,9 @@
 from sassafraslock import workspaces
 
 WINDOW_MS = 4_000  # time constant of the decay of what was asked and served
+# How long a level is used: longer with many workspaces, since it costs about 5 us for each.
 LEVEL_TTL_MS = 200
+LEVEL_TTL_PER_WORKSPACE_MS = 2
 # Few of a workspace's requests arrive at any one of many entries. So that one request is no excess,
 # the counts of workspaces with few requests are averaged with those of all such ones, as if they
 # had PRIOR_REQUESTS more; counts of DENSE_REQUESTS stand for themselves.
@@ -323,10 +325,11 @@
         return use
 
     def _level(self, service: str, priority: int, now_ms: int) -> _Level:
-        levels = self._pool(service).levels
-        level = levels.get(priority)
-        if level is None or now_ms - level.computed_ms >= LEVEL_TTL_MS:
-            level = levels[priority] = self._computed_level(service, priority, now_ms)
+        pool = self._pool(service)
+        level = pool.levels.get(priority)
+        ttl_ms = max(LEVEL_TTL_MS, LEVEL_TTL_PER_WORKSPACE_MS * len(pool.uses))
+        if level is None or now_ms - level.computed_ms >= ttl_ms:
+            level = pool.levels[priority] = self._computed_level(service, priority, now_ms)
         return level
 
     def _computed_level(self, service: str, priority: int, now_ms: int) -> _Level:
--- a/sassafraslock/standin/backend.py
+++ b/sassafraslock/standin/backend.py
@@ -228,6 +228,7 @@
             (b"x-server", self.server_id.encode()),
             (b"x-echo", request.header(b"x-echo").encode()),
             (NAMES.load, load),
+            *_seen_headers(request),
             *asked_headers,
         ]
         filler = b"." * max(0, self.behaviour.response_bytes - len(body))
@@ -253,5 +254,12 @@
             self.region_in_flight.add_running(-1)
 
 
+def _seen_headers(request: asgi.Request) -> list[tuple[bytes, bytes]]:
+    """Return what the request told of its workspace, for the caller to check."""
+    name, key = request.header(NAMES.workspace), request.header(NAMES.credential)
+    headers = [(b"x-seen-workspace", name.encode("latin-1"))] if name else []
+    return headers + ([(b"x-seen-key", b"1")] if key else [])
+
+
 def _echoed_id(request: asgi.Request) -> tuple[bytes, bytes]:
     return NAMES.request_id, request.header(NAMES.request_id).encode("latin-1")
--- a/sassafraslock/standin/caller.py
+++ b/sassafraslock/standin/caller.py
@@ -65,6 +65,8 @@
     ``cut_off`` counts exchanges that broke or timed out after the connection was made, at entries
     that were not killed; ``mixed_up`` counts responses that belong to another request.
     ``answered_starts_ms`` holds by workspace when requests were first sent that were answered.
+    ``keys_at_servers`` and ``wrong_workspaces`` count answers of servers that were told a key, or
+    another workspace than the caller's.
     """
 
     requests: int = 0
@@ -77,6 +79,8 @@
     error_kinds: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
     refused_keys: set[str] = dataclasses.field(default_factory=set)
     killed_entries: set[str] = dataclasses.field(default_factory=set)
+    keys_at_servers: int = 0
+    wrong_workspaces: int = 0
     answered_starts_ms: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     latency: hdrh.histogram.HdrHistogram = dataclasses.field(
         default_factory=lambda: hdrh.histogram.HdrHistogram(
@@ -248,6 +252,9 @@
             self.stats.error_kinds[refusal.error] += 1
             return refusal
         is_replay = bool(request.key) and response_headers.get("x-echo") != nonce
+        seen = response_headers.get("x-seen-workspace", "")
+        self.stats.wrong_workspaces += seen != self.credentials.workspace
+        self.stats.keys_at_servers += "x-seen-key" in response_headers
         is_wrong_body = not response.content.startswith(request.body)
         if is_wrong_body or (response_headers.get("x-echo") != nonce and not is_replay):
             self.stats.mixed_up += 1
--- a/soak/run.py
+++ b/soak/run.py
@@ -86,7 +86,8 @@
     rng = random.Random(seed)
     addresses = [f"{proxy.HOST}:{port}" for port in cluster.caller_ports]
     rng.shuffle(addresses)
-    client = caller.Caller(f"caller-{seed}", addresses, stats, seed)
+    credentials = caller.Credentials(*rng.choice(list(stage.KEYS.items())))
+    client = caller.Caller(f"caller-{seed}", addresses, stats, seed, credentials)
     try:
         while True:
             if rng.random() < POST_RATIO:
@@ -146,12 +147,16 @@
             injector.outages + injector.link_faults,
         )
     ]
+    unknown_keys = stats.error_kinds["key-unknown"]
     checks = {
         f"more than a server's rate limit: {excess[:3]}": bool(excess),
         f"work at servers that drain: {drained[:3]}": bool(drained),
         f"requests that ran twice: {run_twice[:3]}": bool(run_twice),
         f"requests refused as not run that had run: {false_not_run[:3]}": bool(false_not_run),
         f"answers that were another request's: {stats.mixed_up}": stats.mixed_up > 0,
+        f"keys of workspaces at servers: {stats.keys_at_servers}": stats.keys_at_servers > 0,
+        f"answers under another workspace: {stats.wrong_workspaces}": stats.wrong_workspaces > 0,
+        f"keys that were not known: {unknown_keys}": unknown_keys > 0,
         f"requests cut off without harm to an entry: {stats.cut_off}": stats.cut_off > 0
         and not any(name.startswith("entry") for name in injector.disrupted_targets),
         "no recovery after the last fault": not recovered,
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -12,7 +12,7 @@
 
 import tomli_w
 
-from sassafraslock import client, errors
+from sassafraslock import client, errors, workspaces
 from sassafraslock.standin import free_ports
 from soak import proxy
 
@@ -25,6 +25,7 @@
 PEER_TOKEN = "soak-peers"
 REGION = "gorenjska"
 SERVICE = "kocar/logbook"
+KEYS = {"office": "soak-key-of-the-office", "night": "soak-key-of-the-night"}
 
 
 class Process:
@@ -122,7 +123,10 @@
             self._add(name, [*arguments, "--limit-journal", str(self.limit_journal(name))])
             self.proxies[name] = proxy.Proxy(proxy_port, port, seed + number)
             servers[name] = {"region": REGION, "zone": "a", "host": proxy.HOST, "port": proxy_port}
-        self._write("shared/system.toml", {"regions": {REGION: {"max_in_flight": 100}}})
+        digests = {name: workspaces.digest_key(key.encode()).hex() for name, key in KEYS.items()}
+        known = {name: {"key_digests": [digest]} for name, digest in digests.items()}
+        regions = {REGION: {"max_in_flight": 100}}
+        self._write("shared/system.toml", {"regions": regions, "workspaces": known})
         self._write("shared/kocar.toml", {"services": {"logbook": {"servers": servers}}})
 
     def _add_entry(self, number: int, seed: int) -> None:
