--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -116,7 +116,9 @@
         self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
         handler, policy = handlers.client_handler(self), self.pipeline.may_run_concurrently
         self.client_server = self._http_server(handler, settings.client_address, policy)
-        self.allowances = self._build_allowances()
+        self.allowances = edge_decisions.build_allowances(
+            settings, self.gossip, self.member_record, clock.monotonic_ms()
+        )
         self._register_services(handlers)
         self._register_request_services(keys, platform_services or {})
         self._subscribe(placer)
@@ -160,18 +162,13 @@
             send.Sender(self.upstream, names, self.watch, placer.cold, settings.entry_id),
             names,
             self.poison.quarantine,
-            self._region_entry_count,
+            lambda: len(self.gossip.known_ids(settings.region)),
         )
         entry_count = self.gossip.roster.entry_count
         return pipeline.RequestPipeline(
             self.routing_state, request_forwarder, names, log, entry_count, keys
         )
 
-    def _build_allowances(self) -> allowance_service.AllowanceService | None:
-        now_ms = clock.monotonic_ms()
-        record = self.member_record
-        return edge_decisions.build_allowances(self.settings, self.gossip, record, now_ms)
-
     def _register_services(self, handlers: entry_interfaces.HandlerFactory) -> None:
         settings = self.settings
         self.kernel.register("log", log_writer.LogWriter(self._log_buffer))
@@ -230,10 +227,6 @@
         host, _, port = address.rpartition(":")
         return http_server.HttpServer(handler, host, int(port), policy, self.quota)
 
-    def _region_entry_count(self) -> int:
-        """Return the number of entries in this entry's region, itself and silent ones included."""
-        return len(self.gossip.known_ids(self.settings.region))
-
     def _has_lowest_id(self) -> bool:
         """Return whether this entry performs the tasks that one entry performs for all."""
         return min(self.gossip.live_ids()) == self.settings.entry_id
