Allowances: parts of tokens are pooled, and bound and use are tested in virtual time

Cause: small limits lay in parts below one token at three collectors, and tokens asked for ahead became void; 2 of 72 requests under a limit of 2/s were refused. Change: a collector asks one other for the part that it lacks, and ahead only where two or more requests are expected.

--- a/sassafraslock/allowances/asks.py
+++ b/sassafraslock/allowances/asks.py
@@ -10,6 +10,7 @@
 NEXT_AFTER_MS = 60
 ABROAD_AFTER_MS = 160  # 55 ms each way between regions, and a busy event loop
 GIVE_UP_MS = 250
+PENDING_GIVE_UP_MS = 400  # where a collector has answered that it asks others
 # A late answer's token is returned; the number of its ask is kept until then.
 LATE_MS = 2_000
 MAX_SENT = 20_000
@@ -151,7 +152,8 @@
         for ask in list(self._open.values()):
             if ask.verdict is not None:
                 continue
-            if now_ms - ask.started_ms >= GIVE_UP_MS:
+            give_up_ms = PENDING_GIVE_UP_MS if ask.is_pending else GIVE_UP_MS
+            if now_ms - ask.started_ms >= give_up_ms:
                 self._settle(ask, messages.Verdict.UNKNOWN, now_ms)
             elif not ask.is_pending and now_ms - ask.sent_ms >= self._patience_ms(ask.collector):
                 self._choice.avoid(ask.collector, collector_choice.SUSPECT_MS, now_ms)
--- a/sassafraslock/allowances/collector.py
+++ b/sassafraslock/allowances/collector.py
@@ -17,7 +17,8 @@
 )
 
 HORIZON_MS = 250  # tokens are asked for ahead of need for this time
-WAIT_MS = 160  # for another collector's answer
+WAIT_MS = 240  # for the answers of two other collectors, one after the other
+MIN_AHEAD = 2  # with less expected in that time, most tokens would become void
 MAX_WAITING = 64  # asks for one limit
 MAX_UNKNOWN_LIMITS = 1_024
 IDLE_MS = 10_000  # after which a limit that is not in the intents is forgotten
@@ -39,7 +40,7 @@
     granted: int = 0
     refused: int = 0
     returned: int = 0
-    voided: int = 0
+    voided: float = 0.0
 
 
 class Collector:
@@ -215,7 +216,8 @@
     ) -> None:
         key = bucket.limit.key
         queue = self._waiting.setdefault(key, collections.deque())
-        needed = 1 + len(queue) + self._needed_ahead(bucket, now_ms) - self.pulls.open_count(key)
+        held = bucket.level + bucket.stock.count(now_ms) + self.pulls.open_count(key)
+        needed = 1 + len(queue) + self._needed_ahead(bucket, now_ms) - held
         if len(queue) < MAX_WAITING and self.pulls.start(bucket.limit, needed, now_ms):
             queue.append(waiting)
             item = messages.AnswerItem(waiting.number, messages.Verdict.PENDING)
@@ -226,6 +228,8 @@
     def _needed_ahead(self, bucket: token_bucket.TokenBucket, now_ms: int) -> int:
         """Return how many tokens beyond its own the region needs for a while."""
         expected = bucket.demand.per_ms(now_ms) * HORIZON_MS
+        if expected < MIN_AHEAD:
+            return 0
         own = bucket.limit.rate_per_s / 1_000 * self.book.share * HORIZON_MS
         return max(0, int(expected - own - bucket.level - bucket.stock.count(now_ms)))
 
@@ -275,7 +279,8 @@
             self._outbox.answer(sender, run, messages.AnswerItem(item.number, verdict))
             return
         surplus = bucket.surplus(HORIZON_MS, now_ms)
-        count = min(item.count, int(surplus))
+        # Parts of a token only where they make up a whole one; other parts would become void.
+        count = item.count if surplus >= item.count else int(surplus)
         bucket.level -= count
         if count:
             until_ms = now_ms + self._terms.validity_ms
@@ -317,7 +322,7 @@
         bucket.settle(self.book.share, self.book.share_ms)
         while queue and self._grant(bucket, queue[0], now_ms):
             queue.popleft()
-        needed = len(queue) - self.pulls.open_count(key)
+        needed = len(queue) - bucket.level - self.pulls.open_count(key)
         if queue and not self.pulls.start(bucket.limit, needed, now_ms):
             self._refuse_waiting(key, now_ms)
 
--- a/sassafraslock/allowances/messages.py
+++ b/sassafraslock/allowances/messages.py
@@ -16,7 +16,6 @@
 Number = typing.Annotated[int, msgspec.Meta(ge=0, le=field_types.MAX_VERSION)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 LeaseMs = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_LEASE_MS)]
-Tokens = typing.Annotated[int, msgspec.Meta(ge=0, le=field_types.MAX_COUNT)]
 
 
 class LeaseAsk(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -54,7 +53,7 @@
     key: field_types.Name
     rate_per_s: field_types.Rate
     burst: field_types.Rate
-    count: Tokens = 1
+    count: field_types.Quantity = 1.0
 
 
 class TokenAsk(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -85,7 +84,7 @@
 
     number: Number
     verdict: Verdict
-    count: Tokens = 0
+    count: field_types.Quantity = 0.0
     valid_ms: LeaseMs = 0
     wait_ms: field_types.DurationMs = 0
     left: field_types.Quantity = 0.0
--- a/sassafraslock/allowances/pulls.py
+++ b/sassafraslock/allowances/pulls.py
@@ -19,7 +19,7 @@
 class _Pull:
     peer: str
     key: str
-    count: int
+    count: float
     sent_ms: int
 
 
@@ -27,7 +27,7 @@
 class _PeerTokens:
     """What a peer said of one limit: what it could still give, or until when it has nothing."""
 
-    left: int = 0
+    left: float = 0.0
     left_ms: int = -LEFT_AGE_MS
     dry_until_ms: int = 0
 
@@ -46,7 +46,7 @@
         self._silent: dict[str, int] = {}
         self._heard_ms: int | None = None
 
-    def open_count(self, key: str) -> int:
+    def open_count(self, key: str) -> float:
         """Return how many tokens of a limit are asked for and not answered.
 
         :param key: the limit.
@@ -60,7 +60,7 @@
         """
         return self._heard_ms is not None and now_ms - self._heard_ms < SILENT_MS
 
-    def start(self, limit: limits.Limit, needed: int, now_ms: int) -> bool:
+    def start(self, limit: limits.Limit, needed: float, now_ms: int) -> bool:
         """Ask peers that may have tokens, and return whether any ask is open.
 
         :param limit: the limit.
@@ -75,15 +75,27 @@
                 continue
             if now_ms - said.left_ms >= LEFT_AGE_MS:
                 unknown.append(peer)
-            elif needed > 0 and said.left > 0:
-                self._send(peer, limit, min(needed, said.left), now_ms)
-                needed -= said.left
-        for peer in unknown:
-            if needed > 0:
-                self._send(peer, limit, needed, now_ms)
+            elif needed > 0 and said.left >= min(needed, 1):
+                count = needed if said.left >= needed else int(said.left)
+                self._send(peer, limit, count, now_ms)
+                needed -= count
+        if needed > 0:
+            self._ask_unknown(unknown, limit, needed, now_ms)
         return any(p.key == limit.key for p in self._open.values())
 
-    def _send(self, peer: str, limit: limits.Limit, count: int, now_ms: int) -> None:
+    def _ask_unknown(
+        self, peers: list[str], limit: limits.Limit, needed: float, now_ms: int
+    ) -> None:
+        """Ask peers of which it is not known what they have, each for a part.
+
+        A small need goes to one of them, since tokens that both send would become void.
+        """
+        if needed < 2 * len(peers):
+            peers = peers[:1]
+        for peer in peers:
+            self._send(peer, limit, needed / len(peers), now_ms)
+
+    def _send(self, peer: str, limit: limits.Limit, count: float, now_ms: int) -> None:
         number = next(self._numbers)
         self._open[number] = _Pull(peer, limit.key, count, now_ms)
         item = messages.AskItem(number, limit.key, limit.rate_per_s, limit.burst, count)
@@ -91,7 +103,7 @@
 
     def take_answer(
         self, sender: str, item: messages.AnswerItem, now_ms: int
-    ) -> tuple[str, int, int] | None:
+    ) -> tuple[str, float, int] | None:
         """Return the limit, the number of tokens and their end, none for an answer not expected.
 
         :param sender: the peer.
@@ -105,8 +117,8 @@
         self._heard_ms = now_ms
         self._silent.pop(sender, None)
         said = self._peer_tokens.setdefault((pull.key, sender), _PeerTokens())
-        count = min(item.count, pull.count) if item.verdict is messages.Verdict.GRANTED else 0
-        said.left, said.left_ms = int(item.left), now_ms
+        count = min(item.count, pull.count) if item.verdict is messages.Verdict.GRANTED else 0.0
+        said.left, said.left_ms = item.left, now_ms
         if count < pull.count:
             wait_ms = min(MAX_DRY_MS, max(MIN_DRY_MS, item.wait_ms))
             said.dry_until_ms = now_ms + wait_ms
--- a/sassafraslock/allowances/service.py
+++ b/sassafraslock/allowances/service.py
@@ -221,7 +221,7 @@
             "granted": collector.counters.granted,
             "refused": collector.counters.refused,
             "returned": collector.counters.returned,
-            "voided": collector.counters.voided + self.node.asks.voided,
+            "voided": round(collector.counters.voided + self.node.asks.voided),
             "limited": sorted(collector.limited_since_ms),
         }
 
--- a/sassafraslock/allowances/token_bucket.py
+++ b/sassafraslock/allowances/token_bucket.py
@@ -2,56 +2,58 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
+import bisect
 import math
 
 from sassafraslock.allowances import limits
 
 DEMAND_MEMORY_MS = 500
 MAX_WAIT_MS = 10_000
+EPSILON = 1e-9  # of a token, for rounding
 
 
-@dataclasses.dataclass(slots=True)
 class TokenStock:
-    """Tokens that left their bucket before and may be used until a given time."""
+    """Tokens, and parts of them, that left their bucket before and may be used for a while."""
 
-    _tokens: collections.deque[tuple[int, int]] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    voided: int = 0
+    __slots__ = ("voided", "_tokens")
 
-    def add(self, count: int, until_ms: int) -> None:
+    def __init__(self) -> None:
+        self.voided = 0.0
+        self._tokens: list[tuple[int, float]] = []
+
+    def add(self, count: float, until_ms: int) -> None:
         """Add tokens.
 
         :param count: their number.
         :param until_ms: when they become void.
         """
         if count > 0:
-            self._tokens.append((until_ms, count))
+            bisect.insort(self._tokens, (until_ms, count))
 
-    def count(self, now_ms: int) -> int:
+    def count(self, now_ms: int) -> float:
         """Return how many are valid; void ones are dropped.
 
         :param now_ms: the current monotonic time.
         """
-        valid = [(until_ms, n) for until_ms, n in self._tokens if until_ms > now_ms]
-        if len(valid) < len(self._tokens):
-            self.voided += sum(n for until_ms, n in self._tokens if until_ms <= now_ms)
-            self._tokens = collections.deque(sorted(valid))
+        while self._tokens and self._tokens[0][0] <= now_ms:
+            self.voided += self._tokens.pop(0)[1]
         return sum(n for _, n in self._tokens)
 
-    def take(self, now_ms: int) -> int | None:
-        """Take a token and return until when it is valid, none if there is none.
+    def take(self, most: float) -> tuple[float, int | None]:
+        """Take valid tokens, and return how many and the earliest end of them, none without any.
 
-        :param now_ms: the current monotonic time.
+        :param most: how many to take at most.
         """
-        if not self._tokens or self.count(now_ms) == 0:
-            return None
-        until_ms, count = self._tokens.popleft()
-        if count > 1:
-            self._tokens.appendleft((until_ms, count - 1))
-        return until_ms
+        taken, until_ms = 0.0, None
+        while self._tokens and taken < most:
+            end_ms, count = self._tokens.pop(0)
+            until_ms = end_ms if until_ms is None else until_ms
+            used = min(count, most - taken)
+            taken += used
+            if count - used > EPSILON:
+                self._tokens.insert(0, (end_ms, count - used))
+                break
+        return taken, until_ms
 
 
 class Demand:
@@ -126,13 +128,11 @@
         :param validity_ms: how long a token is valid after it left the bucket.
         :param now_ms: the current monotonic time.
         """
-        until_ms = self.stock.take(now_ms)
-        if until_ms is not None:
-            return until_ms
-        if self.level < 1:
+        if self.stock.count(now_ms) + self.level < 1 - EPSILON:
             return None
-        self.level -= 1
-        return now_ms + validity_ms
+        taken, until_ms = self.stock.take(1.0)
+        self.level = max(0.0, self.level - (1 - taken))
+        return now_ms + validity_ms if until_ms is None else until_ms
 
     def surplus(self, horizon_ms: int, now_ms: int) -> float:
         """Return how many whole tokens the own region does not need for a while.
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -30,6 +30,7 @@
     members: object = None
     unread: list = dataclasses.field(default_factory=list)
     tick_ms: int = 0
+    lag_ms: int = 0
 
     def record(self):
         address = "10.0.0.1:1"
@@ -69,10 +70,6 @@
         self.give_back_share = 0.0
         for _ in range(count):
             self.join()
-        if not gossips:
-            for entry in self.entries.values():
-                for other in self.entries.values():
-                    entry.members.merge_record(other.record(), 0)
         self.at(0, self._round)
 
     def at(self, time_ms, action, *args):
@@ -98,10 +95,13 @@
     def start(self, entry):
         entry.boot_ms, entry.is_up, entry.unread = self.now_ms, True, []
         entry.beat, entry.frozen_until_ms = 0, 0
+        entry.lag_ms = self.rng.randrange(100, 1_250)
         entry.members = roster.Roster(entry.entry_id)
         info = service.entries_of(entry.members, entry.record(), self.now_ms)[0]
 
         def entries(now_ms):
+            if not self._gossips:
+                return self._all_infos()
             return service.entries_of(entry.members, entry.record(), now_ms)
 
         run = self.rng.getrandbits(60)
@@ -109,6 +109,17 @@
         entry.node.apply_limits(list(self.limits.values()), self.now_ms)
         self.after(self.rng.randrange(100), self._tick, entry, entry.node)
 
+    def _all_infos(self):
+        """Without faults, all entries know the same; built once for each round."""
+        number = self.now_ms // ROUND_MS
+        if self._static is None or self._static[0] != number:
+            infos = []
+            for entry in self.entries.values():
+                no_others = roster.Roster(entry.entry_id)
+                infos += service.entries_of(no_others, entry.record(), self.now_ms)
+            self._static = (number, infos)
+        return self._static[1]
+
     def kill(self, entry):
         entry.is_up, entry.node, entry.unread = False, None, []
 
@@ -154,6 +165,9 @@
         own.tick(self.now_ms)
         self._flush(entry)
         entry.tick_ms = self.now_ms + own.pause_ms()
+        if not (self._gossips or own.collector.is_active or len(own.asks)):
+            entry.tick_ms = 1 << 60  # nothing changes for it before its next ask
+            return
         self.at(entry.tick_ms, self._tick, entry, own)
 
     def _flush(self, entry):
@@ -190,9 +204,10 @@
         records = [(e, e.record()) for e in awake if self._gossips]
         for other in awake if self._gossips else ():
             for entry, record in records:
-                lag_ms = 200 + hash((entry.boot_ms, entry.entry_id, other.entry_id)) % 2_300
-                is_known = self.now_ms - max(entry.boot_ms, other.boot_ms) >= lag_ms
-                if is_known and not any(wall(entry, other) for wall in self.walls):
+                age_ms = self.now_ms - max(entry.boot_ms, other.boot_ms)
+                if age_ms >= entry.lag_ms + other.lag_ms and not any(
+                    wall(entry, other) for wall in self.walls
+                ):
                     other.members.merge_record(record, self.now_ms)
             other.members.remove_dead(self.now_ms)
         self.after(ROUND_MS, self._round)
