--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -28,7 +28,6 @@
     signals,
 )
 from sassafraslock.allowances import limits
-from sassafraslock.allowances import service as allowance_service
 from sassafraslock.decisions import (
     backpressure,
     intents_proof,
