--- a/sassafraslock/allowances/asks.py
+++ b/sassafraslock/allowances/asks.py
@@ -129,6 +129,10 @@
         else:
             if item.verdict is messages.Verdict.NOT_COLLECTING:
                 self._choice.avoid(sender, collector_choice.DECLINED_MS, now_ms)
+            else:
+                # The shares of this region are with nobody yet; one more collector would only
+                # compete for them.
+                ask.tried.update(self._choice.near())
             if ask.number == item.number:
                 self._send_next(ask, now_ms)
 
--- a/sassafraslock/allowances/collector_choice.py
+++ b/sassafraslock/allowances/collector_choice.py
@@ -69,8 +69,7 @@
 
     def _order(self, entry: EntryInfo, now_ms: int) -> tuple[bool, float, float]:
         is_new = now_ms - self._boots[entry.entry_id][1] < SETTLED_AFTER_MS
-        score = hashing.rendezvous_score(f"collector of {entry.region}", entry.entry_id, 1.0)
-        return is_new, -entry.link_mbps, -score
+        return is_new, -entry.link_mbps, hashing.fraction(f"collector {entry.entry_id}")
 
     def avoid(self, entry_id: str, duration_ms: int, now_ms: int) -> None:
         """Ask an entry last for a while, since it did not answer or does not collect.
@@ -103,6 +102,10 @@
         near = [i for i in self._ranks.get(self._own.region, []) if not self._is_avoided(i, now_ms)]
         return near[:2] + self.abroad(now_ms)
 
+    def near(self) -> list[str]:
+        """Return the first entries of this entry's region."""
+        return self._ranks.get(self._own.region, [])
+
     def abroad(self, now_ms: int) -> list[str]:
         """Return the first collector of each other region.
 
--- a/sassafraslock/allowances/node.py
+++ b/sassafraslock/allowances/node.py
@@ -20,6 +20,7 @@
 
 ENTRIES_INTERVAL_MS = 500  # longer in a fleet of more than 1,000 entries, by its size
 COLLECTING_MS = 2_000  # after the last ask
+IDLE_FACTOR = 4
 STANDSTILL_MS = 1_500
 OPEN_PAUSE_MS, COLLECTING_PAUSE_MS, IDLE_PAUSE_MS = 20, 100, 500
 
@@ -178,6 +179,7 @@
         self._enter(now_ms)
         self.asks.tick(now_ms)
         interval_ms = max(ENTRIES_INTERVAL_MS, self._entry_count // 2)
+        interval_ms *= 1 if self.has_limits else IDLE_FACTOR
         if now_ms - self._timers.entries_ms >= interval_ms:
             self._timers.entries_ms = now_ms
             self._take_entries(self._entries(now_ms), now_ms)
--- a/sassafraslock/allowances/service.py
+++ b/sassafraslock/allowances/service.py
@@ -210,6 +210,20 @@
             events.log(events.Event.ALLOWANCE_FREE, text, limit=key)
         self._limited = limited
 
+    def token_counts(self) -> dict[str, float]:
+        """Return the number of tokens so far that were granted, refused, returned and voided.
+
+        The first three are counted where this entry collects; of the last, also those that this
+        entry's requests got too late.
+        """
+        counters = self.node.collector.counters
+        return {
+            "granted": counters.granted,
+            "refused": counters.refused,
+            "returned": counters.returned,
+            "voided": round(counters.voided + self.node.asks.voided),
+        }
+
     def dump(self) -> dict[str, object]:
         """Return the role of this entry, its shares and its counters."""
         collector = self.node.collector
@@ -218,10 +232,7 @@
             "own_share": self.node.size.unit,
             "lent_to": self.node.owner.holder,
             "shares": collector.book.share,
-            "granted": collector.counters.granted,
-            "refused": collector.counters.refused,
-            "returned": collector.counters.returned,
-            "voided": round(collector.counters.voided + self.node.asks.voided),
+            **self.token_counts(),
             "limited": sorted(collector.limited_since_ms),
         }
 
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -27,3 +27,7 @@
     clients = entry.client_server
     gauges.set_connections(entry_id, clients.cuts.counts, clients.accept_failures)
     gauges.set_backpressure(entry_id, entry.watch.gauges(now_ms))
+    if entry.allowances is not None:
+        collector = entry.allowances.node.collector
+        shares, used_up = collector.book.share, len(collector.limited_since_ms)
+        gauges.set_allowances(entry_id, shares, used_up, entry.allowances.token_counts())
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -54,6 +54,8 @@
     "rejected_settings": "Readings of the settings file that were refused.",
     "connections_cut": "Connections of clients closed with requests or answers unfinished.",
     "accept_failures": "Connections of clients that could not be accepted.",
+    "allowance_shares": "Part of all workspaces' quotas that this entry holds as a collector.",
+    "allowances_used_up": "Quotas over which this entry refused requests in the last 10 s.",
 }
 _COUNTERS = {
     "requests_total": "Requests by service and result.",
@@ -64,6 +66,7 @@
     "cold_attempts_total": "Attempts that may have reached a server that counted as cold.",
     "abandoned_attempts_total": "Attempts ended since another server answered first.",
     "server_restarts_total": "New starts of known servers that were taken up.",
+    "allowance_tokens_total": "Tokens of quotas by result: granted, refused, returned or voided.",
 }
 
 
@@ -216,6 +219,22 @@
             self._gauges["connections_cut"].set({"entry": entry_id, "cause": cause.value}, count)
         self._gauges["accept_failures"].set({"entry": entry_id}, accept_failures)
 
+    def set_allowances(
+        self, entry_id: str, shares: float, used_up: int, counts: typing.Mapping[str, float]
+    ) -> None:
+        """Set the gauges and counters of the quotas of workspaces.
+
+        :param entry_id: the entry.
+        :param shares: the part of all quotas that it holds as a collector.
+        :param used_up: the number of quotas over which it refused requests lately.
+        :param counts: the number of tokens so far, by result.
+        """
+        self._gauges["allowance_shares"].set({"entry": entry_id}, shares)
+        self._gauges["allowances_used_up"].set({"entry": entry_id}, used_up)
+        for result, count in counts.items():
+            labels = {"entry": entry_id, "result": result}
+            self._counters["allowance_tokens_total"].set(labels, count)
+
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
         content, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -94,7 +94,7 @@
 
     def start(self, entry):
         entry.boot_ms, entry.is_up, entry.unread = self.now_ms, True, []
-        entry.beat, entry.frozen_until_ms = 0, 0
+        entry.beat, entry.frozen_until_ms, entry.tick_ms = 0, 0, 0
         entry.lag_ms = self.rng.randrange(100, 1_250)
         entry.members = roster.Roster(entry.entry_id)
         info = service.entries_of(entry.members, entry.record(), self.now_ms)[0]
@@ -140,6 +140,7 @@
     def _thaw(self, entry):
         if entry.is_up and self.now_ms >= entry.frozen_until_ms:
             unread, entry.unread = entry.unread, []
+            entry.tick_ms = 0
             for message in unread:
                 entry.node.take(message, self.now_ms)
             self._flush(entry)
