Gossip: two tasks may send at once on its socket

Cause: anyio raises BusyResourceError where two tasks send on one UDP socket at once, which ended the gossip service as soon as the allowances sent beside a round.

--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -132,6 +132,7 @@
         "token",
         "on_datagram",
         "_bound",
+        "_sending",
         "_is_urgent",
         "rejections",
     )
@@ -161,6 +162,7 @@
         self.restarts: ReportExchange[server_restarts.RestartReport] | None = None
         self.on_datagram: DatagramHandler | None = None
         self._bound: anyio.abc.UDPSocket | None = None
+        self._sending = anyio.Lock()
         self._is_urgent = anyio.Event()
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
@@ -200,10 +202,7 @@
         :param bound: the socket.
         """
         for address, payload in self.datagrams(clock.monotonic_ms()):
-            try:
-                await bound.sendto(payload, *field_types.split_address(address))
-            except (OSError, ValueError, OverflowError):
-                continue
+            await self._send(bound, address, payload)
 
     async def send_datagram(self, address: str, payload: bytes) -> None:
         """Send a datagram of another service; an address that cannot be reached is skipped.
@@ -214,10 +213,14 @@
         if self._bound is None:
             return
         signed = message_auth.sign(self.token, DATAGRAM_MARK + payload)
-        try:
-            await self._bound.sendto(signed, *field_types.split_address(address))
-        except (OSError, ValueError, OverflowError):
-            return
+        await self._send(self._bound, address, signed)
+
+    async def _send(self, bound: anyio.abc.UDPSocket, address: str, payload: bytes) -> None:
+        async with self._sending:  # anyio raises where two tasks send at once
+            try:
+                await bound.sendto(payload, *field_types.split_address(address))
+            except (OSError, ValueError, OverflowError):
+                return
 
     def datagrams(self, now_ms: int) -> list[tuple[str, bytes]]:
         """Return one round's pairs of address and datagram.
