--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -30,3 +30,7 @@
     proofs = entry.key_proof
     if proofs.revoke_ms is not None:
         gauges.set_proof(entry_id, proofs.may_accept(now_ms), proofs.age_ms(now_ms))
+    if entry.allowances is not None:
+        collector = entry.allowances.node.collector
+        shares, used_up = collector.book.share, len(collector.limited_since_ms)
+        gauges.set_allowances(entry_id, shares, used_up, entry.allowances.token_counts())
