Fair shares bind only where servers lack capacity, not where single ones are full

Cause: at 0.9 of capacity, where nearly all could be served, shares refused 5 % of the requests of one class, and the limits of classes a third of the third class: refusals of single full servers looked like overload, and the limits of classes were the same with and without it.

Change: shares bind once a tenth of what an entry's clients ask for is not served. A less urgent priority queues for little only once 5 % of the more urgent requests are not served, which also replaces the memory of refusals of more urgent requests.

--- a/benchmarks/fair_share.py
+++ b/benchmarks/fair_share.py
@@ -300,6 +300,14 @@
         Load(
             "two classes", (*_many("urgent", 15, 0.8), *_many("other", 15, 0.8, lambda _: 1.0, 1))
         ),
+        Load(
+            "three classes, 0.9 of capacity",
+            (
+                *_many("urgent", 10, 0.3),
+                *_many("second", 10, 0.3, priority=1),
+                *_many("third", 10, 0.3, priority=2),
+            ),
+        ),
         Load(
             "two classes, one hot",
             (
--- a/sassafraslock/decisions/fair_admission.py
+++ b/sassafraslock/decisions/fair_admission.py
@@ -87,10 +87,6 @@
                 self.shares.record(service, workspace, busy_ms, now_ms)
             request.is_served = True
         elif isinstance(outcome, candidates.QueueRefusal) and outcome.choice is not None:
-            if outcome.cause is candidates.Cause.ROUTE_PRIORITY and request.terms is not None:
-                region, slots = outcome.choice.server.region, outcome.choice.slots
-                ratio = request.terms.queue_ratio(region, slots)
-                self.shares.record_refusal(service, workspace, ratio, now_ms)
             wait_ms = outcome.retry_after_ms
             self.returning.record_refusal(
                 workspace.name, request.route.name, request.key, wait_ms, now_ms
--- a/sassafraslock/decisions/fair_share.py
+++ b/sassafraslock/decisions/fair_share.py
@@ -32,15 +32,17 @@
 # rule is a quarter; counts over a few seconds are rough.
 MIN_SERVED_RATIO = 0.3
 MIN_COUNTED_REQUESTS = 3
+# Shares bind once this part of what is asked for is not served. Below it, refusals are those of
+# single servers, and holding workspaces back refused 5 % of the requests at 0.9 of capacity.
+MIN_SHORT_RATIO = 0.1
 ASKED_REQUESTS = 0.2  # decayed; a priority with fewer is not asked for
-# Mean waiting requests per slot up to which the second most urgent priority may queue; each further
-# one may queue for CLASS_STEP of that. They are below what the most urgent priority may queue for.
-CLASS_QUEUE_RATIO = 0.25
-CLASS_STEP = 0.25
-# While requests of a more urgent priority are refused, others may queue for this share of what
-# those found.
-PRESSURE_RATIO = 0.7
-PRESSURE_MS = 1_500
+# Mean waiting requests per slot up to which the second most urgent priority may queue, and the part
+# of that for each further one: while all requests of more urgent ones are served, and once
+# MAX_LOST_RATIO of them are not. The strict limits alone refused a third of the requests of the
+# third priority where the servers had slots for 1.1 times the demand.
+RELAXED_QUEUE_RATIO, RELAXED_STEP = 0.8, 0.75
+STRICT_QUEUE_RATIO, STRICT_STEP = 0.25, 0.25
+MAX_LOST_RATIO = 0.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -149,13 +151,11 @@
 class _Pool:
     """The uses of one service."""
 
-    __slots__ = ("uses", "levels", "refused")
+    __slots__ = ("uses", "levels")
 
     def __init__(self) -> None:
         self.uses: dict[str, _Use] = {}
         self.levels: dict[int, _Level] = {}
-        # By priority, the queue that its latest refused request found, and when.
-        self.refused: dict[int, tuple[float, int]] = {}
 
 
 class FairShare:
@@ -192,7 +192,6 @@
             for name, use in pool.uses.items():
                 use.workspace = by_name[name]
             pool.levels.clear()
-            pool.refused.clear()
 
     def record_request(
         self, service: str, workspace: workspaces.Workspace, busy_ms: float, now_ms: int
@@ -220,18 +219,6 @@
         """
         self._use(service, workspace, now_ms).served_ms += busy_ms
 
-    def record_refusal(
-        self, service: str, workspace: workspaces.Workspace, ratio: float, now_ms: int
-    ) -> None:
-        """Record that a request was refused since the queues of a service are long.
-
-        :param service: the service.
-        :param workspace: the workspace of the request.
-        :param ratio: the mean waiting requests per slot of the best server's region.
-        :param now_ms: the current monotonic time.
-        """
-        self._pool(service).refused[workspace.priority] = (ratio, now_ms)
-
     def latency_limit_factor(
         self, service: str, workspace: workspaces.Workspace, now_ms: int
     ) -> float:
@@ -280,11 +267,10 @@
             least, most = EXCESS_QUEUE_RATIOS
             rest = (factor - MIN_FACTOR) / (1.0 - MIN_FACTOR)
             return math.inf if factor >= 1.0 else least + (most - least) * rest
-        ratio = factor * CLASS_QUEUE_RATIO * CLASS_STEP ** (place - 1)
-        for priority, (found, at_ms) in self._pool(service).refused.items():
-            if priority < workspace.priority and now_ms - at_ms < PRESSURE_MS:
-                ratio = min(ratio, PRESSURE_RATIO * found)
-        return ratio
+        strictness = min(1.0, self._lost_above(service, workspace, now_ms) / MAX_LOST_RATIO)
+        relaxed = RELAXED_QUEUE_RATIO * RELAXED_STEP ** (place - 1)
+        strict = STRICT_QUEUE_RATIO * STRICT_STEP ** (place - 1)
+        return factor * (relaxed + (strict - relaxed) * strictness)
 
     def outranked_by(self, service: str, workspace: workspaces.Workspace, now_ms: int) -> int:
         """Return the number of more urgent priorities that clients of this entry ask for.
@@ -296,6 +282,14 @@
         higher = [p for p in self._priorities if p < workspace.priority]
         return sum(self._level(service, p, now_ms).is_asked for p in higher)
 
+    def _lost_above(self, service: str, workspace: workspaces.Workspace, now_ms: int) -> float:
+        """Return the share of the requests of more urgent priorities that got no server."""
+        higher = [p for p in self._priorities if p < workspace.priority]
+        levels = [self._level(service, priority, now_ms) for priority in higher]
+        asked_ms = sum(level.asked_ms for level in levels)
+        served_ms = sum(level.served_ms for level in levels)
+        return max(0.0, 1.0 - served_ms / asked_ms) if asked_ms > 0 else 0.0
+
     def _is_starved(self, use: _Use, level: _Level) -> bool:
         """Return whether others of the same priority are served much more often."""
         if use.asked_ms < MIN_COUNTED_REQUESTS * use.request_ms:
@@ -354,8 +348,9 @@
         asked = [
             u.smoothed(u.asked_ms, w * typical_asked_ms) for u, w in zip(uses, weights, strict=True)
         ]
-        per_weight_ms = math.inf  # while too few requests were served to tell
-        if capacity_ms > MIN_COUNTED_REQUESTS * request_ms:
+        per_weight_ms = math.inf  # while too few requests were served to tell, or nearly all
+        is_short = capacity_ms < (1.0 - MIN_SHORT_RATIO) * asked_ms
+        if is_short and capacity_ms > MIN_COUNTED_REQUESTS * request_ms:
             per_weight_ms = fair_level(list(zip(asked, weights, strict=True)), capacity_ms)
         return _Level(per_weight_ms, typical_ms, asked_ms, served_ms, request_ms, now_ms)
 
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -200,3 +200,18 @@
     request.is_served, request.attempts = True, 1
     placer.place(request, 0)
     assert request.terms.max_queue_ratio == math.inf and request.terms.factor == 1.0
+
+
+# Guards against less urgent requests that are refused for a short queue though all urgent ones are
+# served, and against ones that queue while urgent ones are refused.
+def test_a_less_urgent_priority_queues_for_less_once_urgent_requests_are_lost():
+    urgent, other = workspace("u", 0), workspace("o", 1)
+    shares = fair_share.FairShare()
+    shares.apply_workspaces([urgent, other], {"s"})
+    for _ in range(20):
+        shares.record_request("s", urgent, 500.0, 0)
+        shares.record("s", urgent, 500.0, 0)
+    assert shares.max_queue_ratio("s", other, 1.0, 0) == fair_share.RELAXED_QUEUE_RATIO
+    for _ in range(2):
+        shares.record_request("s", urgent, 500.0, 300)
+    assert shares.max_queue_ratio("s", other, 1.0, 300) == fair_share.STRICT_QUEUE_RATIO
