--- a/tests/test_allowance_bound.py
+++ b/tests/test_allowance_bound.py
@@ -74,7 +74,7 @@
 def overload(fleet, rng):
     """Full buckets meet many requests at once, after a quiet time in which shares may move."""
     place = rng.choice([*fleet.entries.values()])
-    until_ms = min(END_MS, fleet.now_ms + rng.randrange(1_000, 4_000))
+    until_ms = min(END_MS, fleet.now_ms + rng.randrange(1_000, 8_000))
     is_hot = rng.random() < 0.3
 
     def pick():
