Allowances: entries that know the same others count each other at once

Cause: after a start of all entries no token was granted for some 6 s, since each joined entry waits for 4 s. Change: answers of owners hold a digest of the entries that they know; where all agree with the collector, no wait is needed. An entry owns nothing before it can know others.

--- a/sassafraslock/allowances/messages.py
+++ b/sassafraslock/allowances/messages.py
@@ -19,7 +19,10 @@
 
 
 class LeaseAsk(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """A collector asks for an entry's share; ``run`` names the collector's process."""
+    """A collector asks for an entry's share; ``run`` names the collector's process.
+
+    With a ``lease_ms`` of 0 it asks only which entries the other one knows.
+    """
 
     sender: field_types.Name
     run: Run
@@ -28,7 +31,10 @@
 
 
 class LeaseAnswer(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """The entry's share, whether it is lent to the asker, and otherwise who holds it."""
+    """The entry's share, whether it is lent to the asker, and otherwise who holds it.
+
+    ``digest`` is that of the ids of all entries that it knows.
+    """
 
     sender: field_types.Name
     run: Run
@@ -36,6 +42,7 @@
     share: Share
     granted: bool
     holder: field_types.Name = ""
+    digest: field_types.Hash32 = 0
 
 
 class Release(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/sassafraslock/allowances/node.py
+++ b/sassafraslock/allowances/node.py
@@ -6,6 +6,8 @@
 import dataclasses
 import itertools
 
+import msgspec
+
 from sassafraslock.allowances import (
     asks,
     collector,
@@ -54,6 +56,7 @@
         "_entries",
         "_timers",
         "_region_ids",
+        "_abroad_ids",
         "_entry_count",
     )
 
@@ -80,6 +83,7 @@
         long_ago_ms = now_ms - 60_000
         self._timers = _Timers(long_ago_ms, long_ago_ms, long_ago_ms, now_ms)
         self._region_ids: list[str] = []
+        self._abroad_ids: list[str] = []
         self._entry_count = 1
 
     def apply_limits(self, known: list[limits.Limit], now_ms: int) -> None:
@@ -145,6 +149,7 @@
         match message:
             case messages.LeaseAsk():
                 answer = self.owner.answer(message, min(1.0, self.size.unit), now_ms)
+                answer = msgspec.structs.replace(answer, digest=self.size.digest)
                 self.box.send(message.sender, answer)
             case messages.LeaseAnswer():
                 if self.collector.is_active:
@@ -186,8 +191,8 @@
         self._decide_role(now_ms)
         if not self.collector.is_active:
             return
-        self.gatherer.renew(self._region_ids, now_ms)
-        if self.collector.book.is_stale:
+        self._renew(now_ms)
+        if self.collector.book.is_stale or self.gatherer.has_news:
             self._recount(now_ms)
         if now_ms - self._timers.collected_ms >= COLLECTING_PAUSE_MS:
             self._timers.collected_ms = now_ms
@@ -195,16 +200,27 @@
             self.collector.tick(now_ms)
 
     def _take_entries(self, entries: list[collector_choice.EntryInfo], now_ms: int) -> None:
+        if not entries:  # no others are known yet, whose shares are not this entry's
+            self.size.unit = 0.0
+            return
         others = [e for e in entries if e.entry_id != self.own.entry_id]
         known = [share_size.KnownEntry(e.entry_id, e.heard_ms) for e in others]
-        self.size.update(known, now_ms)
+        self.size.update(known, now_ms, self.own.entry_id)
         self.choice.update(entries, now_ms)
         self._entry_count = len(entries)
         self._region_ids = [e.entry_id for e in entries if e.region == self.own.region]
+        self._abroad_ids = [e.entry_id for e in entries if e.region != self.own.region]
         if self.collector.is_active:
             self._recount(now_ms)
 
+    def _renew(self, now_ms: int) -> None:
+        asked = [] if self.size.counts_all(now_ms) else self._abroad_ids
+        self.gatherer.renew(self._region_ids, asked, now_ms)
+
     def _recount(self, now_ms: int) -> None:
+        self.gatherer.check_agreement(
+            [*self._region_ids, *self._abroad_ids], self.size.digest, now_ms
+        )
         self.collector.recount(
             lambda owner, share: self.gatherer.weight(owner, share, self.size, now_ms), now_ms
         )
@@ -220,7 +236,7 @@
         should_collect = is_asked or (self.has_limits and self.choice.is_first())
         if should_collect and not self.collector.is_active:
             self.collector.start(now_ms)
-            self.gatherer.renew(self._region_ids, now_ms)
+            self._renew(now_ms)
             self.collector.pulls.peers = self._peers(now_ms)
         elif not should_collect and self.collector.is_active:
             self.stop(now_ms)
--- a/sassafraslock/allowances/service.py
+++ b/sassafraslock/allowances/service.py
@@ -36,16 +36,18 @@
 def entries_of(
     members: roster.Roster, own: roster.MemberRecord, now_ms: int
 ) -> list[collector_choice.EntryInfo]:
-    """Return all entries as the roster knows them, the own one first.
+    """Return all entries as the roster knows them, none while the others cannot be known yet.
 
     :param members: the roster.
     :param own: the own record.
     :param now_ms: the current monotonic time.
     """
+    if members.sharing_count() is None:
+        return []
     live = {m.record.entry_id for m in members.live(now_ms)}
-    infos = [_info(own, now_ms, True)]
+    infos = [info_of(own, now_ms, True)]
     for member in members.known():
-        infos.append(_info(member.record, member.heard_ms, member.record.entry_id in live))
+        infos.append(info_of(member.record, member.heard_ms, member.record.entry_id in live))
     return infos
 
 
@@ -237,7 +239,13 @@
         }
 
 
-def _info(record: roster.MemberRecord, heard_ms: int, live: bool) -> collector_choice.EntryInfo:
+def info_of(record: roster.MemberRecord, heard_ms: int, live: bool) -> collector_choice.EntryInfo:
+    """Return what the choice of collectors takes from a record.
+
+    :param record: an entry's record.
+    :param heard_ms: when its heartbeat last increased.
+    :param live: whether it counts as live.
+    """
     return collector_choice.EntryInfo(
         record.entry_id,
         record.region,
--- a/sassafraslock/allowances/share_gatherer.py
+++ b/sassafraslock/allowances/share_gatherer.py
@@ -11,6 +11,7 @@
 RENEWALS = 3  # a lease outlasts two renewals that are lost
 MAX_ASKS_PER_S = 400
 HOLDER_AGE_MS = 3_000
+AGREEMENT_MS = 1_500  # the age of the asks by whose answers entries agree
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -32,6 +33,9 @@
         "_released",
         "_holders_ms",
         "_renewed_ms",
+        "_digests",
+        "_is_agreed",
+        "has_news",
     )
 
     def __init__(
@@ -52,13 +56,23 @@
         # Entries that hold shares of this region by what owners said, and when they said so.
         self._holders_ms: dict[str, int] = {}
         self._renewed_ms: int | None = None
+        # The digest that each entry answered last, and when it was asked.
+        self._digests: dict[str, tuple[int, int]] = {}
+        self._is_agreed = False
+        self.has_news = False
 
-    def renew(self, owners: collections.abc.Sequence[str], now_ms: int) -> None:
+    def renew(
+        self,
+        owners: collections.abc.Sequence[str],
+        abroad: collections.abc.Sequence[str],
+        now_ms: int,
+    ) -> None:
         """Ask all entries of the region for their shares, if it is time to.
 
         In a large region leases are longer, so that renewals stay few.
 
         :param owners: these entries, the own one included.
+        :param abroad: entries of other regions, to be asked which entries they know.
         :param now_ms: the current monotonic time.
         """
         interval_ms = max(RENEW_MS, 1_000 * len(owners) // MAX_ASKS_PER_S)
@@ -73,6 +87,9 @@
         ask = messages.LeaseAsk(self._own_id, self._run, number, lease_ms)
         for owner in owners:
             self._outbox.send(owner, ask)
+        question = messages.LeaseAsk(self._own_id, self._run, number, 0)
+        for entry_id in abroad:
+            self._outbox.send(entry_id, question)
 
     def take_answer(
         self, answer: messages.LeaseAnswer, book: lease_book.LeaseBook, now_ms: int
@@ -86,6 +103,9 @@
         asked = self._rounds.get(answer.number)
         if answer.run != self._run or asked is None:
             return
+        if self._digests.get(answer.sender, (None, 0))[0] != answer.digest:
+            self.has_news = True
+        self._digests[answer.sender] = (answer.digest, asked.sent_ms)
         if answer.granted and answer.number > self._released:
             until_ms = asked.sent_ms + asked.lease_ms
             if until_ms > now_ms:
@@ -93,6 +113,22 @@
         elif answer.holder and answer.holder != self._own_id:
             self._holders_ms[answer.holder] = now_ms
 
+    def check_agreement(
+        self, known: collections.abc.Sequence[str], digest: int, now_ms: int
+    ) -> None:
+        """Note whether all known entries know the same entries, so that each counts each.
+
+        :param known: all known entries, this one included.
+        :param digest: the digest of their ids.
+        :param now_ms: the current monotonic time.
+        """
+        self.has_news = False
+        since_ms = now_ms - AGREEMENT_MS
+        told = self._digests
+        self._digests = {i: told[i] for i in known if i in told and told[i][1] >= since_ms}
+        agreeing = sum(told_digest == digest for told_digest, _ in self._digests.values())
+        self._is_agreed = agreeing == len(known)
+
     def holders(self, now_ms: int) -> list[str]:
         """Return the other entries that hold shares of this region.
 
@@ -124,7 +160,9 @@
         :param size: this entry's view, by which no share may be greater than its own.
         :param now_ms: the current monotonic time.
         """
-        if owner == self._own_id:
+        if self._is_agreed:
+            is_counted = True
+        elif owner == self._own_id:
             is_counted = now_ms - self._start_ms >= share_size.KNOWN_AFTER_MS
         else:
             is_counted = size.is_counted(owner, now_ms)
--- a/sassafraslock/allowances/share_owner.py
+++ b/sassafraslock/allowances/share_owner.py
@@ -55,6 +55,7 @@
             holder = loan.holder
             granted = granted and (loan.holder, loan.run) == (ask.sender, ask.run)
             granted = granted and ask.number > loan.number
+        granted = granted and ask.lease_ms > 0
         if granted:
             holder = ask.sender
             until_ms = max(now_ms + ask.lease_ms, loan.until_ms if loan is not None else 0)
--- a/sassafraslock/allowances/share_size.py
+++ b/sassafraslock/allowances/share_size.py
@@ -5,6 +5,7 @@
 import collections
 import collections.abc
 import dataclasses
+import zlib
 
 # After this time all entries that are reached know an entry that joined.
 KNOWN_AFTER_MS = 4_000
@@ -30,24 +31,31 @@
     since, and then takes a greater part; the others divide what it leaves.
     """
 
-    __slots__ = ("unit", "_start_ms", "_known_since_ms", "_steps", "_last_majority_ms")
+    __slots__ = ("unit", "digest", "_start_ms", "_known_since_ms", "_steps", "_last_majority_ms")
 
     def __init__(self, now_ms: int) -> None:
         self.unit = 0.0
+        self.digest = 0  # of the ids of all known entries, the own one included
         self._start_ms = now_ms
         self._known_since_ms: dict[str, int] = {}
         # Times from which the number of entries was greater than before, and that number.
         self._steps: collections.deque[tuple[int, int]] = collections.deque(maxlen=MAX_STEPS)
         self._last_majority_ms = now_ms
 
-    def update(self, known: collections.abc.Sequence[KnownEntry], now_ms: int) -> None:
+    def update(
+        self, known: collections.abc.Sequence[KnownEntry], now_ms: int, own_id: str = ""
+    ) -> None:
         """Take up which other entries are known now.
 
         :param known: all other entries, silent ones included.
         :param now_ms: the current monotonic time.
+        :param own_id: this entry's id.
         """
         since_ms = self._known_since_ms
         self._known_since_ms = {e.entry_id: since_ms.get(e.entry_id, now_ms) for e in known}
+        self.digest = zlib.crc32(own_id.encode())
+        for entry in known:
+            self.digest ^= zlib.crc32(entry.entry_id.encode())
         self._record_count(1 + len(known), now_ms)
         silent_since_ms = now_ms - SILENT_AFTER_MS - 15 * len(known)
         silent = [e for e in known if e.heard_ms < silent_since_ms]
@@ -84,6 +92,14 @@
         """
         return self._known_since_ms.get(entry_id)
 
+    def counts_all(self, now_ms: int) -> bool:
+        """Return whether all entries known are counted by the others.
+
+        :param now_ms: the current monotonic time.
+        """
+        latest_ms = max(self._known_since_ms.values(), default=self._start_ms)
+        return now_ms - max(latest_ms, self._start_ms) >= KNOWN_AFTER_MS
+
     def is_counted(self, entry_id: str, now_ms: int) -> bool:
         """Return whether the other entries count an entry by now, so that its share may be used.
 
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -97,7 +97,7 @@
         entry.beat, entry.frozen_until_ms, entry.tick_ms = 0, 0, 0
         entry.lag_ms = self.rng.randrange(100, 1_250)
         entry.members = roster.Roster(entry.entry_id)
-        info = service.entries_of(entry.members, entry.record(), self.now_ms)[0]
+        info = service.info_of(entry.record(), self.now_ms, True)
 
         def entries(now_ms):
             if not self._gossips:
@@ -115,8 +115,7 @@
         if self._static is None or self._static[0] != number:
             infos = []
             for entry in self.entries.values():
-                no_others = roster.Roster(entry.entry_id)
-                infos += service.entries_of(no_others, entry.record(), self.now_ms)
+                infos.append(service.info_of(entry.record(), self.now_ms, True))
             self._static = (number, infos)
         return self._static[1]
 
--- a/tests/test_allowance_shares.py
+++ b/tests/test_allowance_shares.py
@@ -9,6 +9,7 @@
     limits,
     messages,
     outbox,
+    share_gatherer,
     share_size,
     token_bucket,
 )
@@ -45,6 +46,29 @@
     assert not size.is_counted("e-99", 99_000)
 
 
+# Guards against shares used before the others count them, and against waiting where all do.
+def test_entries_that_know_the_same_count_each_other_at_once():
+    size = share_size.ShareSize(0)
+    size.update(others(2, 0), 0, "me")
+    gatherer = share_gatherer.ShareGatherer("me", 1, outbox.Outbox("me", 1), iter([7]), 0)
+    book, known = lease_book.LeaseBook(0), ["me", "e-0", "e-1"]
+    gatherer.renew(known[:2], known[2:], 0)
+    for entry_id, digest in (("me", size.digest), ("e-0", size.digest), ("e-1", 5)):
+        answer = messages.LeaseAnswer(entry_id, 1, 7, 0.3, False, "", digest)
+        gatherer.take_answer(answer, book, 10)
+    gatherer.check_agreement(known, size.digest, 20)
+    assert gatherer.weight("e-0", 0.3, size, 20) == 0.0
+    answer = messages.LeaseAnswer("e-1", 1, 7, 0.3, False, "", size.digest)
+    gatherer.take_answer(answer, book, 30)
+    gatherer.check_agreement(known, size.digest, 40)
+    assert gatherer.weight("e-0", 0.3, size, 40) == pytest.approx(0.3)
+    assert gatherer.weight("me", 0.9, size, 40) == pytest.approx(1 / 3)
+    gatherer.check_agreement([*known, "e-9"], size.digest, 50)
+    assert gatherer.weight("e-0", 0.3, size, 50) == 0.0
+    gatherer.check_agreement(known, size.digest, 1_600)
+    assert gatherer.weight("e-0", 0.3, size, 1_600) == 0.0
+
+
 # Guards against a cut-off half that goes on to use its part of the former number of entries.
 def test_those_that_joined_get_what_silent_entries_leave():
     size = settled_size()
