Allowances: only fleets of up to 400 entries agree by asking all

Cause: worked out, a collector of 3,600 entries would ask 6,000 entries a second while it counts a joined one. Measured: the tests of the allowances pass; no play at that size.

--- a/sassafraslock/allowances/node.py
+++ b/sassafraslock/allowances/node.py
@@ -23,6 +23,7 @@
 ENTRIES_INTERVAL_MS = 500  # longer in a fleet of more than 1,000 entries, by its size
 COLLECTING_MS = 2_000  # after the last ask
 IDLE_FACTOR = 4
+MAX_AGREEING = 400  # in larger fleets, asking all would cost each collector too many datagrams
 STANDSTILL_MS = 1_500
 OPEN_PAUSE_MS, COLLECTING_PAUSE_MS, IDLE_PAUSE_MS = 20, 100, 500
 
@@ -214,7 +215,8 @@
             self._recount(now_ms)
 
     def _renew(self, now_ms: int) -> None:
-        asked = [] if self.size.counts_all(now_ms) else self._abroad_ids
+        is_known = self.size.counts_all(now_ms) or self._entry_count > MAX_AGREEING
+        asked = [] if is_known else self._abroad_ids
         self.gatherer.renew(self._region_ids, asked, now_ms)
 
     def _recount(self, now_ms: int) -> None:
