Objects: entries that start are told which servers have which objects

Cause: an entry that starts learns of an object's servers by renewals, which are due each 10 s, and until then makes objects slow at their homes that other servers have in memory.

Change: two entries that are older, by rendezvous hash, send a newcomer of their region all sightings in up to six messages. What is learned this way is not passed on. Deployments in which nothing is known of objects send nothing. Metrics count placements at servers that have the object, and the objects and homes that are known. make bench ARGS=regions-objects prints the rows of both customers.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,6 +15,7 @@
     gossip,
     latency,
     limits,
+    object_rows,
     placement,
     poison,
     regions,
@@ -39,6 +40,10 @@
         "Three regions under a wave of demand and an evacuation, virtual time",
         regions.measure,
     ),
+    "regions-objects": (
+        "Objects in memory of two customers' servers, from a cold start, virtual time",
+        object_rows.measure,
+    ),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/benchmarks/object_world.py
+++ b/benchmarks/object_world.py
@@ -4,8 +4,11 @@
 
 import dataclasses
 
+import msgspec
+
 from sassafraslock import edge_settings, routing_table
 from sassafraslock.decisions import cold_start, placement, registry, roster
+from sassafraslock.decisions.objects import newcomers
 from sassafraslock.services import planner, routing_state
 
 REGIONS = ("north", "south", "west")
@@ -179,7 +182,10 @@
         )
         place = edge_settings.EdgeSettings(entry_id, zone, self.region, "h:1", "", "", "h:2")
         self.planner = planner.Planner(place, state, self.placer, self.members)
+        self.newcomers = newcomers.Newcomers() if by_demand else None
         self.beat = 0
+        self.boot_ms = 1
+        self._told: roster.MemberRecord | None = None
         for report in server_reports(shape):
             self.registry.apply_report(report, 0, False, 0)
 
@@ -189,10 +195,17 @@
         :param now_ms: the present time.
         """
         self.beat += 1
-        return roster.MemberRecord(
-            self.entry_id, 1, self.beat, self.region, self.zone, "h", "h", True,
-            demand=self.planner.demand(now_ms),
-        )  # fmt: skip
+        demand = self.planner.demand(now_ms)
+        return msgspec.structs.replace(self.told, beat=self.beat, demand=demand)
+
+    @property
+    def told(self) -> roster.MemberRecord:
+        """What this entry tells of itself apart from its demand; its id stands for its address."""
+        if self._told is None or self._told.boot_ms != self.boot_ms:
+            self._told = roster.MemberRecord(
+                self.entry_id, self.boot_ms, 0, self.region, self.zone, self.entry_id, "h", True
+            )
+        return self._told
 
 
 def server_reports(shape: Shape) -> list[registry.ServerReport]:
--- a/benchmarks/objects.py
+++ b/benchmarks/objects.py
@@ -16,9 +16,9 @@
 import random
 import typing
 
-from benchmarks import object_world, servers
+from benchmarks import object_servers, object_world, servers
 from sassafraslock import errors
-from sassafraslock.decisions import candidates, placement, registry, route_latency
+from sassafraslock.decisions import candidates, registry, route_latency
 
 GOSSIP_MS = 500
 PLAN_MS = 500
@@ -27,10 +27,8 @@
 SKEW = 0.2  # exponent of the popularity of objects by rank
 WAVE_PERIOD_MS, WAVE_SWING = 36_000.0, 0.55
 PHASES = {"north": 0.3, "south": 0.63, "west": 0.97}
-SLOW_MS, SLOW_SHARE, SLOW_FACTOR = 600.0, 0.15, 2.5
 QUEUE_PER_SLOT = 3
 LATE_VALUE = 0.2
-EXTREMES = 10  # objects that count as the most and the least wanted
 SHIFT_WINDOW_MS = 2_000
 EVACUATED_ZONE, EVACUATED_FROM_MS, EVACUATED_UNTIL_MS = "north-b", 12_000.0, 18_000.0
 RESTART_MS, RESTART_EVERY, COLD_MS = 22_000.0, 8, 3_000  # servers lose what they had in memory
@@ -50,79 +48,6 @@
         """
 
 
-@dataclasses.dataclass(slots=True)
-class Request:
-    """A client's request."""
-
-    flow: object_world.Flow
-    zone: str
-    key: str
-    first_ms: float
-    tries: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Job:
-    """An attempt at a server."""
-
-    request: Request
-    entry: object_world.Entry
-    wanted: candidates.PlacementRequest
-    choice: candidates.Choice
-    sent_ms: float
-    is_known: bool = False
-    started_ms: float = -1.0
-    ends_ms: float = 0.0
-    was_held: bool = False
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Outcome:
-    """What became of a request; ``cause`` tells why it was not on time."""
-
-    request: Request
-    value: float
-    cause: str
-    is_warm: bool = False
-
-
-class Server:
-    """A server's memory and queue, and the times in which its machine is slow."""
-
-    def __init__(self, kept: int, slots: int, seconds: int, rng: random.Random) -> None:
-        self.queue = servers.QueueingServer(servers.KeptObjects(kept))
-        self.slots = slots
-        self.served = 0
-        self.slow_from_ms: list[float] = []
-        at_ms, gap_ms = 0.0, SLOW_MS * (1 - SLOW_SHARE) / SLOW_SHARE
-        while at_ms < 2_000 * seconds:
-            at_ms += rng.expovariate(1 / gap_ms)
-            self.slow_from_ms.append(at_ms)
-            at_ms += SLOW_MS
-
-    def end_ms(self, now_ms: float, work_ms: float) -> float:
-        """Return when work ends that starts now.
-
-        :param now_ms: the present time.
-        :param work_ms: the time that it takes at the usual speed.
-        """
-        index = max(0, bisect.bisect_right(self.slow_from_ms, now_ms) - 1)
-        at_ms, left_ms = now_ms, work_ms
-        for from_ms in self.slow_from_ms[index:]:
-            until_ms = from_ms + SLOW_MS
-            if until_ms <= at_ms:
-                continue
-            if at_ms + left_ms <= from_ms:
-                break
-            left_ms -= max(0.0, from_ms - at_ms)
-            at_ms = max(at_ms, from_ms)
-            if left_ms * SLOW_FACTOR <= until_ms - at_ms:
-                return at_ms + left_ms * SLOW_FACTOR
-            left_ms -= (until_ms - at_ms) / SLOW_FACTOR
-            at_ms = until_ms
-        return at_ms + left_ms
-
-
 class Simulation:
     """Entries of three regions, each with its own knowledge, before their servers."""
 
@@ -138,14 +63,14 @@
             for number in range(shape.entries_per_zone):
                 self.add_entry(f"{zone}-{number}", zone)
         self.servers = {
-            r.server_id: Server(
+            r.server_id: object_servers.Server(
                 shape.kept[r.service], r.slots, shape.seconds, random.Random(f"{seed}{r.server_id}")
             )
             for r in object_world.server_reports(shape)
         }
         self.holders: dict[str, set[str]] = collections.defaultdict(set)
-        self.jobs: dict[int, Job] = {}
-        self.outcomes: list[Outcome] = []
+        self.jobs: dict[int, object_servers.Job] = {}
+        self.outcomes: list[object_servers.Outcome] = []
         self.runs: collections.Counter[bool] = collections.Counter()
         self.moves = 0
         self.regions: dict[str, collections.Counter[tuple[int, str]]] = collections.defaultdict(
@@ -223,7 +148,7 @@
         if at_ms < self.shape.seconds * 1_000:
             number = self._draw_object(flow.objects)
             key = f"{flow.route.name}-{zone}-{number}"
-            self.push(at_ms, "arrival", Request(flow, zone, key, at_ms))
+            self.push(at_ms, "arrival", object_servers.Request(flow, zone, key, at_ms))
 
     def _draw_object(self, count: int) -> int:
         sums = self.popularity.get(count)
@@ -237,6 +162,7 @@
         for entry in self.entries:
             for record in records:
                 entry.members.merge_record(record, int(now_ms))
+            entry.placer.discard_removed(int(now_ms))
             entry.planner.update(int(now_ms))
         if now_ms < self.shape.seconds * 1_000:
             self.push(now_ms + PLAN_MS, "plan", None)
@@ -263,6 +189,7 @@
             self.by_zone[old.zone].remove(old)
             del self.view.regions[old.entry_id]
             entry = self.add_entry(f"{old.entry_id}-again", old.zone)
+            entry.boot_ms = int(now_ms)
             for server in old.registry.servers.values():
                 entry.registry.apply_report(server.report, int(now_ms), False, 0)
             self.push(now_ms, "gossip", entry)
@@ -291,13 +218,30 @@
         """
         loads = entry.placer.loads.recent_reports(now_ms)
         objects = entry.placer.objects.recent_reports(now_ms)
+        self._tell_newcomers(entry, now_ms)
         small_zone = len(self.by_zone[entry.zone]) < 4
         for other in targets:
             other.placer.objects.merge_reports(objects, now_ms)
             if small_zone or other.zone == entry.zone:
                 other.placer.loads.merge_reports(loads, now_ms)
 
-    def _arrive(self, request: Request, now_ms: float) -> None:
+    def _tell_newcomers(self, entry: object_world.Entry, now_ms: int) -> None:
+        if entry.newcomers is None:
+            return
+        records = [e.told for e in self.entries if e is not entry]
+        for entry_id, part in entry.newcomers.due(entry.told, records, now_ms):
+            known = entry.placer.objects.known_reports(part, now_ms)
+            for other in self.find_entry(entry_id):
+                other.placer.objects.merge_reports(known, now_ms)
+
+    def find_entry(self, entry_id: str) -> list[object_world.Entry]:
+        """Return the entry with an id, none after it has ended.
+
+        :param entry_id: the id.
+        """
+        return [e for e in self.entries if e.entry_id == entry_id]
+
+    def _arrive(self, request: object_servers.Request, now_ms: float) -> None:
         if not request.tries:
             self._push_arrival(now_ms, request.flow, request.zone)
         entry = self.random.choice(self.by_zone[request.zone])
@@ -315,7 +259,7 @@
 
     def _attempt(
         self,
-        what: tuple[Request, object_world.Entry, candidates.PlacementRequest],
+        what: tuple[object_servers.Request, object_world.Entry, candidates.PlacementRequest],
         now_ms: float,
     ) -> None:
         request, entry, wanted = what
@@ -329,20 +273,20 @@
             wanted.attempts += 1
             wanted.tried.add(choice.server.server_id)
             wanted.shed = True
-            if wanted.attempts < route_attempts(request):
+            if wanted.attempts < request.flow.route.max_attempts:
                 self.push(now_ms + ZONE_MS, "attempt", what)
             else:
                 self._refuse(request, 300, now_ms)
             return
-        self._send(Job(request, entry, wanted, choice, now_ms), server, now_ms)
+        self._send(object_servers.Job(request, entry, wanted, choice, now_ms), server, now_ms)
 
-    def _refuse(self, request: Request, wait_ms: int, now_ms: float) -> None:
+    def _refuse(self, request: object_servers.Request, wait_ms: int, now_ms: float) -> None:
         if request.tries < 2:
             self.push(now_ms + wait_ms + CLIENT_MS, "arrival", request)
         else:
-            self.outcomes.append(Outcome(request, 0.0, "refused"))
+            self.outcomes.append(object_servers.Outcome(request, 0.0, "refused"))
 
-    def _send(self, job: Job, server: Server, now_ms: float) -> None:
+    def _send(self, job: object_servers.Job, server: object_servers.Server, now_ms: float) -> None:
         number = next(self.numbers)
         self.jobs[number] = job
         job.was_held = bool(self.holders[job.request.key])
@@ -377,14 +321,14 @@
         server.queue.remove(number)
         if timed_out:
             health.record_broken_exchange(int(at_ms))
-            self.outcomes.append(Outcome(job.request, 0.0, "timed out"))
+            self.outcomes.append(object_servers.Outcome(job.request, 0.0, "timed out"))
         else:
             self._keep(job.request.key, name, server)
             self.learn(job, server, at_ms)
             self._judge(job, at_ms)
         self._start_next(name, at_ms)
 
-    def _keep(self, key: str, name: str, server: Server) -> None:
+    def _keep(self, key: str, name: str, server: object_servers.Server) -> None:
         """Put an object first in a server's memory, which may evict another one."""
         kept = server.queue.kept
         if key not in kept and self.holders[key]:
@@ -394,7 +338,7 @@
         if evicted is not None:
             self.holders[evicted].discard(name)
 
-    def learn(self, job: Job, server: Server, at_ms: float) -> None:
+    def learn(self, job: object_servers.Job, server: object_servers.Server, at_ms: float) -> None:
         """Update the statistics of an entry as ``path/attempt_recorder.py`` does.
 
         :param job: the attempt that was answered.
@@ -415,11 +359,11 @@
         start_hash = registry.start_hash(choice.server)
         placer.objects.record(job.wanted.object_hash, start_hash, now_ms, now_ms)
 
-    def _judge(self, job: Job, at_ms: float) -> None:
+    def _judge(self, job: object_servers.Job, at_ms: float) -> None:
         is_far = job.choice.server.region != job.entry.region
         total_ms = at_ms - job.request.first_ms + CLIENT_MS + (FAR_MS if is_far else ZONE_MS)
         if total_ms <= job.request.flow.route.target_latency_ms:
-            self.outcomes.append(Outcome(job.request, 1.0, "", job.is_known))
+            self.outcomes.append(object_servers.Outcome(job.request, 1.0, "", job.is_known))
             return
         if not job.is_known:
             cause = "run again" if job.was_held else "first run"
@@ -427,20 +371,4 @@
             cause = "came back"
         else:
             cause = "queue" if job.started_ms - job.sent_ms > 150 else "slow"
-        self.outcomes.append(Outcome(job.request, LATE_VALUE, cause, job.is_known))
-
-
-def route_attempts(request: Request) -> int:
-    """Return how many attempts a request may have.
-
-    :param request: the request.
-    """
-    return request.flow.route.max_attempts
-
-
-def placer_of(entry: object_world.Entry) -> placement.Placer:
-    """Return the placer of an entry.
-
-    :param entry: the entry.
-    """
-    return entry.placer
+        self.outcomes.append(object_servers.Outcome(job.request, LATE_VALUE, cause, job.is_known))
--- a/sassafraslock/decisions/object_memory.py
+++ b/sassafraslock/decisions/object_memory.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import heapq
+import itertools
 
 import msgspec
 import xxhash
@@ -20,6 +21,10 @@
 # The age of a report leaves out the time that its datagrams took.
 REPORT_DELAY_MS = 300
 MAX_REPORTS = 48  # per gossip message; bounds the bytes that an entry sends
+MAX_TOLD = 384  # per message to an entry that has just started
+# What was handled longer ago is not passed on, as others know it: only entries that have just
+# started are told of it.
+PASSED_ON_MS = 5_000
 
 
 class ObjectReport(msgspec.Struct, frozen=True, array_like=True):
@@ -86,7 +91,8 @@
             if len(sightings) >= MAX_SERVERS_PER_OBJECT:
                 del sightings[min(sightings, key=lambda s: sightings[s].handled_ms)]
             sighting = sightings[start_hash] = _Sighting(handled_ms, now_ms)
-            self._renewed[object_hash, start_hash] = sighting
+            if now_ms - handled_ms < PASSED_ON_MS:
+                self._renewed[object_hash, start_hash] = sighting
             return
         is_due = now_ms - sighting.renewed_ms > RENEWAL_MS
         is_due = is_due or self._is_forgotten(start_hash, sighting.handled_ms)
@@ -121,6 +127,10 @@
             and not self._is_forgotten(start_hash, sighting.handled_ms)
         ]
 
+    def sizes(self) -> tuple[int, int]:
+        """Return how many objects are remembered, and at how many servers in sum."""
+        return len(self._objects), sum(len(starts) for starts in self._objects.values())
+
     def forget_start(self, start_hash: int, now_ms: int) -> None:
         """Forget all objects of a start, since another one may run by now, which has none.
 
@@ -153,6 +163,21 @@
             for (object_hash, start_hash), sighting in newest
         ]
 
+    def known_reports(self, part: int, now_ms: int) -> list[ObjectReport]:
+        """Return one part of all that is known, for an entry that has just started.
+
+        :param part: the number of the part, from 0 for the latest used objects.
+        :param now_ms: the current monotonic time.
+        """
+        sightings = (
+            ObjectReport(object_hash, start_hash, now_ms - sighting.handled_ms)
+            for object_hash, starts in reversed(self._objects.items())
+            for start_hash, sighting in starts.items()
+            if now_ms - sighting.handled_ms < RETENTION_MS
+            and not self._is_forgotten(start_hash, sighting.handled_ms)
+        )
+        return list(itertools.islice(sightings, part * MAX_TOLD, (part + 1) * MAX_TOLD))
+
     def merge_reports(self, reports: list[ObjectReport], now_ms: int) -> None:
         """Merge what another entry knows; reports older than :data:`RETENTION_MS` are ignored.
 
--- a/sassafraslock/decisions/objects/holders.py
+++ b/sassafraslock/decisions/objects/holders.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import collections
+import enum
 import math
 import typing
 
 from sassafraslock.decisions import candidates, object_memory, registry, server_ranking
 
 
+class Result(enum.Enum):
+    """What became of a placement on a sticky route, as the metrics show it."""
+
+    IN_MEMORY = "in_memory"
+    MOVED = "moved"  # no server that has the object may get the request and answers in time
+    UNKNOWN = "unknown"  # no server is known to have the object
+
+
 class ChoiceBuilder(typing.Protocol):
     """Evaluates a server for a request."""
 
@@ -30,7 +40,7 @@
     each server that comes back would make objects slow that are in memory elsewhere.
     """
 
-    __slots__ = ("_region", "_registry", "_memory", "_ranking", "_build_choice")
+    __slots__ = ("counts", "_region", "_registry", "_memory", "_ranking", "_build_choice")
 
     def __init__(
         self,
@@ -40,6 +50,7 @@
         ranking: server_ranking.ServerRanking,
         build_choice: ChoiceBuilder,
     ) -> None:
+        self.counts: collections.Counter[Result] = collections.Counter()
         self._region = region
         self._registry = servers
         self._memory = memory
@@ -58,10 +69,13 @@
         """
         if not request.is_sticky:
             return None
-        choices = self._choices(request, now_ms)
+        handlers = self._memory.handlers(request.object_hash, now_ms)
+        choices = self._choices(request, handlers, now_ms)
         soonest_ms = min((choice.expected_ms for choice in choices), default=math.inf)
         if soonest_ms > request.route.target_latency_ms:
+            self.counts[Result.MOVED if handlers else Result.UNKNOWN] += 1
             return None
+        self.counts[Result.IN_MEMORY] += 1
         limit_ms = soonest_ms + candidates.LEAVE_HOME_MARGIN_MS
         best = max(
             (choice for choice in choices if choice.expected_ms <= limit_ms),
@@ -72,11 +86,11 @@
         return best
 
     def _choices(
-        self, request: candidates.PlacementRequest, now_ms: int
+        self, request: candidates.PlacementRequest, handlers: list[int], now_ms: int
     ) -> list[candidates.Choice]:
         starts = self._registry.usable_by_start_hash()
         choices: list[candidates.Choice] = []
-        for start_hash in self._memory.handlers(request.object_hash, now_ms):
+        for start_hash in handlers:
             server = starts.get(start_hash)
             if server is None or not self._may_serve(request, server):
                 continue
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -50,7 +50,7 @@
         "_join_probes",
         "_regions",
         "_refusals",
-        "_holders",
+        "holders",
         "_distances",
     )
 
@@ -80,7 +80,7 @@
         self._ranking = server_ranking.ServerRanking(servers)
         self._refusals = placement_refusals.RefusalBuilder(servers, self.backpressure)
         self._distances = distances.RegionDistances(region)
-        self._holders = holders.HolderChooser(
+        self.holders = holders.HolderChooser(
             region, servers, self.objects, self._ranking, self._holder_choice
         )
         self._join_probes = join_probes.JoinProbes(servers, self.health_of)
@@ -242,7 +242,7 @@
     def _held_choice(
         self, request: candidates.PlacementRequest, planned: str, now_ms: int
     ) -> candidates.Choice | None:
-        return self._holders.choose(request, planned, now_ms) if self.homes_by_demand else None
+        return self.holders.choose(request, planned, now_ms) if self.homes_by_demand else None
 
     def _holder_choice(
         self, request: candidates.PlacementRequest, server: registry.Server, now_ms: int
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -35,6 +35,7 @@
     roster,
     stop_schedule,
 )
+from sassafraslock.decisions.objects import newcomers
 from sassafraslock.path import access_log, attempt_recorder, forwarder, pipeline, send
 from sassafraslock.services import (
     backpressure_watch,
@@ -123,6 +124,8 @@
         self.replica.set_fallback(peer_copies.PeerCopyReader(self.gossip))
         self.gossip.loads = placer.loads
         self.gossip.objects = placer.objects
+        if self.settings.object_homes_by_demand:
+            self.gossip.newcomers = newcomers.Newcomers()
         self.gossip.limits = self.watch.limits
         self.gossip.departures = self.watch.departing
         self.gossip.restarts = self.restart_watch
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -27,3 +27,6 @@
     clients = entry.client_server
     gauges.set_connections(entry_id, clients.cuts.counts, clients.accept_failures)
     gauges.set_backpressure(entry_id, entry.watch.gauges(now_ms))
+    placer = entry.pipeline.placer
+    placements = {result.value: count for result, count in placer.holders.counts.items()}
+    gauges.set_objects(entry_id, *placer.objects.sizes(), placements)
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -28,6 +28,7 @@
     server_limits,
     server_restarts,
 )
+from sassafraslock.decisions.objects import newcomers
 from sassafraslock.services import list_decoder, poison_watch, rejections
 
 INTERVAL_S = 0.5
@@ -127,6 +128,7 @@
         "loads",
         "objects",
         "limits",
+        "newcomers",
         "departures",
         "restarts",
         "token",
@@ -154,7 +156,8 @@
         self.token = token
         self._rng = rng or random.Random()
         self.loads: ReportExchange[load_reports.LoadReport] | None = None
-        self.objects: ReportExchange[object_memory.ObjectReport] | None = None
+        self.objects: object_memory.ObjectMemory | None = None
+        self.newcomers: newcomers.Newcomers | None = None
         self.limits: ReportExchange[server_limits.LimitReport] | None = None
         self.rejections = rejections.Rejections()
         self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
@@ -236,8 +239,18 @@
             *self._addressed(nearby, [a for a in targets if a in near]),
             *self._addressed(in_region, [a for a in targets if a in region - near]),
             *self._addressed(message, [a for a in targets if a not in region]),
+            *self._to_newcomers(message, live, now_ms),
         ]
 
+    def _to_newcomers(
+        self, message: Message, live: list[roster.MemberRecord], now_ms: int
+    ) -> list[tuple[str, bytes]]:
+        if self.newcomers is None or self.objects is None:
+            return []
+        reports = self.newcomers.reports(message.records[0], live, self.objects, now_ms)
+        own = message.records[:1]
+        return [(to, self.pack(Message(own, objects=objects))) for to, objects in reports]
+
     def _addressed(self, message: Message, addresses: list[str]) -> list[tuple[str, bytes]]:
         if not addresses:
             return []
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -54,6 +54,8 @@
     "rejected_settings": "Readings of the settings file that were refused.",
     "connections_cut": "Connections of clients closed with requests or answers unfinished.",
     "accept_failures": "Connections of clients that could not be accepted.",
+    "objects_known": "Objects that servers are known to have in memory.",
+    "object_homes": "Servers that are known to have an object in memory, summed over objects.",
 }
 _COUNTERS = {
     "requests_total": "Requests by service and result.",
@@ -64,6 +66,7 @@
     "cold_attempts_total": "Attempts that may have reached a server that counted as cold.",
     "abandoned_attempts_total": "Attempts ended since another server answered first.",
     "server_restarts_total": "New starts of known servers that were taken up.",
+    "object_placements_total": "Placements on sticky routes, by where their object was.",
 }
 
 
@@ -186,6 +189,22 @@
         self._counters["cold_requests_held_back_total"].set(labels, held_back)
         self._counters["server_restarts_total"].set(labels, server_restarts)
 
+    def set_objects(
+        self, entry_id: str, objects: int, homes: int, placements: typing.Mapping[str, int]
+    ) -> None:
+        """Set the gauges and counters of objects in servers' memory.
+
+        :param entry_id: the entry.
+        :param objects: the number of objects known.
+        :param homes: the number of servers that have each, summed over the objects.
+        :param placements: the number of placements so far, by result.
+        """
+        self._gauges["objects_known"].set({"entry": entry_id}, objects)
+        self._gauges["object_homes"].set({"entry": entry_id}, homes)
+        for result, count in placements.items():
+            labels = {"entry": entry_id, "result": result}
+            self._counters["object_placements_total"].set(labels, count)
+
     def set_rejected(self, entry_id: str, counts: typing.Mapping[str, int]) -> None:
         """Set the gauges of the entries that others wrote and that could not be used.
 
