--- a/sassafraslock/decisions/objects/holders.py
+++ b/sassafraslock/decisions/objects/holders.py
@@ -82,6 +82,7 @@
             key=lambda choice: server_ranking.home_score(request.key, choice.server),
         )
         homes = self._ranking.servers(request.service.name, planned, request.key)[:1]
+        best.is_home = best.server in homes
         best.selection = _selection_of(best, choices, homes)
         return best
 
--- a/sassafraslock/decisions/objects/newcomers.py
+++ b/sassafraslock/decisions/objects/newcomers.py
@@ -55,8 +55,9 @@
         for record in region:
             start = (record.entry_id, record.boot_ms)
             heard_ms, rounds = self._told.pop(start, (now_ms, 0))
-            is_due = rounds < ROUNDS and now_ms - heard_ms < TOLD_FOR_MS
-            if is_due and own.boot_ms < record.boot_ms and _is_sponsor(own, record, region):
+            if rounds == 0 and not _is_sponsor(own, record, region):
+                rounds = ROUNDS
+            if rounds < ROUNDS and now_ms - heard_ms < TOLD_FOR_MS:
                 found.append((record.gossip_address, rounds))
                 rounds += 1
             self._told[start] = heard_ms, rounds
@@ -69,6 +70,8 @@
     own: roster.MemberRecord, newcomer: roster.MemberRecord, region: list[roster.MemberRecord]
 ) -> bool:
     """Return whether an entry is one of those that tell a newcomer, by rendezvous hash."""
+    if own.boot_ms >= newcomer.boot_ms:
+        return False
     older = [r.entry_id for r in region if r.boot_ms < newcomer.boot_ms]
     ranked = sorted(
         [own.entry_id, *older],
