--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,6 +16,7 @@
     gossip,
     latency,
     limits,
+    object_rows,
     placement,
     poison,
     regions,
@@ -49,6 +50,10 @@
         "Workspaces at full servers: requests served without and with fair shares, virtual time",
         fair_share.measure,
     ),
+    "regions-objects": (
+        "Objects in memory of two customers' servers, from a cold start, virtual time",
+        object_rows.measure,
+    ),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -34,3 +34,6 @@
         collector = entry.allowances.node.collector
         shares, used_up = collector.book.share, len(collector.limited_since_ms)
         gauges.set_allowances(entry_id, shares, used_up, entry.allowances.token_counts())
+    placer = entry.pipeline.placer
+    placements = {result.value: count for result, count in placer.holders.counts.items()}
+    gauges.set_objects(entry_id, *placer.objects.sizes(), placements)
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -62,6 +62,8 @@
     "accept_failures": "Connections of clients that could not be accepted.",
     "allowance_shares": "Part of all workspaces' quotas that this entry holds as a collector.",
     "allowances_used_up": "Quotas over which this entry refused requests in the last 10 s.",
+    "objects_known": "Objects that servers are known to have in memory.",
+    "object_homes": "Servers that are known to have an object in memory, summed over objects.",
 }
 _COUNTERS = {
     "requests_total": "Requests by service and result.",
@@ -74,6 +76,7 @@
     "server_restarts_total": "New starts of known servers that were taken up.",
     "workspace_refusals_total": "Refused requests by workspace and kind of the refusal.",
     "allowance_tokens_total": "Tokens of quotas by result: granted, refused, returned or voided.",
+    "object_placements_total": "Placements on sticky routes, by where their object was.",
 }
 
 
@@ -222,6 +225,22 @@
         self._counters["cold_requests_held_back_total"].set(labels, held_back)
         self._counters["server_restarts_total"].set(labels, server_restarts)
 
+    def set_objects(
+        self, entry_id: str, objects: int, homes: int, placements: typing.Mapping[str, int]
+    ) -> None:
+        """Set the gauges and counters of objects in servers' memory.
+
+        :param entry_id: the entry.
+        :param objects: the number of objects known.
+        :param homes: the number of servers that have each, summed over the objects.
+        :param placements: the number of placements so far, by result.
+        """
+        self._gauges["objects_known"].set({"entry": entry_id}, objects)
+        self._gauges["object_homes"].set({"entry": entry_id}, homes)
+        for result, count in placements.items():
+            labels = {"entry": entry_id, "result": result}
+            self._counters["object_placements_total"].set(labels, count)
+
     def set_rejected(self, entry_id: str, counts: typing.Mapping[str, int]) -> None:
         """Set the gauges of the entries that others wrote and that could not be used.
 
