The fourth figure of a load: how long work takes on the server now

A load with a fourth figure was dropped whole, so no load was known. Now it never costs the other three, and weighs the expected time of a server by its age, the time the work takes and the mean of the service.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -20,6 +20,7 @@
     regions,
     server_limits,
     slopes,
+    work_pace,
 )
 
 Rows = typing.Sequence[typing.Any]
@@ -39,6 +40,7 @@
         "Three regions under a wave of demand and an evacuation, virtual time",
         regions.measure,
     ),
+    "work-pace": ("Servers that are slow for 600 ms at a time, virtual time", work_pace.measure),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -20,6 +20,7 @@
     server_ranking,
     server_restarts,
     windows,
+    work_pace,
 )
 
 CANDIDATES = 4
@@ -42,6 +43,7 @@
         "cold",
         "_latencies",
         "loads",
+        "paces",
         "backpressure",
         "_ranking",
         "_placed_count",
@@ -71,6 +73,7 @@
         )
         self._latencies: dict[str, route_latency.RouteLatency] = {}
         self.loads = load_view.LoadView(servers, self.health_of)
+        self.paces = work_pace.WorkPace(servers)
         self._ranking = server_ranking.ServerRanking(servers)
         self._join_probes = join_probes.JoinProbes(servers, self.health_of)
         self._placed_count = windows.SlidingCount(region_plan.SPILL_WINDOW_MS)
@@ -123,6 +126,7 @@
         """
         start_hash = registry.start_hash(server)
         self.loads.forget_start(server, now_ms)
+        self.paces.forget_start(server)
         self.objects.forget_start(start_hash, now_ms)
         self.backpressure.pauses.forget_start(start_hash)
 
@@ -253,8 +257,10 @@
         new_ms = latency.expected_ms(route_latency.ObjectAffinity.NEW)
         mean_ms = QUEUED_KNOWN_SHARE * known_ms + (1 - QUEUED_KNOWN_SHARE) * new_ms
         queue_ms = max(0.0, load + 1 - slots) / slots * mean_ms
+        usual_ms = latency.expected_ms(affinity) + queue_ms
         factor = health.slow_factor(now_ms) * (2.0 if cold else 1.0)
-        expected_ms = factor * (latency.expected_ms(affinity) + queue_ms) + health.rtt_ms
+        factor *= self.paces.factor(server, usual_ms, now_ms)
+        expected_ms = factor * usual_ms + health.rtt_ms
         return candidates.Choice(
             server, expected_ms, affinity, load, is_home, cold, factor * queue_ms
         )
--- a/sassafraslock/decisions/server_health.py
+++ b/sassafraslock/decisions/server_health.py
@@ -21,12 +21,14 @@
 class ReportedLoad:
     """The load that a server reports in a response header: requests and its slots.
 
-    A server that answers a request counts it as running.
+    A server that answers a request counts it as running. ``work_percent`` is how long work takes
+    there at this moment, in percent of the usual time, 0 if it is not told.
     """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = 0
 
     def remaining(self, was_run: bool) -> int:
         """Return the requests that run or wait at the server after its answer.
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -122,6 +122,7 @@
         self.replica.set_entry_count(self.gossip.roster.entry_count)
         self.replica.set_fallback(peer_copies.PeerCopyReader(self.gossip))
         self.gossip.loads = placer.loads
+        self.gossip.paces = placer.paces
         self.gossip.objects = placer.objects
         self.gossip.limits = self.watch.limits
         self.gossip.departures = self.watch.departing
--- a/sassafraslock/path/attempt_recorder.py
+++ b/sassafraslock/path/attempt_recorder.py
@@ -15,7 +15,9 @@
 SLOW_RATIO = 1.5  # slower servers do not change the expected latency of the route
 
 _LOAD_NUMBER = rb"[ \t]*([0-9]{1,6})[ \t]*"  # larger ones are no counts of requests
-_LOAD = re.compile(rb",".join([_LOAD_NUMBER] * 3))
+# What follows the three counts never costs them: a percentage that may be odd, and unknown figures.
+_LOAD = re.compile(rb",".join([_LOAD_NUMBER] * 3) + rb"(?:,(.*))?", re.DOTALL)
+_WORK_PERCENT = re.compile(_LOAD_NUMBER + rb"(?:,.*)?", re.DOTALL)
 
 
 class AttemptRecorder:
@@ -90,6 +92,8 @@
         if reported is not None:
             load = reported.remaining(was_run=not verdict.certainly_not_run)
             self._placer.loads.record(attempt.choice.server, load, now_ms)
+            if reported.work_percent:
+                self._placer.paces.record(attempt.choice.server, reported.work_percent, now_ms)
         if verdict is judge.Verdict.MISDIRECTED:
             health.record_replaced(now_ms)
             self._log_ejection(attempt, health, now_ms)
@@ -173,4 +177,8 @@
 
 def _parse_load(value: bytes) -> server_health.ReportedLoad | None:
     found = _LOAD.fullmatch(value)
-    return server_health.ReportedLoad(*(int(n) for n in found.groups())) if found else None
+    if found is None:
+        return None
+    percent = _WORK_PERCENT.fullmatch(found[4] or b"")
+    running, waiting, slots = (int(n) for n in found.groups()[:3])
+    return server_health.ReportedLoad(running, waiting, slots, int(percent[1]) if percent else 0)
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -27,6 +27,7 @@
     roster,
     server_limits,
     server_restarts,
+    work_pace,
 )
 from sassafraslock.services import list_decoder, poison_watch, rejections
 
@@ -66,10 +67,18 @@
 class ExtendedMessage(Message, frozen=True, array_like=True):
     """A datagram with what only some deployments have to tell; the others send :class:`Message`.
 
-    ``proofs`` goes to all entries.
+    ``proofs`` goes to all entries, ``paces`` to entries nearby only.
     """
 
     proofs: list[intents_proof.ProofReport] = []
+    paces: list[work_pace.PaceReport] = []
+
+
+def _extended(message: Message, paces: list[work_pace.PaceReport]) -> Message:
+    """Return a message with paces, the same one if there are none."""
+    return (
+        ExtendedMessage(**{**msgspec.structs.asdict(message), "paces": paces}) if paces else message
+    )
 
 
 class ReportExchange(typing.Protocol[ReportT]):
@@ -125,6 +134,7 @@
         "_poison",
         "_rng",
         "loads",
+        "paces",
         "objects",
         "limits",
         "departures",
@@ -154,6 +164,7 @@
         self.token = token
         self._rng = rng or random.Random()
         self.loads: ReportExchange[load_reports.LoadReport] | None = None
+        self.paces: ReportExchange[work_pace.PaceReport] | None = None
         self.objects: ReportExchange[object_memory.ObjectReport] | None = None
         self.limits: ReportExchange[server_limits.LimitReport] | None = None
         self.rejections = rejections.Rejections()
@@ -231,7 +242,8 @@
         objects = self.objects.recent_reports(now_ms) if self.objects is not None else []
         in_region = msgspec.structs.replace(message, objects=objects)
         loads = self.loads.recent_reports(now_ms) if self.loads is not None else []
-        nearby = msgspec.structs.replace(in_region, loads=loads)
+        paces = self.paces.recent_reports(now_ms) if self.paces is not None else []
+        nearby = _extended(msgspec.structs.replace(in_region, loads=loads), paces)
         return [
             *self._addressed(nearby, [a for a in targets if a in near]),
             *self._addressed(in_region, [a for a in targets if a in region - near]),
@@ -353,6 +365,8 @@
         self._poison.merge(message.suspects, now_ms)
         if self.loads is not None:
             self.loads.merge_reports(message.loads, now_ms)
+        if self.paces is not None:
+            self.paces.merge_reports(message.paces, now_ms)
         if self.objects is not None:
             self.objects.merge_reports(message.objects, now_ms)
         if self.limits is not None:
