The directory names entries in proportion to what they carry

All entries of a zone were named alike, so a link of 5 Mbit/s got as many clients as one of 100. Now an answer is a systematic sample by capacity (link, cores, descriptors, memory), less near a limit, that changes by one address in some 40 s. Metrics show the memory of slow peers, link and processor use, connections.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
 from benchmarks import (
     cold_restart,
     endless,
+    entry_capacity,
     gossip,
     latency,
     limits,
@@ -41,6 +42,7 @@
         regions.measure,
     ),
     "work-pace": ("Servers that are slow for 600 ms at a time, virtual time", work_pace.measure),
+    "entry-capacity": ("Entries whose links differ, in a model", entry_capacity.measure),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -38,6 +38,7 @@
 from sassafraslock.path import access_log, attempt_recorder, forwarder, pipeline, send
 from sassafraslock.services import (
     backpressure_watch,
+    capacity_watch,
     claims,
     cold_limit_watch,
     departure,
@@ -109,7 +110,7 @@
         )
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
-        self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
+        self.capacity_watch, self.directory = self._build_directory()
         handler = handlers.client_handler(self)
         policy = self.pipeline.may_run_concurrently
         self.client_server = self._http_server(handler, settings.client_address, policy)
@@ -117,6 +118,13 @@
         self._register_request_services(keys, platform_services or {})
         self._subscribe(placer)
 
+    def _build_directory(self) -> tuple[capacity_watch.CapacityWatch, directory.Directory]:
+        settings, members = self.settings, self.gossip.roster
+        capacities = edge_decisions.build_capacities(settings, self.boot_ms, members)
+        self.gossip.capacities = capacities
+        watch = capacity_watch.CapacityWatch(capacities, self.quota, self._open_connections)
+        return watch, directory.Directory(settings, members, lambda: self.is_ready, capacities)
+
     def _subscribe(self, placer: placement.Placer) -> None:
         self.routing_state.set_removal_hold(self.replica.hold_until_ms)
         self.replica.set_entry_count(self.gossip.roster.entry_count)
@@ -166,6 +174,7 @@
         self.kernel.register("settings", kernel.PassiveService(self.settings_watch))
         self.kernel.register("backpressure", kernel.PassiveService(self.watch))
         self.kernel.register("messages", kernel.PassiveService(self.quota))
+        self.kernel.register("capacity", self.capacity_watch)
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
         self.kernel.register("planner", self.planner)
@@ -264,6 +273,9 @@
         known = self.routing_state.table is not None and bool(self.routing_state.registry.servers)
         return known and self.kernel.all_ready and not self.leaving
 
+    def _open_connections(self) -> int:
+        return len(self.client_server.connections) + self.upstream.connection_count
+
     def member_record(self, beat: int) -> roster.MemberRecord:
         """Return the record of this entry that gossip spreads.
 
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -1,11 +1,12 @@
-"""Builds what an entry decides with: the choice of servers, and retries."""
+"""Builds what an entry decides with: the choice of servers, retries, and what entries carry."""
 
 from __future__ import annotations
 
-from sassafraslock import edge_settings
+from sassafraslock import clock, edge_settings
 from sassafraslock.decisions import (
     backpressure,
     cold_start,
+    entry_capacity,
     entry_view,
     placement,
     registry,
@@ -53,3 +54,28 @@
         bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms, now_ms
     )
     return retry_gate.RetryGate(budget, members.sharing_count)
+
+
+def build_capacities(
+    settings: edge_settings.EdgeSettings,
+    boot_ms: int,
+    members: roster.Roster,
+) -> entry_capacity.EntryCapacities:
+    """Return what this entry and the others can carry.
+
+    :param settings: the entry's settings.
+    :param boot_ms: the Unix time of the entry's start.
+    :param members: the other entries.
+    """
+
+    def links() -> dict[str, float]:
+        live = members.live(clock.monotonic_ms())
+        return {
+            settings.entry_id: settings.link_mbps,
+            **{m.record.entry_id: m.record.link_mbps for m in live},
+        }
+
+    resources = entry_capacity.Resources(
+        settings.link_mbps, settings.cores, settings.descriptors, settings.memory_bytes
+    )
+    return entry_capacity.EntryCapacities(settings.entry_id, resources, boot_ms, links)
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -47,7 +47,8 @@
     first. ``metrics_address`` serves metrics only; without it they are at the operator address.
     ``peer_token`` authenticates gossip between entries; if it is empty, gossip from any
     sender is accepted. ``memory_bytes`` is the memory that this process may use, and ``link_mbps``
-    the bandwidth of its machine's link, 0 if it is not known.
+    the bandwidth of its machine's link. ``cores`` are the processors that it may use, and
+    ``descriptors`` the files and sockets that it may open. These are 0 if they are not known.
     """
 
     entry_id: str
@@ -63,4 +64,6 @@
     peer_token: str = ""
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     link_mbps: float = 0.0
+    cores: float = 0.0
+    descriptors: int = 0
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from sassafraslock.services import metrics
+
 if typing.TYPE_CHECKING:
     from sassafraslock import edge
 
@@ -27,3 +29,19 @@
     clients = entry.client_server
     gauges.set_connections(entry_id, clients.cuts.counts, clients.accept_failures)
     gauges.set_backpressure(entry_id, entry.watch.gauges(now_ms))
+    gauges.set_resources(entry_id, _resources(entry))
+
+
+def _resources(entry: edge.Edge) -> metrics.ResourceGauges:
+    watch = entry.capacity_watch
+    return metrics.ResourceGauges(
+        message_bytes=entry.quota.held_bytes,
+        message_limit_bytes=entry.quota.limit_bytes,
+        unread_response_bytes=sum(c.unread_bytes for c in entry.client_server.connections),
+        server_request_bytes=entry.upstream.request_bytes,
+        connections=len(entry.client_server.connections) + entry.upstream.connection_count,
+        descriptors=entry.settings.descriptors,
+        link_use_ratio=watch.use.link_ratio,
+        cpu_use_ratio=watch.use.cpu_ratio,
+        named_ratio=watch.capacities.own_factor,
+    )
--- a/sassafraslock/services/client_connection.py
+++ b/sassafraslock/services/client_connection.py
@@ -154,6 +154,11 @@
             return True
         return len(self._exchanges) < MAX_PIPELINED and not self._is_blocked
 
+    @property
+    def unread_bytes(self) -> int:
+        """The part of written responses that waits in this process for the client to read."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def _report_held_bytes(self) -> None:
         """Report the memory that this connection holds to the quota."""
         held_bytes = self._reader.held_bytes + len(self._unparsed)
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -18,12 +18,14 @@
 from sassafraslock import clock, events, field_types
 from sassafraslock.decisions import (
     departing_servers,
+    entry_capacity,
     gossip_targets,
     intents_proof,
     load_reports,
     message_auth,
     object_memory,
     quarantine,
+    report_exchange,
     roster,
     server_limits,
     server_restarts,
@@ -41,8 +43,6 @@
 # The first byte of datagrams of other services; the compressed gossip messages begin with 0x78.
 DATAGRAM_MARK = b"\x01"
 
-ReportT = typing.TypeVar("ReportT")
-
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """One gossip datagram before compression.
@@ -67,35 +67,20 @@
 class ExtendedMessage(Message, frozen=True, array_like=True):
     """A datagram with what only some deployments have to tell; the others send :class:`Message`.
 
-    ``proofs`` goes to all entries, ``paces`` to entries nearby only.
+    ``proofs`` goes to all entries, ``paces`` to entries nearby only, ``capacities`` to those of the
+    same region.
     """
 
     proofs: list[intents_proof.ProofReport] = []
     paces: list[work_pace.PaceReport] = []
+    capacities: list[entry_capacity.CapacityReport] = []
 
 
-def _extended(message: Message, paces: list[work_pace.PaceReport]) -> Message:
-    """Return a message with paces, the same one if there are none."""
-    return (
-        ExtendedMessage(**{**msgspec.structs.asdict(message), "paces": paces}) if paces else message
-    )
-
-
-class ReportExchange(typing.Protocol[ReportT]):
-    """Reports that entries nearby send to each other, by answers to this entry or to others."""
-
-    def recent_reports(self, now_ms: int) -> list[ReportT]:
-        """Return the recent reports to send, each with its age.
-
-        :param now_ms: the current monotonic time.
-        """
-
-    def merge_reports(self, reports: list[ReportT], now_ms: int) -> None:
-        """Merge the reports that another entry sent.
-
-        :param reports: the reports, each with its age.
-        :param now_ms: the current monotonic time.
-        """
+def _extended(message: Message, **lists: list[typing.Any]) -> Message:
+    """Return a message with further lists, the same one if they are empty."""
+    if not any(lists.values()):
+        return message
+    return ExtendedMessage(**{**msgspec.structs.asdict(message), **lists})
 
 
 class RecordBuilder(typing.Protocol):
@@ -135,6 +120,7 @@
         "_rng",
         "loads",
         "paces",
+        "capacities",
         "objects",
         "limits",
         "departures",
@@ -163,13 +149,16 @@
         self._poison = poison
         self.token = token
         self._rng = rng or random.Random()
-        self.loads: ReportExchange[load_reports.LoadReport] | None = None
-        self.paces: ReportExchange[work_pace.PaceReport] | None = None
-        self.objects: ReportExchange[object_memory.ObjectReport] | None = None
-        self.limits: ReportExchange[server_limits.LimitReport] | None = None
+        self.loads: report_exchange.ReportExchange[load_reports.LoadReport] | None = None
+        self.paces: report_exchange.ReportExchange[work_pace.PaceReport] | None = None
+        self.capacities: report_exchange.ReportExchange[entry_capacity.CapacityReport] | None = None
+        self.objects: report_exchange.ReportExchange[object_memory.ObjectReport] | None = None
+        self.limits: report_exchange.ReportExchange[server_limits.LimitReport] | None = None
         self.rejections = rejections.Rejections()
-        self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
-        self.restarts: ReportExchange[server_restarts.RestartReport] | None = None
+        self.departures: (
+            report_exchange.ReportExchange[departing_servers.DepartureReport] | None
+        ) = None
+        self.restarts: report_exchange.ReportExchange[server_restarts.RestartReport] | None = None
         self.on_datagram: DatagramHandler | None = None
         self._bound: anyio.abc.UDPSocket | None = None
         self._is_urgent = anyio.Event()
@@ -240,10 +229,12 @@
         near = gossip_targets.load_sharing_peers(message.records[0], live)
         region = gossip_targets.region_peers(message.records[0], live)
         objects = self.objects.recent_reports(now_ms) if self.objects is not None else []
+        capacities = self.capacities.recent_reports(now_ms) if self.capacities is not None else []
         in_region = msgspec.structs.replace(message, objects=objects)
+        in_region = _extended(in_region, capacities=capacities)
         loads = self.loads.recent_reports(now_ms) if self.loads is not None else []
         paces = self.paces.recent_reports(now_ms) if self.paces is not None else []
-        nearby = _extended(msgspec.structs.replace(in_region, loads=loads), paces)
+        nearby = _extended(msgspec.structs.replace(in_region, loads=loads), paces=paces)
         return [
             *self._addressed(nearby, [a for a in targets if a in near]),
             *self._addressed(in_region, [a for a in targets if a in region - near]),
@@ -367,6 +358,8 @@
             self.loads.merge_reports(message.loads, now_ms)
         if self.paces is not None:
             self.paces.merge_reports(message.paces, now_ms)
+        if self.capacities is not None:
+            self.capacities.merge_reports(message.capacities, now_ms)
         if self.objects is not None:
             self.objects.merge_reports(message.objects, now_ms)
         if self.limits is not None:
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -35,7 +35,41 @@
     invalid_pauses: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ResourceGauges:
+    """What an entry uses of its machine, and what it holds for peers that read slowly.
+
+    :param message_bytes: the memory that all messages take that are not forwarded yet.
+    :param unread_response_bytes: the part of it that clients have not read.
+    :param server_request_bytes: the requests that servers hold of this entry.
+    :param descriptors: the limit of connections and files, 0 if it is not known.
+    :param named_ratio: how often the directory names the entry, of what its machine could carry.
+    """
+
+    message_bytes: int
+    message_limit_bytes: int
+    unread_response_bytes: int
+    server_request_bytes: int
+    connections: int
+    descriptors: int
+    link_use_ratio: float
+    cpu_use_ratio: float
+    named_ratio: float
+
+
+_RESOURCES = {
+    "message_bytes": "Memory of the messages that are not forwarded yet.",
+    "message_limit_bytes": "Memory that these messages may take.",
+    "unread_response_bytes": "Responses that clients have not read.",
+    "server_request_bytes": "Requests that servers hold of this entry.",
+    "connections": "Connections of clients and to servers.",
+    "descriptors": "Connections and files that the entry may open; 0 if unknown.",
+    "link_use_ratio": "Part of the link's bandwidth in use; 0 if unknown.",
+    "cpu_use_ratio": "Part of the processors in use; 0 if unknown.",
+    "named_ratio": "How often the directory names the entry, of what its machine could carry.",
+}
 _GAUGES = {
+    **_RESOURCES,
     "ready": "1 if the entry takes clients.",
     "facts_age_seconds": "Time since the store answered.",
     "servers": "Servers known.",
@@ -146,6 +180,15 @@
         self._gauges["servers_paused"].set(labels, gauges.paused)
         self._gauges["invalid_server_pauses"].set(labels, gauges.invalid_pauses)
 
+    def set_resources(self, entry_id: str, gauges: ResourceGauges) -> None:
+        """Set the gauges of the machine's use.
+
+        :param entry_id: the entry.
+        :param gauges: the values.
+        """
+        for name in _RESOURCES:
+            self._gauges[name].set({"entry": entry_id}, getattr(gauges, name))
+
     def set_entries(self, entry_id: str, known: int, live: int) -> None:
         """Set the gauges of the entries that this one knows.
 
--- a/sassafraslock/services/upstream.py
+++ b/sassafraslock/services/upstream.py
@@ -76,6 +76,7 @@
     __slots__ = (
         "limits",
         "observer",
+        "request_bytes",
         "_id_header",
         "_idle",
         "_open",
@@ -87,6 +88,7 @@
     def __init__(self, id_header: bytes, quota: message_quota.MessageQuota | None = None) -> None:
         self.limits = server_connection.ResponseLimits(quota or message_quota.MessageQuota())
         self.observer: ConnectionObserver | None = None
+        self.request_bytes = 0  # of all requests that servers have not answered
         self._id_header = id_header
         self._idle_limit_ms = float(server_connection.MAX_IDLE_MS)
         self._idle: dict[str, list[server_connection.Connection]] = {}
@@ -141,6 +143,11 @@
         """
         return self._open.get(address, 0)
 
+    @property
+    def connection_count(self) -> int:
+        """The number of connections to servers, idle ones included."""
+        return sum(len(connections) for connections in self._connections.values())
+
     def connected_before(self, address: str, at_ms: int) -> bool:
         """Return whether a connection to an address is open that was open at a given time.
 
@@ -182,7 +189,7 @@
             else:
                 idle_ms = clock.monotonic_ms() - connection.idle_since_ms
             connection.observe_head = observe_head
-            exchange = await connection.send(encode(), request_id, head_only)
+            exchange = await self._send(connection, encode(), request_id, head_only)
             exchange.connect_ms = connect_ms
             self._observe_answer(address, connection, exchange)
             self._adapt_idle_limit(exchange, idle_ms)
@@ -199,6 +206,19 @@
             if not self._open[address]:
                 del self._open[address]
 
+    async def _send(
+        self,
+        connection: server_connection.Connection,
+        data: bytes,
+        request_id: bytes,
+        head_only: bool,
+    ) -> server_connection.Exchange:
+        self.request_bytes += len(data)
+        try:
+            return await connection.send(data, request_id, head_only)
+        finally:
+            self.request_bytes -= len(data)
+
     def _observe_answer(
         self,
         address: str,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -321,6 +321,21 @@
     assert watcher.reload(False) is None
 
 
+# Guards against a limit that ends an entry's start where it is written in another way.
+@pytest.mark.parametrize(
+    "limits, cores, descriptors",
+    [("", 0.0, 0), ("cores = 2", 2.0, 0),
+     ("cpuShare = 0.43\ncores = 1\nmaxFds = 4100", 0.43, 4_100),
+     ("cpuShare = 1024\ncores = 2.15\nmaxFds = 8192.0", 2.15, 8_192),
+     ("maxFds = 1048576", 0.0, 1_048_576)],
+)  # fmt: skip
+def test_limits_of_the_machine_are_converted(tmp_path, limits, cores, descriptors):
+    path = tmp_path / "settings.toml"
+    path.write_text(f"{SETTINGS}[limits]\n{limits}\n")
+    found = platform_settings.load(str(path)).edge
+    assert (found.cores, found.descriptors) == (cores, descriptors)
+
+
 FAULTY_FILES = {
     "no port": (SETTINGS.replace("[7720, 7735]", "[]"), "internalPortRange"),
     "port beyond the last": (SETTINGS.replace("[7720", "[77200"), "internalPortRange"),
