--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
 from benchmarks import (
     cold_restart,
     endless,
+    entry_capacity,
     fair_share,
     gossip,
     latency,
@@ -23,6 +24,7 @@
     revocation,
     server_limits,
     slopes,
+    work_pace,
 )
 
 Rows = typing.Sequence[typing.Any]
@@ -54,6 +56,8 @@
         "Objects in memory of two customers' servers, from a cold start, virtual time",
         object_rows.measure,
     ),
+    "work-pace": ("Servers that are slow for 600 ms at a time, virtual time", work_pace.measure),
+    "entry-capacity": ("Entries whose links differ, in a model", entry_capacity.measure),
     "endless": ("Servers that send without end, 100 at once", endless.measure),
     "slopes": ("Slopes over size", slopes.measure),
 }
--- a/sassafraslock/decisions/placement.py
+++ b/sassafraslock/decisions/placement.py
@@ -18,17 +18,17 @@
     region_plan,
     registry,
     route_latency,
+    server_estimates,
     server_health,
     server_ranking,
     server_restarts,
     spill_budget,
+    work_pace,
 )
 from sassafraslock.decisions.objects import distances, holders
 
 CANDIDATES = 4
 REMOTE_CANDIDATES = 2  # per region when a request spills over
-# Share of queued requests whose object is assumed to be in the server's memory.
-QUEUED_KNOWN_SHARE = 0.7
 CONNECTION_RATIO = 0.5  # share of a server's connections that all entries together may use
 MIN_CONNECTIONS = 2
 
@@ -44,8 +44,9 @@
         "region",
         "cold",
         "fairness",
-        "_latencies",
+        "estimates",
         "loads",
+        "paces",
         "backpressure",
         "_ranking",
         "_spills",
@@ -77,9 +78,12 @@
         self.backpressure = asked or backpressure.Backpressure(
             cold_limiter.own_id, servers, entries
         )
-        self._latencies: dict[str, route_latency.RouteLatency] = {}
         self.loads = load_view.LoadView(servers, self.health_of)
         self.fairness = fair_admission.FairAdmission(self.loads)
+        self.paces = work_pace.WorkPace(servers)
+        self.estimates = server_estimates.ServerEstimates(
+            self.objects, self.loads, self.paces, self.cold
+        )
         self._ranking = server_ranking.ServerRanking(servers)
         self._refusals = placement_refusals.RefusalBuilder(servers, self.backpressure)
         self._distances = distances.RegionDistances(region)
@@ -106,15 +110,11 @@
         return health
 
     def latency_of(self, route: routing_table.Route) -> route_latency.RouteLatency:
-        """Return the latency averages of a route, initially derived from its target latency.
+        """Return the latency averages of a route.
 
         :param route: the route.
         """
-        latency = self._latencies.get(route.name)
-        if latency is None:
-            latency = route_latency.RouteLatency.from_target(route.target_latency_ms)
-            self._latencies[route.name] = latency
-        return latency
+        return self.estimates.latency_of(route)
 
     def discard_removed(self, now_ms: int) -> None:
         """Discard the state of servers that left the registry.
@@ -136,6 +136,7 @@
         """
         start_hash = registry.start_hash(server)
         self.loads.forget_start(server, now_ms)
+        self.paces.forget_start(server)
         self.objects.forget_start(start_hash, now_ms)
         self.backpressure.pauses.forget_start(start_hash)
 
@@ -202,7 +203,7 @@
         )
         if server is None:
             return None
-        probe = self._evaluate(request, server, self.health_of(server), False, now_ms)
+        probe = self.estimates.evaluate(request, server, self.health_of(server), False, now_ms)
         probe.selection = candidates.Selection.JOIN_PROBE
         return probe
 
@@ -239,7 +240,7 @@
         choices: list[candidates.Choice] = []
         is_home = region == planned
         for server in self._ranking.servers(request.service.name, region, request.key):
-            if len(choices) >= count and not self._has_handled(request, server, now_ms):
+            if len(choices) >= count and not self.estimates.has_handled(request, server, now_ms):
                 continue
             health = self.health_of(server)
             if server.is_expired(now_ms) or not health.is_available(now_ms) or server.is_down:
@@ -254,7 +255,7 @@
             if hold is not None:
                 request.left_out.add(hold)
                 continue
-            choices.append(self._evaluate(request, server, health, is_home, now_ms))
+            choices.append(self.estimates.evaluate(request, server, health, is_home, now_ms))
             is_home = is_home and choices[-1].is_cold
         return choices
 
@@ -274,7 +275,7 @@
             return None
         if health.in_flight >= self._connection_limit(request):
             return None
-        choice = self._evaluate(request, server, health, False, now_ms)
+        choice = self.estimates.evaluate(request, server, health, False, now_ms)
         choice.expected_ms += self._distances.missing_ms(server.region, health.rtt_ms)
         return choice
 
@@ -283,48 +284,6 @@
         share = CONNECTION_RATIO * request.service.max_connections / request.entry_count
         return max(MIN_CONNECTIONS, int(share))
 
-    def _evaluate(
-        self,
-        request: candidates.PlacementRequest,
-        server: registry.Server,
-        health: server_health.ServerHealth,
-        is_home: bool,
-        now_ms: int,
-    ) -> candidates.Choice:
-        latency = self.latency_of(request.route)
-        affinity = self._affinity(request, server, is_home, now_ms)
-        cold = self.cold.is_cold(server, now_ms)
-        slots = max(1, server.report.slots)
-        load = self.loads.load(server, health, now_ms)
-        known_ms = latency.expected_ms(route_latency.ObjectAffinity.KNOWN)
-        new_ms = latency.expected_ms(route_latency.ObjectAffinity.NEW)
-        mean_ms = QUEUED_KNOWN_SHARE * known_ms + (1 - QUEUED_KNOWN_SHARE) * new_ms
-        queue_ms = max(0.0, load + 1 - slots) / slots * mean_ms
-        factor = health.slow_factor(now_ms) * (2.0 if cold else 1.0)
-        expected_ms = factor * (latency.expected_ms(affinity) + queue_ms) + health.rtt_ms
-        return candidates.Choice(
-            server, expected_ms, affinity, load, is_home, cold, factor * queue_ms
-        )
-
-    def _affinity(
-        self,
-        request: candidates.PlacementRequest,
-        server: registry.Server,
-        is_home: bool,
-        now_ms: int,
-    ) -> route_latency.ObjectAffinity:
-        if not request.is_sticky or self._has_handled(request, server, now_ms):
-            return route_latency.ObjectAffinity.KNOWN
-        return route_latency.ObjectAffinity.HOME if is_home else route_latency.ObjectAffinity.NEW
-
-    def _has_handled(
-        self, request: candidates.PlacementRequest, server: registry.Server, now_ms: int
-    ) -> bool:
-        """Return whether a server recently handled the request's object."""
-        return request.is_sticky and self.objects.has_handled(
-            request.object_hash, registry.start_hash(server), now_ms
-        )
-
     def _spill_over(
         self,
         request: candidates.PlacementRequest,
@@ -393,7 +352,7 @@
                 continue
             health = self.health_of(server)
             if health.is_available(now_ms):
-                choices.append(self._evaluate(request, server, health, False, now_ms))
+                choices.append(self.estimates.evaluate(request, server, health, False, now_ms))
         local = [c for c in choices if c.server.region == self.region]
         return local or choices
 
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -37,10 +37,10 @@
     roster,
     stop_schedule,
 )
-from sassafraslock.decisions.objects import newcomers
 from sassafraslock.path import access_log, attempt_recorder, forwarder, identify, pipeline, send
 from sassafraslock.services import (
     backpressure_watch,
+    capacity_watch,
     claims,
     cold_limit_watch,
     departure,
@@ -113,7 +113,7 @@
         )
         self.planner = planner.Planner(settings, self.routing_state, placer, self.gossip.roster)
         self.pipeline.record_demand = self.planner.record_demand
-        self.directory = directory.Directory(settings, self.gossip.roster, lambda: self.is_ready)
+        self.capacity_watch, self.directory = self._build_directory()
         handler, policy = handlers.client_handler(self), self.pipeline.may_run_concurrently
         self.client_server = self._http_server(handler, settings.client_address, policy)
         self.allowances = edge_decisions.build_allowances(
@@ -123,14 +123,20 @@
         self._register_request_services(keys, platform_services or {})
         self._subscribe(placer)
 
+    def _build_directory(self) -> tuple[capacity_watch.CapacityWatch, directory.Directory]:
+        settings, members = self.settings, self.gossip.roster
+        capacities = edge_decisions.build_capacities(settings, self.boot_ms, members)
+        self.gossip.capacities = capacities
+        watch = capacity_watch.CapacityWatch(
+            capacities, self.quota, lambda: entry_gauges.connection_count(self)
+        )
+        return watch, directory.Directory(settings, members, lambda: self.is_ready, capacities)
+
     def _subscribe(self, placer: placement.Placer) -> None:
         self.routing_state.set_removal_hold(self.replica.hold_until_ms)
         self.replica.set_entry_count(self.gossip.roster.entry_count)
         self.replica.set_fallback(peer_copies.PeerCopyReader(self.gossip))
-        self.gossip.loads = placer.loads
-        self.gossip.objects = placer.objects
-        if self.settings.object_homes_by_demand:
-            self.gossip.newcomers = newcomers.Newcomers()
+        edge_decisions.tell_peers(self.gossip, placer, self.settings)
         self.gossip.limits = self.watch.limits
         self.gossip.departures = self.watch.departing
         self.gossip.restarts = self.restart_watch
@@ -178,6 +184,7 @@
         self.kernel.register("settings", kernel.PassiveService(self.settings_watch))
         self.kernel.register("backpressure", kernel.PassiveService(self.watch))
         self.kernel.register("messages", kernel.PassiveService(self.quota))
+        self.kernel.register("capacity", self.capacity_watch)
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
         if self.allowances is not None:
@@ -216,7 +223,8 @@
         for name, service in platform_services.items():
             self.kernel.register(name, service)
         if keys is not None:
-            keys.may_purge = self._has_lowest_id
+            # One entry performs this task for all.
+            keys.may_purge = lambda: min(self.gossip.live_ids()) == self.settings.entry_id
             self.kernel.register("claims", keys)
         self.kernel.register("front", departure.Departure(self))
 
@@ -229,10 +237,6 @@
         host, _, port = address.rpartition(":")
         return http_server.HttpServer(handler, host, int(port), policy, self.quota)
 
-    def _has_lowest_id(self) -> bool:
-        """Return whether this entry performs the tasks that one entry performs for all."""
-        return min(self.gossip.live_ids()) == self.settings.entry_id
-
     def status(self, now_ms: int) -> operator_api.Status:
         """Return a summary of this entry.
 
@@ -346,13 +350,7 @@
         self.directory.settings = self.settings
         self.key_proof.revoke_ms = bounds.revoke_ms
         self.quota.resize(settings.memory_bytes)
-        self.pipeline.retries.budget.set_bounds(
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            bounds.retry_window_ms,
-            clock.monotonic_ms(),
-        )
-        self.pipeline.placer.cold.limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
+        edge_decisions.apply_bounds(self.pipeline, bounds, clock.monotonic_ms())
         if self.allowances is not None and bounds.allowance_window_ms > 0:
             self.allowances.set_terms(limits.terms_of(bounds))
         self.gossip.seeds = list(settings.seeds)
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -1,15 +1,16 @@
-"""Builds what an entry decides with: its copy of the store, the choice of servers, and retries."""
+"""Builds what an entry decides with, and applies changed bounds to it."""
 
 from __future__ import annotations
 
 import collections.abc
 
-from sassafraslock import edge_settings, facts
+from sassafraslock import clock, edge_settings, facts
 from sassafraslock.allowances import limits
 from sassafraslock.allowances import service as allowance_service
 from sassafraslock.decisions import (
     backpressure,
     cold_start,
+    entry_capacity,
     entry_view,
     intents_proof,
     placement,
@@ -18,7 +19,8 @@
     roster,
     server_restarts,
 )
-from sassafraslock.path import retry_gate
+from sassafraslock.decisions.objects import newcomers
+from sassafraslock.path import pipeline, retry_gate
 from sassafraslock.services import gossip, intents_recorder, replica, routing_state
 
 
@@ -101,3 +103,57 @@
     """
     recorder = intents_recorder.IntentsRecorder(proofs, lambda: state.table)
     return replica.Replica(source, state, recorder)
+
+
+def build_capacities(
+    settings: edge_settings.EdgeSettings,
+    boot_ms: int,
+    members: roster.Roster,
+) -> entry_capacity.EntryCapacities:
+    """Return what this entry and the others can carry.
+
+    :param settings: the entry's settings.
+    :param boot_ms: the Unix time of the entry's start.
+    :param members: the other entries.
+    """
+
+    def links() -> dict[str, float]:
+        live = members.live(clock.monotonic_ms())
+        return {
+            settings.entry_id: settings.link_mbps,
+            **{m.record.entry_id: m.record.link_mbps for m in live},
+        }
+
+    resources = entry_capacity.Resources(
+        settings.link_mbps, settings.cores, settings.descriptors, settings.memory_bytes
+    )
+    return entry_capacity.EntryCapacities(settings.entry_id, resources, boot_ms, links)
+
+
+def tell_peers(
+    peers: gossip.GossipService, placer: placement.Placer, settings: edge_settings.EdgeSettings
+) -> None:
+    """Let gossip exchange what the choice of servers learns from answers.
+
+    :param peers: the gossip service.
+    :param placer: the choice of servers.
+    :param settings: the entry's settings.
+    """
+    peers.loads, peers.paces, peers.objects = placer.loads, placer.paces, placer.objects
+    if settings.object_homes_by_demand:
+        peers.newcomers = newcomers.Newcomers()
+
+
+def apply_bounds(
+    requests: pipeline.RequestPipeline, bounds: edge_settings.Bounds, now_ms: int
+) -> None:
+    """Apply changed bounds on retries and on cold servers.
+
+    :param requests: the pipeline of requests.
+    :param bounds: the bounds.
+    :param now_ms: the current monotonic time.
+    """
+    requests.retries.budget.set_bounds(
+        bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms, now_ms
+    )
+    requests.placer.cold.limiter.set_bounds(bounds.cold_overage, bounds.cold_slack)
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -47,8 +47,10 @@
     first. ``metrics_address`` serves metrics only; without it they are at the operator address.
     ``peer_token`` authenticates gossip between entries; if it is empty, gossip from any
     sender is accepted. ``memory_bytes`` is the memory that this process may use, and ``link_mbps``
-    the bandwidth of its machine's link, 0 if it is not known. Without ``object_homes_by_demand``,
-    objects of sticky routes are served by the plans of regions and by rendezvous order alone.
+    the bandwidth of its machine's link. ``cores`` are the processors that it may use, and
+    ``descriptors`` the files and sockets that it may open. These are 0 if they are not known.
+    Without ``object_homes_by_demand``, objects of sticky routes are served by the plans of regions
+    and by rendezvous order alone.
     """
 
     entry_id: str
@@ -64,5 +66,7 @@
     peer_token: str = ""
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     link_mbps: float = 0.0
+    cores: float = 0.0
+    descriptors: int = 0
     object_homes_by_demand: bool = True
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from sassafraslock.services import metrics
+
 if typing.TYPE_CHECKING:
     from sassafraslock import edge
 
@@ -37,3 +39,27 @@
     placer = entry.pipeline.placer
     placements = {result.value: count for result, count in placer.holders.counts.items()}
     gauges.set_objects(entry_id, *placer.objects.sizes(), placements)
+    gauges.set_resources(entry_id, _resources(entry))
+
+
+def _resources(entry: edge.Edge) -> metrics.ResourceGauges:
+    watch = entry.capacity_watch
+    return metrics.ResourceGauges(
+        message_bytes=entry.quota.held_bytes,
+        message_limit_bytes=entry.quota.limit_bytes,
+        unread_response_bytes=sum(c.unread_bytes for c in entry.client_server.connections),
+        server_request_bytes=entry.upstream.request_bytes,
+        connections=connection_count(entry),
+        descriptors=entry.settings.descriptors,
+        link_use_ratio=watch.use.link_ratio,
+        cpu_use_ratio=watch.use.cpu_ratio,
+        named_ratio=watch.capacities.own_factor,
+    )
+
+
+def connection_count(entry: edge.Edge) -> int:
+    """Return the number of connections of clients and to servers.
+
+    :param entry: the entry.
+    """
+    return len(entry.client_server.connections) + entry.upstream.connection_count
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -18,18 +18,25 @@
 from sassafraslock import clock, events, field_types
 from sassafraslock.decisions import (
     departing_servers,
+    entry_capacity,
     gossip_targets,
     intents_proof,
     load_reports,
     message_auth,
     object_memory,
-    quarantine,
+    report_exchange,
     roster,
     server_limits,
     server_restarts,
+    work_pace,
 )
 from sassafraslock.decisions.objects import newcomers
-from sassafraslock.services import list_decoder, poison_watch, rejections
+from sassafraslock.services import (
+    gossip_messages,
+    list_decoder,
+    poison_watch,
+    rejections,
+)
 
 INTERVAL_S = 0.5
 URGENT_INTERVAL_S = 0.15  # between rounds while there is something urgent to tell
@@ -38,56 +45,6 @@
 HEARTBEATS_PER_MESSAGE = 300
 COMPRESSION_LEVEL = 3
 MAX_MESSAGE_BYTES = 256 << 10
-# The first byte of datagrams of other services; the compressed gossip messages begin with 0x78.
-DATAGRAM_MARK = b"\x01"
-
-ReportT = typing.TypeVar("ReportT")
-
-
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """One gossip datagram before compression.
-
-    ``records`` holds the sender's record, first, and those of some live entries; ``beats`` holds
-    heartbeat counters of other live entries. ``limits``, ``departures`` and ``restarts`` go to all
-    entries, ``loads`` to entries nearby only, and ``objects`` to entries of the same region. New
-    fields go to the end, as entries of former versions ignore what follows the last field that they
-    know.
-    """
-
-    records: list[roster.MemberRecord]
-    beats: list[roster.Heartbeat] = []
-    suspects: list[quarantine.SuspectReport] = []
-    loads: list[load_reports.LoadReport] = []
-    objects: list[object_memory.ObjectReport] = []
-    limits: list[server_limits.LimitReport] = []
-    departures: list[departing_servers.DepartureReport] = []
-    restarts: list[server_restarts.RestartReport] = []
-
-
-class ExtendedMessage(Message, frozen=True, array_like=True):
-    """A datagram with what only some deployments have to tell; the others send :class:`Message`.
-
-    ``proofs`` goes to all entries.
-    """
-
-    proofs: list[intents_proof.ProofReport] = []
-
-
-class ReportExchange(typing.Protocol[ReportT]):
-    """Reports that entries nearby send to each other, by answers to this entry or to others."""
-
-    def recent_reports(self, now_ms: int) -> list[ReportT]:
-        """Return the recent reports to send, each with its age.
-
-        :param now_ms: the current monotonic time.
-        """
-
-    def merge_reports(self, reports: list[ReportT], now_ms: int) -> None:
-        """Merge the reports that another entry sent.
-
-        :param reports: the reports, each with its age.
-        :param now_ms: the current monotonic time.
-        """
 
 
 class RecordBuilder(typing.Protocol):
@@ -126,6 +83,8 @@
         "_poison",
         "_rng",
         "loads",
+        "paces",
+        "capacities",
         "objects",
         "limits",
         "newcomers",
@@ -157,21 +116,25 @@
         self._poison = poison
         self.token = token
         self._rng = rng or random.Random()
-        self.loads: ReportExchange[load_reports.LoadReport] | None = None
+        self.loads: report_exchange.ReportExchange[load_reports.LoadReport] | None = None
+        self.paces: report_exchange.ReportExchange[work_pace.PaceReport] | None = None
+        self.capacities: report_exchange.ReportExchange[entry_capacity.CapacityReport] | None = None
         self.objects: object_memory.ObjectMemory | None = None
         self.newcomers: newcomers.Newcomers | None = None
-        self.limits: ReportExchange[server_limits.LimitReport] | None = None
+        self.limits: report_exchange.ReportExchange[server_limits.LimitReport] | None = None
         self.rejections = rejections.Rejections()
-        self.departures: ReportExchange[departing_servers.DepartureReport] | None = None
-        self.restarts: ReportExchange[server_restarts.RestartReport] | None = None
-        self.proofs: ReportExchange[intents_proof.ProofReport] | None = None
+        self.departures: (
+            report_exchange.ReportExchange[departing_servers.DepartureReport] | None
+        ) = None
+        self.restarts: report_exchange.ReportExchange[server_restarts.RestartReport] | None = None
+        self.proofs: report_exchange.ReportExchange[intents_proof.ProofReport] | None = None
         self.on_datagram: DatagramHandler | None = None
         self._bound: anyio.abc.UDPSocket | None = None
         self._sending = anyio.Lock()
         self._is_urgent = anyio.Event()
         self._beat = 0
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = list_decoder.ListDecoder(ExtendedMessage)
+        self._decoder = list_decoder.ListDecoder(gossip_messages.ExtendedMessage)
         self._last_live: set[str] = set()
 
     async def run(self, ready: anyio.Event) -> None:
@@ -217,7 +180,7 @@
         """
         if self._bound is None:
             return
-        signed = message_auth.sign(self.token, DATAGRAM_MARK + payload)
+        signed = message_auth.sign(self.token, gossip_messages.DATAGRAM_MARK + payload)
         await self._send(self._bound, address, signed)
 
     async def _send(self, bound: anyio.abc.UDPSocket, address: str, payload: bytes) -> None:
@@ -237,9 +200,14 @@
         near = gossip_targets.load_sharing_peers(message.records[0], live)
         region = gossip_targets.region_peers(message.records[0], live)
         objects = self.objects.recent_reports(now_ms) if self.objects is not None else []
+        capacities = self.capacities.recent_reports(now_ms) if self.capacities is not None else []
         in_region = msgspec.structs.replace(message, objects=objects)
+        in_region = gossip_messages.extended(in_region, capacities=capacities)
         loads = self.loads.recent_reports(now_ms) if self.loads is not None else []
-        nearby = msgspec.structs.replace(in_region, loads=loads)
+        paces = self.paces.recent_reports(now_ms) if self.paces is not None else []
+        nearby = gossip_messages.extended(
+            msgspec.structs.replace(in_region, loads=loads), paces=paces
+        )
         return [
             *self._addressed(nearby, [a for a in targets if a in near]),
             *self._addressed(in_region, [a for a in targets if a in region - near]),
@@ -248,15 +216,20 @@
         ]
 
     def _to_newcomers(
-        self, message: Message, live: list[roster.MemberRecord], now_ms: int
+        self, message: gossip_messages.Message, live: list[roster.MemberRecord], now_ms: int
     ) -> list[tuple[str, bytes]]:
         if self.newcomers is None or self.objects is None:
             return []
         reports = self.newcomers.reports(message.records[0], live, self.objects, now_ms)
         own = message.records[:1]
-        return [(to, self.pack(Message(own, objects=objects))) for to, objects in reports]
+        return [
+            (to, self.pack(gossip_messages.Message(own, objects=objects)))
+            for to, objects in reports
+        ]
 
-    def _addressed(self, message: Message, addresses: list[str]) -> list[tuple[str, bytes]]:
+    def _addressed(
+        self, message: gossip_messages.Message, addresses: list[str]
+    ) -> list[tuple[str, bytes]]:
         if not addresses:
             return []
         datagram = self.pack(message)
@@ -280,7 +253,7 @@
         known.append(self._build_record(self._beat))
         return [r.entry_id for r in known if not r.leaving and (not region or r.region == region)]
 
-    def message(self, now_ms: int) -> Message:
+    def message(self, now_ms: int) -> gossip_messages.Message:
         """Return one round's message without loads, and increment the heartbeat counter.
 
         It holds the records of a few live entries, drawn at random, and the counters of many.
@@ -297,7 +270,7 @@
         limits = self.limits.recent_reports(now_ms) if self.limits is not None else []
         departures = self.departures.recent_reports(now_ms) if self.departures is not None else []
         restarts = self.restarts.recent_reports(now_ms) if self.restarts is not None else []
-        message = Message(
+        message = gossip_messages.Message(
             [own, *records],
             heartbeats,
             self._poison.recent_reports(now_ms),
@@ -308,9 +281,9 @@
         proofs = self.proofs.recent_reports(now_ms) if self.proofs is not None else []
         if not proofs:
             return message
-        return ExtendedMessage(**msgspec.structs.asdict(message), proofs=proofs)
+        return gossip_messages.ExtendedMessage(**msgspec.structs.asdict(message), proofs=proofs)
 
-    def pack(self, message: Message) -> bytes:
+    def pack(self, message: gossip_messages.Message) -> bytes:
         """Encode and compress a message, and sign it with the peer token.
 
         :param message: the message.
@@ -355,7 +328,7 @@
             reason = "gossip datagram not signed with this entry's peer_token; compare the settings"
             self._reject_message(reason, now_ms)
             return
-        if verified[:1] == DATAGRAM_MARK:
+        if verified[:1] == gossip_messages.DATAGRAM_MARK:
             if self.on_datagram is not None:
                 self.on_datagram(verified[1:], now_ms)
             return
@@ -375,6 +348,10 @@
         self._poison.merge(message.suspects, now_ms)
         if self.loads is not None:
             self.loads.merge_reports(message.loads, now_ms)
+        if self.paces is not None:
+            self.paces.merge_reports(message.paces, now_ms)
+        if self.capacities is not None:
+            self.capacities.merge_reports(message.capacities, now_ms)
         if self.objects is not None:
             self.objects.merge_reports(message.objects, now_ms)
         if self.limits is not None:
--- a/tests/test_departing_servers.py
+++ b/tests/test_departing_servers.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from sassafraslock.decisions import departing_servers, heard_from
-from sassafraslock.services import gossip
+from sassafraslock.services import gossip_messages
 
 PEER, SERVER = heard_from.HeardFrom.PEER, heard_from.HeardFrom.SERVER
 
@@ -36,7 +36,7 @@
 
 def test_entries_of_the_former_version_and_this_one_read_each_others_messages():
     told = [departing_servers.DepartureReport(7, 40)]
-    encoded = msgspec.msgpack.encode(gossip.Message([], departures=told))
+    encoded = msgspec.msgpack.encode(gossip_messages.Message([], departures=told))
     assert msgspec.msgpack.decode(encoded, type=FormerMessage) == FormerMessage([])
     former = msgspec.msgpack.encode(FormerMessage([]))
-    assert msgspec.msgpack.decode(former, type=gossip.Message).departures == []
+    assert msgspec.msgpack.decode(former, type=gossip_messages.Message).departures == []
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -20,7 +20,7 @@
     registry,
     roster,
 )
-from sassafraslock.services import gossip, poison_watch, upstream
+from sassafraslock.services import gossip, gossip_messages, poison_watch, upstream
 from tests import test_departing_watch
 
 
@@ -261,7 +261,7 @@
 
 @pytest.mark.parametrize("name", list(ODD_REPORTS))
 def test_an_odd_report_costs_that_report_alone(name):
-    place = gossip.Message.__struct_fields__.index(name)
+    place = gossip_messages.Message.__struct_fields__.index(name)
     for odd in ODD_REPORTS[name]:
         lists = [[GOOD], *([] for _ in range(place - 1)), odd]
         entry = service()
@@ -441,7 +441,9 @@
     own = roster.MemberRecord("x", 1, 7, "a", "a-1", "10.0.0.1:1", "10.0.0.1:2")
     loads = [load_reports.LoadReport(1, 2, 3)]
     objects = [object_memory.ObjectReport(1, 2, 3)]
-    new = msgspec.msgpack.encode(gossip.Message([own], [], [], loads, objects))
+    new = msgspec.msgpack.encode(gossip_messages.Message([own], [], [], loads, objects))
     assert msgspec.msgpack.decode(new, type=FormerMessage).records == [own]
     former = msgspec.msgpack.encode(FormerMessage([own]))
-    assert msgspec.msgpack.decode(former, type=gossip.Message) == gossip.Message([own])
+    assert msgspec.msgpack.decode(former, type=gossip_messages.Message) == gossip_messages.Message(
+        [own]
+    )
--- a/tests/test_intents_recorder.py
+++ b/tests/test_intents_recorder.py
@@ -11,6 +11,7 @@
 from sassafraslock.services import (
     export_decoder,
     gossip,
+    gossip_messages,
     intents_recorder,
     poison_watch,
     poll_pace,
@@ -99,7 +100,9 @@
         await anyio.sleep(3.0)
         assert set(source.waits_ms) == {poll_pace.LONG_POLL_MS}
         assert type(entry.copy.export({})) is store_export.Export
-        assert type(gossip_of(entry.proofs).message(clock.monotonic_ms())) is gossip.Message
+        assert (
+            type(gossip_of(entry.proofs).message(clock.monotonic_ms())) is gossip_messages.Message
+        )
 
     run(monkeypatch, scenario, bound_ms=None)
 
--- a/tests/test_object_memory.py
+++ b/tests/test_object_memory.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sassafraslock.decisions import object_memory, registry, roster
-from sassafraslock.services import gossip, poison_watch, upstream
+from sassafraslock.services import gossip, gossip_messages, poison_watch, upstream
 
 X, Y = 11, 12
 
@@ -108,7 +108,7 @@
             peer = member(f"{zone}-{number}", zone, region, f"10.0.{part}.{number}")
             region_of[peer.gossip_address] = region
             service.roster.merge_record(peer, 0)
-    decoder = msgspec.msgpack.Decoder(gossip.Message)
+    decoder = msgspec.msgpack.Decoder(gossip_messages.Message)
     regions = set()
     for _ in range(20):
         for address, datagram in service.datagrams(0):
