--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -10,13 +10,13 @@
 
 import anyio
 
-import sassafraslock
 from sassafraslock import (
     clock,
     edge_decisions,
     edge_settings,
     entry_gauges,
     entry_interfaces,
+    entry_status,
     events,
     facts,
     header_names,
@@ -90,14 +90,7 @@
         self.upstream = upstream.Upstream(request_id, self.quota)
         servers = registry.Registry()
         self.poison = poison_watch.PoisonWatch(self.upstream, servers)
-        self.gossip = gossip.GossipService(
-            settings.entry_id,
-            settings.gossip_address,
-            list(settings.seeds),
-            self.member_record,
-            self.poison,
-            settings.peer_token,
-        )
+        self.gossip = self._build_gossip()
         self.routing_state = routing_state.RoutingState(servers, self.gossip.roster)
         self.key_proof = intents_proof.IntentsProofs(settings.bounds.revoke_ms)
         self.replica = edge_decisions.build_replica(source, self.routing_state, self.key_proof)
@@ -123,6 +116,17 @@
         self._register_request_services(keys, platform_services or {})
         self._subscribe(placer)
 
+    def _build_gossip(self) -> gossip.GossipService:
+        settings = self.settings
+        return gossip.GossipService(
+            settings.entry_id,
+            settings.gossip_address,
+            list(settings.seeds),
+            self.member_record,
+            self.poison,
+            settings.peer_token,
+        )
+
     def _build_directory(self) -> tuple[capacity_watch.CapacityWatch, directory.Directory]:
         settings, members = self.settings, self.gossip.roster
         capacities = edge_decisions.build_capacities(settings, self.boot_ms, members)
@@ -242,22 +246,7 @@
 
         :param now_ms: the current monotonic time.
         """
-        table = self.routing_state.table
-        return operator_api.Status(
-            entry_id=self.settings.entry_id,
-            version=sassafraslock.VERSION,
-            region=self.settings.region,
-            zone=self.settings.zone,
-            ready=self.is_ready,
-            leaving=self.leaving,
-            revision=table.version if table else 0,
-            facts_age_ms=now_ms - self.replica.last_answer_ms,
-            members=sorted(self.gossip.live_ids()),
-            servers=len(self.routing_state.registry.servers),
-            evacuated=sorted(self.routing_state.registry.evacuated_zones),
-            in_flight=self.pipeline.in_flight,
-            splits=self.planner.splits(),
-        )
+        return entry_status.summarize(self, now_ms)
 
     def dump(self) -> dict[str, object]:
         """Return the state and failure count of every service by its name."""
