--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -133,6 +133,7 @@
         seeds=tuple(str(peer) for peer in process.peers),
         peer_token=process.peer_token,
         memory_bytes=process.memory_mib << 20,
+        object_homes_by_demand=process.object_homes_by_demand,
         bounds=bounds,
     )
 
--- a/sassafraslock/settings.py
+++ b/sassafraslock/settings.py
@@ -68,7 +68,8 @@
     Callers connect to ``caller`` and other entries to ``peer``; ``peers`` are the addresses of
     other entries for gossip, authenticated by ``peer_token``. Callers may keep a list of entries
     for ``validity_ms``. The entry polls the table service every ``poll_ms`` and stops within
-    ``stop_bound_ms``.
+    ``stop_bound_ms``. Without ``object_homes_by_demand``, objects follow region plans and
+    rendezvous order alone.
     """
 
     entry_id: Name
@@ -85,6 +86,7 @@
     poll_ms: Milliseconds = POLL_MS
     stop_bound_ms: Milliseconds = STOP_BOUND_MS
     memory_mib: MemoryMib = MEMORY_MIB
+    object_homes_by_demand: bool = True
 
 
 SettingsResult = Settings | list[settings_check.Problem]
