--- a/benchmarks/revocation_world.py
+++ b/benchmarks/revocation_world.py
@@ -34,7 +34,7 @@
 CONFIRM_MS = 2  # from a write to its confirmation
 MAX_CLOCK_DRIFT = 0.0002
 TIMEOUT_MS = int(1_000 * store_calls.ANSWER_TIMEOUT_S)
-RETRY_MS = int(1_000 * replica.RETRY_PAUSE_S)
+RETRY_MS = int(1_000 * poll_pace.RETRY_PAUSE_S)
 FETCH_TIMEOUT_MS = int(1_000 * peer_copies.FETCH_TIMEOUT_S)
 FOLLOW_TIMEOUT_MS = zone_feed.CHANGES_WAIT_MS + int(1_000 * peer_copies.ANSWER_MARGIN_S)
 
--- a/sassafraslock/settings.py
+++ b/sassafraslock/settings.py
@@ -97,7 +97,8 @@
     Callers connect to ``caller`` and other entries to ``peer``; ``peers`` are the addresses of
     other entries for gossip, authenticated by ``peer_token``. Callers may keep a list of entries
     for ``validity_ms``. The entry polls the table service every ``poll_ms`` and stops within
-    ``stop_bound_ms``. All entries must have the same ``keys`` and ``allowances``.
+    ``stop_bound_ms``. All entries must have the same ``keys`` and ``allowances``. Without
+    ``object_homes_by_demand``, objects follow region plans and rendezvous order alone.
     """
 
     entry_id: Name
@@ -116,6 +117,7 @@
     memory_mib: MemoryMib = MEMORY_MIB
     keys: Keys = dataclasses.field(default_factory=Keys)
     allowances: Allowances = dataclasses.field(default_factory=Allowances)
+    object_homes_by_demand: bool = True
 
 
 SettingsResult = Settings | list[settings_check.Problem]
