Quotas: the code uses the field's term for what a workspace may use

The modules, settings, error kinds, events and metrics of the limits that are summed over entries were named allowances, which is a word of the customers' pages.

--- a/benchmarks/fair_share.py
+++ b/benchmarks/fair_share.py
@@ -269,7 +269,7 @@
     priority: int = 0,
     entries: typing.Callable[[float], typing.Sequence[int]] = lambda _: range(ENTRIES),
 ) -> Client:
-    """Return a workspace whose allowance is 1.6 times its usual demand."""
+    """Return a workspace whose quota is 1.6 times its usual demand."""
     rate_per_s = 1.6 * usual * CAPACITY_PER_S
     workspace = workspaces.Workspace(name, (), priority, rate_per_s)
     return Client(workspace, lambda s: usual * factor(s), entries)
--- a/sassafraslock/decisions/fair_share.py
+++ b/sassafraslock/decisions/fair_share.py
@@ -161,7 +161,7 @@
 class FairShare:
     """Weighted max-min fair shares of each service, among the workspaces of one priority.
 
-    A workspace weighs as much as its allowance; without one it weighs as much as the mean of the
+    A workspace weighs as much as its quota; without one it weighs as much as the mean of the
     others. The state is bounded by the workspaces and services of the configuration.
     """
 
--- a/sassafraslock/demo.py
+++ b/sassafraslock/demo.py
@@ -130,7 +130,7 @@
             poll_ms=200,
             stop_bound_ms=STOP_BOUND_MS,
             keys=settings.Keys(demo_workspaces.REVOKE_MS),
-            allowances=demo_workspaces.ALLOWANCES,
+            quotas=demo_workspaces.QUOTAS,
         )
         platform_table = platform_client.PlatformClient(process.platform)
         cluster.entries.append(entry.Entry(process, platform_table, cluster.log_handler))
@@ -299,7 +299,7 @@
     limits = {frozenset(REGIONS): LINK_BYTES_PER_S}
     region_limit = cluster.teams[shared_settings.SYSTEM_TEAM].regions[REGIONS[0]].max_in_flight
     drained_server = cluster.servers[f"{DRAINED_SERVICE.partition('/')[2]}-gorenjska-0"]
-    gates = [instance.edge.pipeline.allowances for instance in cluster.entries]
+    gates = [instance.edge.pipeline.quotas for instance in cluster.entries]
     seen = demo_workspaces.findings(stats, cluster.servers.values(), gates, cluster.revoked_at_ms)
     return judgement.Summary(
         requests=stats.requests,
--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -27,7 +27,6 @@
     signal_watch,
     signals,
 )
-from sassafraslock.allowances import limits
 from sassafraslock.decisions import (
     backpressure,
     intents_proof,
@@ -38,6 +37,7 @@
     stop_schedule,
 )
 from sassafraslock.path import access_log, attempt_recorder, forwarder, identify, pipeline, send
+from sassafraslock.quotas import limits
 from sassafraslock.services import (
     backpressure_watch,
     capacity_watch,
@@ -109,7 +109,7 @@
         self.capacity_watch, self.directory = self._build_directory()
         handler, policy = handlers.client_handler(self), self.pipeline.may_run_concurrently
         self.client_server = self._http_server(handler, settings.client_address, policy)
-        self.allowances = edge_decisions.build_allowances(
+        self.quotas = edge_decisions.build_quotas(
             settings, self.gossip, self.member_record, clock.monotonic_ms()
         )
         self._register_services(handlers)
@@ -148,9 +148,9 @@
         self.pipeline.forwarder.key_proof = self.key_proof
         placer.cold.restarts.on_observed = self.gossip.send_soon
         self.routing_state.listeners.append(self._apply_table)
-        if self.allowances is not None:
-            self.pipeline.allowances = self.allowances
-            self.routing_state.listeners.append(self.allowances.apply_table)
+        if self.quotas is not None:
+            self.pipeline.quotas = self.quotas
+            self.routing_state.listeners.append(self.quotas.apply_table)
         self.routing_state.on_server_joined = placer.record_join
         self.routing_state.on_server_restarted = placer.cold.restarts.record_start
         placer.cold.limiter.on_asked = cold_limit_watch.ColdLimitWatch().record
@@ -191,8 +191,8 @@
         self.kernel.register("capacity", self.capacity_watch)
         self.kernel.register("replica", self.replica)
         self.kernel.register("gossip", self.gossip)
-        if self.allowances is not None:
-            self.kernel.register("allowances", self.allowances)
+        if self.quotas is not None:
+            self.kernel.register("quotas", self.quotas)
         self.kernel.register("proofs", proof_watch.ProofWatch(self.key_proof, self.routing_state))
         self.kernel.register("planner", self.planner)
         self.kernel.register("upstream", self.upstream)
@@ -340,8 +340,8 @@
         self.key_proof.revoke_ms = bounds.revoke_ms
         self.quota.resize(settings.memory_bytes)
         edge_decisions.apply_bounds(self.pipeline, bounds, clock.monotonic_ms())
-        if self.allowances is not None and bounds.allowance_window_ms > 0:
-            self.allowances.set_terms(limits.terms_of(bounds))
+        if self.quotas is not None and bounds.quota_window_ms > 0:
+            self.quotas.set_terms(limits.terms_of(bounds))
         self.gossip.seeds = list(settings.seeds)
         self.kernel.stop_bound_ms = self._stop_bound_ms()
         events.log(events.Event.SETTINGS_RELOADED, "reloaded settings are in force")
--- a/sassafraslock/edge_decisions.py
+++ b/sassafraslock/edge_decisions.py
@@ -5,8 +5,6 @@
 import collections.abc
 
 from sassafraslock import clock, edge_settings, facts
-from sassafraslock.allowances import limits
-from sassafraslock.allowances import service as allowance_service
 from sassafraslock.decisions import (
     backpressure,
     cold_start,
@@ -21,6 +19,8 @@
 )
 from sassafraslock.decisions.objects import newcomers
 from sassafraslock.path import pipeline, retry_gate
+from sassafraslock.quotas import limits
+from sassafraslock.quotas import service as quota_service
 from sassafraslock.services import gossip, intents_recorder, replica, routing_state
 
 
@@ -71,12 +71,12 @@
     return retry_gate.RetryGate(budget, members.sharing_count)
 
 
-def build_allowances(
+def build_quotas(
     settings: edge_settings.EdgeSettings,
     peers: gossip.GossipService,
     own_record: collections.abc.Callable[[int], roster.MemberRecord],
     now_ms: int,
-) -> allowance_service.AllowanceService | None:
+) -> quota_service.QuotaService | None:
     """Return the service that limits workspaces, none where no window is set.
 
     :param settings: the entry's settings.
@@ -84,10 +84,10 @@
     :param own_record: returns this entry's record.
     :param now_ms: the current monotonic time.
     """
-    if settings.bounds.allowance_window_ms <= 0:
+    if settings.bounds.quota_window_ms <= 0:
         return None
     terms = limits.terms_of(settings.bounds)
-    return allowance_service.AllowanceService(peers, own_record, terms, now_ms)
+    return quota_service.QuotaService(peers, own_record, terms, now_ms)
 
 
 def build_replica(
--- a/sassafraslock/edge_settings.py
+++ b/sassafraslock/edge_settings.py
@@ -19,8 +19,8 @@
     ``cold_overage`` times the rate that its service allows and ``cold_slack`` requests a second
     more. Callers may keep addresses of entries for ``max_validity_ms``. Where ``revoke_ms`` is set,
     no request runs that was sent with a key later than this after the key was taken away. Within
-    any ``allowance_window_ms``, a workspace gets no more requests than its rate and burst allow,
-    times 1 and ``allowance_overage``, and ``allowance_slack`` more; 0 means that no allowance is
+    any ``quota_window_ms``, a workspace gets no more requests than its rate and burst allow,
+    times 1 and ``quota_overage``, and ``quota_slack`` more; 0 means that no quota is
     enforced.
     """
 
@@ -33,9 +33,9 @@
     cold_slack: float = 5.0
     max_validity_ms: int = 5_000
     revoke_ms: int | None = None
-    allowance_window_ms: int = 0
-    allowance_overage: float = 0.1
-    allowance_slack: float = 20.0
+    quota_window_ms: int = 0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sassafraslock/entry.py
+++ b/sassafraslock/entry.py
@@ -122,9 +122,9 @@
         grace_ms=process.stop_bound_ms,
         max_validity_ms=process.validity_ms,
         revoke_ms=process.keys.revoke_ms,
-        allowance_window_ms=process.allowances.window_ms,
-        allowance_overage=process.allowances.overage,
-        allowance_slack=process.allowances.slack,
+        quota_window_ms=process.quotas.window_ms,
+        quota_overage=process.quotas.overage,
+        quota_slack=process.quotas.slack,
     )
     return edge_settings.EdgeSettings(
         entry_id=process.entry_id,
--- a/sassafraslock/entry_gauges.py
+++ b/sassafraslock/entry_gauges.py
@@ -32,10 +32,10 @@
     proofs = entry.key_proof
     if proofs.revoke_ms is not None:
         gauges.set_proof(entry_id, proofs.may_accept(now_ms), proofs.age_ms(now_ms))
-    if entry.allowances is not None:
-        collector = entry.allowances.node.collector
+    if entry.quotas is not None:
+        collector = entry.quotas.node.collector
         shares, used_up = collector.book.share, len(collector.limited_since_ms)
-        gauges.set_allowances(entry_id, shares, used_up, entry.allowances.token_counts())
+        gauges.set_quotas(entry_id, shares, used_up, entry.quotas.token_counts())
     placer = entry.pipeline.placer
     placements = {result.value: count for result, count in placer.holders.counts.items()}
     gauges.set_objects(entry_id, *placer.objects.sizes(), placements)
--- a/sassafraslock/errors.py
+++ b/sassafraslock/errors.py
@@ -37,8 +37,8 @@
     KEY_UNKNOWN = "key-unknown"
     KEY_UNPROVEN = "key-unproven"
     REGION_FORBIDDEN = "region-forbidden"
-    ALLOWANCE_USED_UP = "allowance-used-up"
-    ALLOWANCE_UNKNOWN = "allowance-unknown"
+    QUOTA_USED_UP = "quota-used-up"
+    QUOTA_UNKNOWN = "quota-unknown"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -86,8 +86,8 @@
     ErrorKind.KEY_UNKNOWN: ErrorProperties(401, True, 9),
     ErrorKind.KEY_UNPROVEN: ErrorProperties(503, True, 7, 500),
     ErrorKind.REGION_FORBIDDEN: ErrorProperties(403, True, 9),
-    ErrorKind.ALLOWANCE_USED_UP: ErrorProperties(429, True, 6, 500),
-    ErrorKind.ALLOWANCE_UNKNOWN: ErrorProperties(503, True, 6, 500),
+    ErrorKind.QUOTA_USED_UP: ErrorProperties(429, True, 6, 500),
+    ErrorKind.QUOTA_UNKNOWN: ErrorProperties(503, True, 6, 500),
 }
 
 
--- a/sassafraslock/judgement.py
+++ b/sassafraslock/judgement.py
@@ -43,12 +43,12 @@
     p50_ms: float
     p99_ms: float
     key_refusals: int
-    allowance_refusals: int
-    allowances_enforced: bool
+    quota_refusals: int
+    quotas_enforced: bool
     keys_at_servers: int
     wrong_workspaces: int
     ran_after_revocation: int
-    highest_allowance_use_ratio: float
+    highest_quota_use_ratio: float
 
     def violated_guarantees(self) -> list[str]:
         """Return a description of each guarantee that the run violated, empty if all held."""
@@ -65,7 +65,7 @@
             "a server saw the key of a workspace": self.keys_at_servers > 0,
             "a server was told the wrong workspace": self.wrong_workspaces > 0,
             "a request ran with a key taken away before": self.ran_after_revocation > 0,
-            "a workspace got more than its allowance": self.highest_allowance_use_ratio > 1.0,
+            "a workspace got more than its quota": self.highest_quota_use_ratio > 1.0,
             "not every request has an outcome": self.requests
             != self.answered + self.refused_not_run + self.unknown,
         }
--- a/sassafraslock/path/access_log.py
+++ b/sassafraslock/path/access_log.py
@@ -7,9 +7,9 @@
 import typing
 
 from sassafraslock import events
-from sassafraslock.allowances import refusal
 from sassafraslock.decisions import candidates, fair_share
 from sassafraslock.path import judge, request_context, send
+from sassafraslock.quotas import refusal
 from sassafraslock.services import metrics
 
 
@@ -99,8 +99,8 @@
             fields["best"] = _choice_fields(context.refusal.choice)
             fields["limited_by"] = context.refusal.cause.value
             fields |= _terms_fields(context.refusal.terms)
-        if isinstance(context.refusal, refusal.AllowanceRefusal):
-            fields |= _allowance_fields(context.refusal, now_ms)
+        if isinstance(context.refusal, refusal.QuotaRefusal):
+            fields |= _quota_fields(context.refusal, now_ms)
         received_ms = context.incoming.request.received_ms
         fields["attempts"] = [_attempt_fields(a, v, received_ms) for a, v in context.attempts]
         return fields
@@ -116,7 +116,7 @@
     return {name: count for name, count in counts.items() if count}
 
 
-def _allowance_fields(refused: refusal.AllowanceRefusal, now_ms: int) -> dict[str, object]:
+def _quota_fields(refused: refusal.QuotaRefusal, now_ms: int) -> dict[str, object]:
     """Return which collector refused a request, after what wait and how long ago."""
     return {
         "collector": refused.collector,
--- a/sassafraslock/path/pipeline.py
+++ b/sassafraslock/path/pipeline.py
@@ -8,10 +8,10 @@
 from sassafraslock import clock, errors, header_names, http_messages
 from sassafraslock.decisions import candidates, placement, route_latency, split, stop_schedule
 from sassafraslock.path import (
-    allowance_gate,
     answer,
     forwarder,
     identify,
+    quota_gate,
     read,
     refusals,
     request_context,
@@ -28,7 +28,7 @@
     ``record_demand`` is called for each request before its first attempt, with the service, the
     milliseconds for which the request is expected to keep a server busy, and the monotonic time.
     While ``closed``, all new requests are refused; in a stop, also those that its ``schedule`` does
-    not accept. ``allowances`` limits the requests of workspaces.
+    not accept. ``quotas`` limits the requests of workspaces.
     """
 
     __slots__ = (
@@ -40,7 +40,7 @@
         "_is_stopped",
         "forwarder",
         "splitter",
-        "allowances",
+        "quotas",
         "_routing_state",
         "_names",
         "_observer",
@@ -67,7 +67,7 @@
         self._is_stopped = False
         self.forwarder = request_forwarder
         self.splitter = split.Splitter()
-        self.allowances: allowance_gate.AllowanceGate = allowance_gate.NoAllowances()
+        self.quotas: quota_gate.QuotaGate = quota_gate.NoQuotas()
         self._routing_state = state
         self._names = names
         self._observer = observer
@@ -196,12 +196,12 @@
             return refusals.QUARANTINED
         if routed.workspace is None:
             return await self._place(context, routed)
-        refusal = await self.allowances.acquire(routed.workspace, now_ms)
+        refusal = await self.quotas.acquire(routed.workspace, now_ms)
         if refusal is not None:
             return refusal
         outcome = await self._place(context, routed)
         if isinstance(outcome, errors.Refusal) and outcome.properties.not_run:
-            self.allowances.give_back(routed.workspace, clock.monotonic_ms())
+            self.quotas.give_back(routed.workspace, clock.monotonic_ms())
         return outcome
 
     async def _place(
--- a/sassafraslock/path/allowance_gate.py
+++ b/sassafraslock/path/quota_gate.py
@@ -1,4 +1,4 @@
-"""The gate that requests pass within the allowance of their workspace."""
+"""The gate that requests pass within the quota of their workspace."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from sassafraslock import errors, workspaces
 
 
-class AllowanceGate(typing.Protocol):
+class QuotaGate(typing.Protocol):
     """Limits the requests of each workspace, summed over all entries."""
 
     async def acquire(self, workspace: workspaces.Workspace, now_ms: int) -> errors.Refusal | None:
@@ -25,7 +25,7 @@
         """
 
 
-class NoAllowances:
+class NoQuotas:
     """The gate where nothing limits workspaces."""
 
     __slots__ = ()
--- a/sassafraslock/allowances/asks.py
+++ b/sassafraslock/quotas/asks.py
@@ -5,7 +5,7 @@
 import collections.abc
 import dataclasses
 
-from sassafraslock.allowances import collector_choice, limits, messages, outbox
+from sassafraslock.quotas import collector_choice, limits, messages, outbox
 
 NEXT_AFTER_MS = 60
 ABROAD_AFTER_MS = 160  # 55 ms each way between regions, and a busy event loop
--- a/sassafraslock/allowances/collector.py
+++ b/sassafraslock/quotas/collector.py
@@ -6,7 +6,7 @@
 import collections.abc
 import dataclasses
 
-from sassafraslock.allowances import (
+from sassafraslock.quotas import (
     grant_log,
     lease_book,
     limits,
--- a/sassafraslock/allowances/limits.py
+++ b/sassafraslock/quotas/limits.py
@@ -56,4 +56,4 @@
 
     :param bounds: the settings, whose window is above 0.
     """
-    return Terms(bounds.allowance_window_ms, bounds.allowance_overage, bounds.allowance_slack)
+    return Terms(bounds.quota_window_ms, bounds.quota_overage, bounds.quota_slack)
--- a/sassafraslock/allowances/node.py
+++ b/sassafraslock/quotas/node.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from sassafraslock.allowances import (
+from sassafraslock.quotas import (
     asks,
     collector,
     collector_choice,
@@ -36,7 +36,7 @@
     called_ms: int
 
 
-class AllowanceNode:
+class QuotaNode:
     """The decisions of one entry without I/O: messages, requests and time in, messages out.
 
     ``entries`` returns all entries, this one included. While no limit is in force, nothing is sent
--- a/sassafraslock/allowances/outbox.py
+++ b/sassafraslock/quotas/outbox.py
@@ -5,7 +5,7 @@
 import collections
 import typing
 
-from sassafraslock.allowances import messages
+from sassafraslock.quotas import messages
 
 ItemT = typing.TypeVar("ItemT")
 
--- a/sassafraslock/allowances/pulls.py
+++ b/sassafraslock/quotas/pulls.py
@@ -6,7 +6,7 @@
 import dataclasses
 import typing
 
-from sassafraslock.allowances import limits, messages, outbox
+from sassafraslock.quotas import limits, messages, outbox
 
 ANSWER_MS = 200  # 55 ms each way between regions, and a busy event loop
 SILENT_MS = 1_000
--- a/sassafraslock/allowances/refusal.py
+++ b/sassafraslock/quotas/refusal.py
@@ -6,14 +6,14 @@
 import random
 
 from sassafraslock import errors
-from sassafraslock.allowances import asks, messages
+from sassafraslock.quotas import asks, messages
 
 SPREAD_RATIO = 0.5
 SPREAD_MS = 200
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class AllowanceRefusal(errors.Refusal):
+class QuotaRefusal(errors.Refusal):
     """The refusal of a request, and what decided it.
 
     :param limit: the key of the limit.
@@ -30,7 +30,7 @@
     decided_ms: int = 0
 
 
-def refuse(ask: asks.Ask, rng: random.Random) -> AllowanceRefusal:
+def refuse(ask: asks.Ask, rng: random.Random) -> QuotaRefusal:
     """Return the refusal of a request whose ask brought no token.
 
     The time after which to retry is spread, so that callers do not return together.
@@ -38,17 +38,17 @@
     :param ask: the settled ask.
     :param rng: the source of the spread.
     """
-    kind = errors.ErrorKind.ALLOWANCE_UNKNOWN
+    kind = errors.ErrorKind.QUOTA_UNKNOWN
     reason = (
         "no collector answered in time whether the workspace may send more; retry at another entry"
     )
     wait_ms = errors.ERROR_PROPERTIES[kind].retry_after_ms
     if ask.verdict is messages.Verdict.USED_UP:
-        kind = errors.ErrorKind.ALLOWANCE_USED_UP
+        kind = errors.ErrorKind.QUOTA_USED_UP
         reason = "the workspace has used up its quota of requests; retry later, or raise the quota"
         wait_ms = max(1, ask.wait_ms)
     spread_ms = rng.random() * (SPREAD_RATIO * wait_ms + SPREAD_MS)
-    return AllowanceRefusal(
+    return QuotaRefusal(
         kind,
         reason,
         round(wait_ms + spread_ms),
--- a/sassafraslock/allowances/service.py
+++ b/sassafraslock/quotas/service.py
@@ -10,7 +10,8 @@
 import anyio
 
 from sassafraslock import clock, errors, events, routing_table, workspaces
-from sassafraslock.allowances import (
+from sassafraslock.decisions import roster
+from sassafraslock.quotas import (
     asks,
     collector_choice,
     limits,
@@ -18,7 +19,6 @@
     node,
     refusal,
 )
-from sassafraslock.decisions import roster
 from sassafraslock.services import gossip, rejections
 
 # The ask whose token the request of the current task uses.
@@ -51,7 +51,7 @@
     return infos
 
 
-class AllowanceService:
+class QuotaService:
     """Limits the requests of each workspace, summed over all entries."""
 
     __slots__ = (
@@ -85,7 +85,7 @@
             own.entry_id, own.region, own.link_mbps, own.boot_ms, now_ms
         )
         run = self._rng.getrandbits(63)
-        self.node = node.AllowanceNode(info, run, terms, self._entries, now_ms)
+        self.node = node.QuotaNode(info, run, terms, self._entries, now_ms)
         peers.on_datagram = self.take_datagram
 
     def apply_table(self, table: routing_table.RoutingTable) -> None:
@@ -146,7 +146,7 @@
         message = messages.decode(payload)
         if isinstance(message, str):
             event = events.Event.PEER_MESSAGE_REJECTED
-            self.rejections.record(event, "allowance message", message, now_ms)
+            self.rejections.record(event, "quota message", message, now_ms)
             return
         if message.sender not in self._addresses:
             return  # gossip has not told of this entry yet; it asks again
@@ -198,18 +198,18 @@
     def _log_changes(self, was_collecting: bool) -> None:
         collector = self.node.collector
         if collector.is_active != was_collecting:
-            event = events.Event.ALLOWANCE_COLLECTOR_CHANGED
+            event = events.Event.QUOTA_COLLECTOR_CHANGED
             verb = "begins" if collector.is_active else "stops"
             text = f"this entry {verb} to collect the region's shares of quotas"
             events.log(event, text, collects=collector.is_active, region=self.node.own.region)
         limited = set(collector.limited_since_ms)
         for key in sorted(limited - self._limited):
-            event = events.Event.ALLOWANCE_USED_UP
+            event = events.Event.QUOTA_USED_UP
             text = "requests over a quota are refused"
             events.log(event, text, logging.WARNING, limit=key, share=collector.book.share)
         for key in sorted(self._limited - limited):
             text = "no request over a quota came for 10 s"
-            events.log(events.Event.ALLOWANCE_FREE, text, limit=key)
+            events.log(events.Event.QUOTA_FREE, text, limit=key)
         self._limited = limited
 
     def token_counts(self) -> dict[str, float]:
--- a/sassafraslock/allowances/share_gatherer.py
+++ b/sassafraslock/quotas/share_gatherer.py
@@ -5,7 +5,7 @@
 import collections.abc
 import dataclasses
 
-from sassafraslock.allowances import lease_book, messages, outbox, share_size
+from sassafraslock.quotas import lease_book, messages, outbox, share_size
 
 RENEW_MS = 500
 RENEWALS = 3  # a lease outlasts two renewals that are lost
--- a/sassafraslock/allowances/share_owner.py
+++ b/sassafraslock/quotas/share_owner.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from sassafraslock.allowances import messages
+from sassafraslock.quotas import messages
 
 
 @dataclasses.dataclass(slots=True)
--- a/sassafraslock/allowances/token_bucket.py
+++ b/sassafraslock/quotas/token_bucket.py
@@ -5,7 +5,7 @@
 import bisect
 import math
 
-from sassafraslock.allowances import limits
+from sassafraslock.quotas import limits
 
 DEMAND_MEMORY_MS = 500
 MAX_WAIT_MS = 10_000
--- a/sassafraslock/services/metrics.py
+++ b/sassafraslock/services/metrics.py
@@ -94,8 +94,8 @@
     "keys_accepted": "1 if requests with keys may run.",
     "intents_proof_age_seconds": "Greatest age of the proof of the intents, +Inf without one.",
     "accept_failures": "Connections of clients that could not be accepted.",
-    "allowance_shares": "Part of all workspaces' quotas that this entry holds as a collector.",
-    "allowances_used_up": "Quotas over which this entry refused requests in the last 10 s.",
+    "quota_shares": "Part of all workspaces' quotas that this entry holds as a collector.",
+    "quotas_used_up": "Quotas over which this entry refused requests in the last 10 s.",
     "objects_known": "Objects that servers are known to have in memory.",
     "object_homes": "Servers that are known to have an object in memory, summed over objects.",
 }
@@ -109,7 +109,7 @@
     "abandoned_attempts_total": "Attempts ended since another server answered first.",
     "server_restarts_total": "New starts of known servers that were taken up.",
     "workspace_refusals_total": "Refused requests by workspace and kind of the refusal.",
-    "allowance_tokens_total": "Tokens of quotas by result: granted, refused, returned or voided.",
+    "quota_tokens_total": "Tokens of quotas by result: granted, refused, returned or voided.",
     "object_placements_total": "Placements on sticky routes, by where their object was.",
 }
 
@@ -314,7 +314,7 @@
             self._gauges["connections_cut"].set({"entry": entry_id, "cause": cause.value}, count)
         self._gauges["accept_failures"].set({"entry": entry_id}, accept_failures)
 
-    def set_allowances(
+    def set_quotas(
         self, entry_id: str, shares: float, used_up: int, counts: typing.Mapping[str, float]
     ) -> None:
         """Set the gauges and counters of the quotas of workspaces.
@@ -324,11 +324,11 @@
         :param used_up: the number of quotas over which it refused requests lately.
         :param counts: the number of tokens so far, by result.
         """
-        self._gauges["allowance_shares"].set({"entry": entry_id}, shares)
-        self._gauges["allowances_used_up"].set({"entry": entry_id}, used_up)
+        self._gauges["quota_shares"].set({"entry": entry_id}, shares)
+        self._gauges["quotas_used_up"].set({"entry": entry_id}, used_up)
         for result, count in counts.items():
             labels = {"entry": entry_id, "result": result}
-            self._counters["allowance_tokens_total"].set(labels, count)
+            self._counters["quota_tokens_total"].set(labels, count)
 
     def render(self) -> bytes:
         """Return all metrics in the text format, as UTF-8."""
--- a/sassafraslock/settings.py
+++ b/sassafraslock/settings.py
@@ -78,11 +78,11 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Allowances:
-    """The bounds of the allowances of workspaces.
+class Quotas:
+    """The bounds of the quotas of workspaces.
 
     Within any ``window_ms``, a workspace gets no more requests than its rate and burst allow, times
-    1 and ``overage``, and ``slack`` more. 0 means that no allowance is enforced.
+    1 and ``overage``, and ``slack`` more. 0 means that no quota is enforced.
     """
 
     window_ms: WindowMs = 0
@@ -97,7 +97,7 @@
     Callers connect to ``caller`` and other entries to ``peer``; ``peers`` are the addresses of
     other entries for gossip, authenticated by ``peer_token``. Callers may keep a list of entries
     for ``validity_ms``. The entry polls the table service every ``poll_ms`` and stops within
-    ``stop_bound_ms``. All entries must have the same ``keys`` and ``allowances``. Without
+    ``stop_bound_ms``. All entries must have the same ``keys`` and ``quotas``. Without
     ``object_homes_by_demand``, objects follow region plans and rendezvous order alone.
     """
 
@@ -116,7 +116,7 @@
     stop_bound_ms: Milliseconds = STOP_BOUND_MS
     memory_mib: MemoryMib = MEMORY_MIB
     keys: Keys = dataclasses.field(default_factory=Keys)
-    allowances: Allowances = dataclasses.field(default_factory=Allowances)
+    quotas: Quotas = dataclasses.field(default_factory=Quotas)
     object_homes_by_demand: bool = True
 
 
--- a/tests/allowance_fleet.py
+++ b/tests/quota_fleet.py
@@ -7,8 +7,8 @@
 import itertools
 import random
 
-from sassafraslock.allowances import limits, messages, node, service
 from sassafraslock.decisions import roster
+from sassafraslock.quotas import limits, messages, node, service
 
 TERMS = limits.Terms(5_000, 0.1, 20.0)
 REGIONS = ("a", "b", "c")
@@ -105,7 +105,7 @@
             return service.entries_of(entry.members, entry.record(), now_ms)
 
         run = self.rng.getrandbits(60)
-        entry.node = node.AllowanceNode(info, run, TERMS, entries, self.now_ms)
+        entry.node = node.QuotaNode(info, run, TERMS, entries, self.now_ms)
         entry.node.apply_limits(list(self.limits.values()), self.now_ms)
         self.after(self.rng.randrange(100), self._tick, entry, entry.node)
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -22,8 +22,8 @@
     assert summary.key_refusals > 0
     assert (summary.keys_at_servers, summary.wrong_workspaces) == (0, 0)
     assert summary.ran_after_revocation == 0
-    # Shows refusals as soon as entries enforce allowances; the callers ask for three times theirs.
-    assert (summary.allowance_refusals > 0) == summary.allowances_enforced
+    # Shows refusals as soon as entries enforce quotas; the callers ask for three times theirs.
+    assert (summary.quota_refusals > 0) == summary.quotas_enforced
 
 
 def summary(**changes):
@@ -46,7 +46,7 @@
         {"keys_at_servers": 1},
         {"wrong_workspaces": 1},
         {"ran_after_revocation": 1},
-        {"highest_allowance_use_ratio": 1.01},
+        {"highest_quota_use_ratio": 1.01},
         {"requests": 1},
     ):
         assert len(summary(**changes).violated_guarantees()) == 1, changes
--- a/tests/test_allowance_bound.py
+++ b/tests/test_quota_bound.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from sassafraslock.allowances import limits
-from tests import allowance_fleet
+from sassafraslock.quotas import limits
+from tests import quota_fleet
 
 HOT = limits.Limit("workspace/hot", 20.0, 10.0)
 LIMITS = (HOT, limits.Limit("workspace/mid", 4.0, 10.0), limits.Limit("workspace/small", 0.5, 1.0))
@@ -89,11 +89,11 @@
 def check(fleet, *known):
     for limit in known:
         runs = fleet.usage[limit.key].runs
-        assert allowance_fleet.most_in_a_window(runs) <= allowance_fleet.bound(limit)
+        assert quota_fleet.most_in_a_window(runs) <= quota_fleet.bound(limit)
 
 
 def play(count, seed, faults, join_at_ms=None, end_ms=END_MS):
-    fleet, rng = allowance_fleet.Fleet(count, seed), random.Random(seed + 1_000)
+    fleet, rng = quota_fleet.Fleet(count, seed), random.Random(seed + 1_000)
     fleet.give_back_share = 0.2
     for limit in LIMITS:
         fleet.set_limit(limit)
@@ -123,7 +123,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_no_window_exceeds_the_bound_when_all_entries_restart(seed):
-    fleet = allowance_fleet.Fleet(9, seed)
+    fleet = quota_fleet.Fleet(9, seed)
     fleet.set_limit(HOT)
     fleet.demand(HOT.key, 140, 30_000, fleet.any_entry)
     for entry in list(fleet.entries.values()):
@@ -138,7 +138,7 @@
 # Guards against buckets that keep what the greater limit allowed.
 @pytest.mark.parametrize("seed", range(5))
 def test_a_lowered_limit_binds_one_window_after_the_entries_applied_it(seed):
-    fleet = allowance_fleet.Fleet(9, seed)
+    fleet = quota_fleet.Fleet(9, seed)
     fleet.set_limit(limits.Limit(HOT.key, 200.0, 300.0))
     fleet.run(15_000)
     fleet.set_limit(HOT, spread_ms=4_000)
@@ -146,12 +146,12 @@
     fleet.run(42_000)
     runs = [r for r in fleet.usage[HOT.key].runs if r[0] >= 19_000]
     assert runs
-    assert allowance_fleet.most_in_a_window(runs) <= allowance_fleet.bound(HOT)
+    assert quota_fleet.most_in_a_window(runs) <= quota_fleet.bound(HOT)
 
 
 # Guards against a share that lies idle since its owner restarted: 1.5 s are needed, not 4 s more.
 def test_a_restarted_entry_costs_its_share_for_a_short_time():
-    fleet = allowance_fleet.Fleet(9, 1)
+    fleet = quota_fleet.Fleet(9, 1)
     fleet.set_limit(HOT)
     fleet.run(12_000)
     active = [e for e in fleet.entries.values() if e.node.collector.is_active]
--- a/tests/test_allowance_messages.py
+++ b/tests/test_quota_messages.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sassafraslock import clock, errors, workspaces
-from sassafraslock.allowances import (
+from sassafraslock.quotas import (
     collector_choice,
     limits,
     messages,
@@ -32,7 +32,7 @@
 def collecting_node(now_ms=60_000):
     """A collector that holds its own share and that of another entry, so that its bucket fills."""
     entries = [info("me", heard_ms=now_ms), info("other", heard_ms=now_ms, live=False)]
-    own = node.AllowanceNode(entries[0], 1, TERMS, lambda _: entries, 0)
+    own = node.QuotaNode(entries[0], 1, TERMS, lambda _: entries, 0)
     own.apply_limits([LIMIT], 0)
     for time_ms in range(0, now_ms + 1, 100):
         own.tick(time_ms)
@@ -142,55 +142,55 @@
 
 def peer(entry_id):
     own = test_gossip.service(entry_id)
-    allowances = service.AllowanceService(
+    quotas = service.QuotaService(
         own, lambda beat: test_gossip.record(entry_id, beat), TERMS, clock.monotonic_ms()
     )
-    return own, allowances
+    return own, quotas
 
 
 def test_datagrams_of_unknown_senders_and_odd_ones_are_dropped():
-    own, allowances = peer("me")
+    own, quotas = peer("me")
     ask = messages.LeaseAsk("stranger", 1, 1, 1_500)
     later_ms = clock.monotonic_ms() + 1_400
     own.merge_datagram(b"\x01" + messages.encode(ask), later_ms)
     own.merge_datagram(b"\x01\xff\x00", later_ms)
-    assert allowances.node.drain(later_ms) == []
-    assert allowances.node.owner.holder == ""
-    assert allowances.rejections.counts["allowance message"] == 1
+    assert quotas.node.drain(later_ms) == []
+    assert quotas.node.owner.holder == ""
+    assert quotas.rejections.counts["quota message"] == 1
 
 
 def test_nothing_is_sent_while_no_workspace_has_a_rate():
-    _, allowances = peer("me")
+    _, quotas = peer("me")
     now_ms = clock.monotonic_ms()
     for time_ms in range(now_ms, now_ms + 20_000, 500):
-        allowances.node.tick(time_ms)
-        assert allowances.node.drain(time_ms) == []
+        quotas.node.tick(time_ms)
+        assert quotas.node.drain(time_ms) == []
 
 
 def test_a_workspace_without_a_rate_is_not_limited():
     async def scenario():
-        _, allowances = peer("me")
+        _, quotas = peer("me")
         free = workspaces.Workspace("x", ())
-        assert await allowances.acquire(free, clock.monotonic_ms()) is None
+        assert await quotas.acquire(free, clock.monotonic_ms()) is None
 
     anyio.run(scenario)
 
 
 def test_without_any_share_the_refusal_says_that_nothing_is_known():
     async def scenario():
-        _, allowances = peer("me")
+        _, quotas = peer("me")
         limited = workspaces.Workspace("x", (), rate_per_s=5.0)
         async with anyio.create_task_group() as group:
-            await group.start(started, allowances)
-            refused = await allowances.acquire(limited, clock.monotonic_ms())
+            await group.start(started, quotas)
+            refused = await quotas.acquire(limited, clock.monotonic_ms())
             group.cancel_scope.cancel()
-        assert refused.kind is errors.ErrorKind.ALLOWANCE_UNKNOWN
+        assert refused.kind is errors.ErrorKind.QUOTA_UNKNOWN
         assert refused.retry_after_ms >= 500
 
-    async def started(allowances, *, task_status=anyio.TASK_STATUS_IGNORED):
+    async def started(quotas, *, task_status=anyio.TASK_STATUS_IGNORED):
         ready = anyio.Event()
         task_status.started()
-        await allowances.run(ready)
+        await quotas.run(ready)
 
     anyio.run(scenario)
 
@@ -203,7 +203,7 @@
         own.drain(60_000)
         if ask.verdict is messages.Verdict.USED_UP:
             refused = refusal.refuse(ask, random.Random(number))
-            assert refused.kind is errors.ErrorKind.ALLOWANCE_USED_UP
+            assert refused.kind is errors.ErrorKind.QUOTA_USED_UP
             waits.append(refused.retry_after_ms)
     assert len(waits) > 30
     seconds = [sum(1 for w in waits if w // 1_000 == s) for s in range(max(waits) // 1_000 + 1)]
--- a/tests/test_allowance_service.py
+++ b/tests/test_quota_service.py
@@ -5,9 +5,9 @@
 import anyio
 
 from sassafraslock import clock, errors, events, workspaces
-from sassafraslock.allowances import collector_choice, limits, service, share_size
 from sassafraslock.decisions import registry, roster
 from sassafraslock.path import access_log
+from sassafraslock.quotas import collector_choice, limits, service, share_size
 from sassafraslock.services import gossip, poison_watch, upstream
 from tests import loopback
 
@@ -38,7 +38,7 @@
     seeds = [a for a in addresses if a != addresses[number]]
     peers = gossip.GossipService(entry_id, addresses[number], seeds, record, poison, "token")
     backdated_ms = clock.monotonic_ms() - 60_000
-    own = service.AllowanceService(peers, record, TERMS, backdated_ms, random.Random(number))
+    own = service.QuotaService(peers, record, TERMS, backdated_ms, random.Random(number))
     return peers, own
 
 
@@ -83,9 +83,9 @@
         granted = outcomes.count(None)
         assert 10 <= granted <= (40 * 5 + 2) * 1.1 + 20
         refused = next(o for o in outcomes if o is not None)
-        assert refused.kind is errors.ErrorKind.ALLOWANCE_USED_UP
+        assert refused.kind is errors.ErrorKind.QUOTA_USED_UP
         assert refused.collector == "e-0"
-        fields = access_log._allowance_fields(refused, clock.monotonic_ms())
+        fields = access_log._quota_fields(refused, clock.monotonic_ms())
         assert fields["collector"] == "e-0" and fields["decision_age_ms"] >= 0
         assert first.token_counts()["refused"] == len(outcomes) - granted
         assert first.dump()["limited"] == ["workspace/x"]
@@ -129,5 +129,5 @@
 
     play(scenario)
     logged = [getattr(r, "event", None) for r in caplog.records]
-    assert logged.count(events.Event.ALLOWANCE_USED_UP) <= 1
-    assert 1 <= logged.count(events.Event.ALLOWANCE_COLLECTOR_CHANGED) <= 3
+    assert logged.count(events.Event.QUOTA_USED_UP) <= 1
+    assert 1 <= logged.count(events.Event.QUOTA_COLLECTOR_CHANGED) <= 3
--- a/tests/test_allowance_shares.py
+++ b/tests/test_quota_shares.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sassafraslock.allowances import (
+from sassafraslock.quotas import (
     asks,
     collector_choice,
     lease_book,
@@ -13,7 +13,7 @@
     share_size,
     token_bucket,
 )
-from tests import allowance_fleet, test_allowance_bound
+from tests import quota_fleet, test_quota_bound
 
 LIMIT = limits.Limit("workspace/x", 10.0, 5.0)
 
@@ -136,8 +136,8 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_collectors_that_are_cut_off_lose_what_they_hold(seed):
     """Each collector with full buckets is alone for a while; others gather its shares."""
-    fleet = allowance_fleet.Fleet(9, seed)
-    limit = test_allowance_bound.LIMITS[1]
+    fleet = quota_fleet.Fleet(9, seed)
+    limit = test_quota_bound.LIMITS[1]
     fleet.set_limit(limit)
     fleet.run(25_000)
     alone = {e.entry_id for e in fleet.entries.values() if e.node.collector.is_active}
@@ -152,4 +152,4 @@
     fleet.run(46_000)
     runs = fleet.usage[limit.key].runs
     assert runs
-    assert allowance_fleet.most_in_a_window(runs) <= allowance_fleet.bound(limit)
+    assert quota_fleet.most_in_a_window(runs) <= quota_fleet.bound(limit)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -121,7 +121,7 @@
         settings.Logging, shared_settings.TeamSettings, shared_settings.Service,
         shared_settings.Server, shared_settings.Shift, shared_settings.Region,
         shared_settings.Link, shared_settings.Claims, settings.Keys,
-        settings.Allowances, workspace_settings.Workspace,
+        settings.Quotas, workspace_settings.Workspace,
     ]  # fmt: skip
     expected = {f"`{f.name}`" for cls in classes for f in dataclasses.fields(cls)}
     assert documented - {"name", "---"} == expected
@@ -177,15 +177,15 @@
     assert problem.path == "workspaces" and "/system" in problem.fix
 
 
-def test_bounds_of_keys_and_allowances_reach_the_entry():
+def test_bounds_of_keys_and_quotas_reach_the_entry():
     text = PROCESS_FILES[0].read_text()
     loaded = settings.load(
-        text + "\n[keys]\nrevoke_ms = 5000\n[allowances]\nwindow_ms = 5000\nslack = 12.0\n"
+        text + "\n[keys]\nrevoke_ms = 5000\n[quotas]\nwindow_ms = 5000\nslack = 12.0\n"
     )
     bounds = entry.convert_settings(loaded).bounds
-    assert (bounds.revoke_ms, bounds.allowance_window_ms) == (5_000, 5_000)
-    assert (bounds.allowance_overage, bounds.allowance_slack) == (0.1, 12.0)
+    assert (bounds.revoke_ms, bounds.quota_window_ms) == (5_000, 5_000)
+    assert (bounds.quota_overage, bounds.quota_slack) == (0.1, 12.0)
     plain = entry.convert_settings(settings.load(text)).bounds
-    assert plain.revoke_ms is None and plain.allowance_window_ms == 0
+    assert plain.revoke_ms is None and plain.quota_window_ms == 0
     [problem] = settings.load(text + "\n[keys]\nrevoke_ms = 1000\n")
     assert problem.path == "keys.revoke_ms" and "2000" in problem.fix
