--- a/sassafraslock/edge.py
+++ b/sassafraslock/edge.py
@@ -174,7 +174,7 @@
             send.Sender(self.upstream, names, self.watch, placer.cold, settings.entry_id),
             names,
             self.poison.quarantine,
-            lambda: len(self.gossip.known_ids(settings.region)),
+            self._region_entry_count,
         )
         entry_count = self.gossip.roster.entry_count
         return pipeline.RequestPipeline(
@@ -241,6 +241,10 @@
         host, _, port = address.rpartition(":")
         return http_server.HttpServer(handler, host, int(port), policy, self.quota)
 
+    def _region_entry_count(self) -> int:
+        """Return the number of entries in this entry's region, itself and silent ones included."""
+        return len(self.gossip.known_ids(self.settings.region))
+
     def status(self, now_ms: int) -> operator_api.Status:
         """Return a summary of this entry.
 
