Readiness asks for open routes once a table; gossip adds lists in one place

Found on reading the whole change. Whether any route needs no key was computed over all routes each time that an entry built its record, which several decisions of a request do; a routing table holds it now. The gossip message built its extended form by hand beside gossip_messages.extended. No behaviour changes; the tests of gossip, proofs, workspaces, routing tables, the directory, the house rules, edge, fleets with revoked keys, the zone feed and settings pass.

--- a/sassafraslock/path/identify.py
+++ b/sassafraslock/path/identify.py
@@ -93,8 +93,7 @@
     """
     if table is None:
         return False
-    needs_keys = all(table.requires_key(route) for route in table.routes)
-    return not needs_keys or not table.routes or proof.may_accept(now_ms)
+    return table.serves_without_key or proof.may_accept(now_ms)
 
 
 def identify(
--- a/sassafraslock/routing_table.py
+++ b/sassafraslock/routing_table.py
@@ -145,9 +145,21 @@
 
 
 class RoutingTable:
-    """One version of the routing configuration, indexed by host and path prefix."""
+    """One version of the routing configuration, indexed by host and path prefix.
 
-    __slots__ = ("version", "services", "limits", "links", "routes", "workspaces", "_prefixes")
+    ``serves_without_key`` is whether any route needs no key, or there are no routes.
+    """
+
+    __slots__ = (
+        "version",
+        "services",
+        "limits",
+        "links",
+        "routes",
+        "workspaces",
+        "serves_without_key",
+        "_prefixes",
+    )
 
     def __init__(self, intents: Intents) -> None:
         self.version = intents.version
@@ -158,6 +170,8 @@
         self.workspaces: workspaces.WorkspaceIndex | None = None
         if intents.workspaces is not msgspec.UNSET:
             self.workspaces = workspaces.WorkspaceIndex(intents.workspaces)
+        keyless = (not self.requires_key(route) for route in intents.routes)
+        self.serves_without_key = not intents.routes or any(keyless)
         self._prefixes: dict[str, dict[str, Route]] = {}
         for route in intents.routes:
             self._prefixes.setdefault(route.host, {})[route.prefix] = route
--- a/sassafraslock/services/gossip.py
+++ b/sassafraslock/services/gossip.py
@@ -279,9 +279,7 @@
             restarts=restarts,
         )
         proofs = self.proofs.recent_reports(now_ms) if self.proofs is not None else []
-        if not proofs:
-            return message
-        return gossip_messages.ExtendedMessage(**msgspec.structs.asdict(message), proofs=proofs)
+        return gossip_messages.extended(message, proofs=proofs)
 
     def pack(self, message: gossip_messages.Message) -> bytes:
         """Encode and compress a message, and sign it with the peer token.
