--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -219,6 +219,7 @@
 
     request_id: str
     method: str
+    path: str
     at: float
     ran: bool = False
     answered: bool = False
@@ -270,10 +271,16 @@
     def report(self) -> None:
         """Write this server's row."""
         self._sequence += 1
-        row = {"service": self.service, "address": self.address, "zone": self.zone}
+        self._store.put("servers", self.server_id, self.row(self.service))
+
+    def row(self, service: str) -> dict[str, typing.Any]:
+        """Return what a row says of this server.
+
+        :param service: the service that it names.
+        """
+        row = {"service": service, "address": self.address, "zone": self.zone}
         row |= {"version": "v1", "slots": self.slots, "state": self.state, "coldRemainingS": 0}
-        row |= {"sequence": self._sequence, "born": self._born_ms}
-        self._store.put("servers", self.server_id, row)
+        return row | {"sequence": self._sequence, "born": self._born_ms}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -302,7 +309,7 @@
             return encode("HTTP/1.1 421 Misdirected Request", headers, b"")
         if path == "/health":
             return encode("HTTP/1.1 200 OK", {"x-instance-id": self.server_id}, b"")
-        run = Run(request_id, request.first[0], self._record.now())
+        run = Run(request_id, request.first[0], path, self._record.now())
         self.runs.append(run)
         try:
             async with self._free:
